--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# make demo: installs what is needed, builds, and runs both users' set-ups.
+# make test: the same, then passes the tests.
+
+BUILD := build
+JOBS := $(shell nproc)
+
+.PHONY: all packages build test demo format lint clean
+
+all: build
+
+packages:
+	tools/install_packages.sh
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
+
+demo: build
+	python3 tools/demo.py $(BUILD)
+
+format:
+	clang-format -i $$(git ls-files '*.h' '*.cc')
+
+lint: build
+	tools/lint.sh $(BUILD)
+
+clean:
+	cmake -E rm -rf $(BUILD)
--- /dev/null
+++ b/fireflycart/core/admission_queue.cc
@@ -0,0 +1,237 @@
+// Order between ranks: strictly by rank, except that each rank that waits earns
+// its floor share of every dispatch as credit; a rank with a whole unit of
+// credit goes first and pays for it. Credit is capped, so an idle rank cannot
+// save up a burst.
+//
+// Order within a rank: start-time fair queueing (Goyal, Vin, Cheng, 1996). Each
+// kind has a virtual time that grows by 1/weight for each item served; the kind
+// with the lowest one goes next. A kind that was empty starts at the rank's
+// virtual time, so it gains nothing from having been idle.
+
+#include "fireflycart/core/admission_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflycart {
+namespace {
+
+constexpr double kMaxCredit = 2;
+// How far Pop looks into one kind for an item that the filter takes.
+constexpr size_t kScanLimit = 32;
+
+}  // namespace
+
+void AdmissionQueue::Configure(const std::vector<RankPolicy>& ranks,
+                               const std::vector<KindPolicy>& kinds,
+                               size_t limit) {
+  limit_ = limit;
+  if (ranks_.size() < ranks.size()) ranks_.resize(ranks.size());
+  for (size_t i = 0; i < ranks.size(); i++) {
+    ranks_[i].floor_share = ranks[i].floor_share;
+  }
+  weights_.clear();
+  for (const KindPolicy& kind : kinds) weights_[kind.id] = kind.weight;
+  for (RankQueue& rank : ranks_) {
+    for (auto& item : rank.kinds) {
+      auto found = weights_.find(item.first);
+      if (found != weights_.end()) item.second.weight = found->second;
+    }
+  }
+}
+
+AdmissionQueue::PushResult AdmissionQueue::Push(const QueuedWork& item) {
+  PushResult result;
+  if (size_ >= limit_) {
+    result.evicted = MakeRoom(item);
+    if (!result.evicted) return result;
+  }
+  KindOf(item).items.push_back(item);
+  RankOf(item.rank).size++;
+  size_++;
+  result.queued = true;
+  return result;
+}
+
+void AdmissionQueue::PushFront(const QueuedWork& item) {
+  KindOf(item).items.push_front(item);
+  RankOf(item.rank).size++;
+  size_++;
+}
+
+std::optional<QueuedWork> AdmissionQueue::Pop(const WorkFilter& filter) {
+  for (size_t index : ServiceOrder()) {
+    std::optional<QueuedWork> item = PopFrom(&ranks_[index], filter);
+    if (!item) continue;
+    size_--;
+    Settle(index);
+    return item;
+  }
+  return std::nullopt;
+}
+
+std::vector<WorkId> AdmissionQueue::Expire(TimePoint now) {
+  std::vector<WorkId> late;
+  for (RankQueue& rank : ranks_) {
+    for (auto& entry : rank.kinds) {
+      auto& items = entry.second.items;
+      auto is_late = [&](const QueuedWork& item) {
+        if (item.deadline > now) return false;
+        late.push_back(item.work);
+        return true;
+      };
+      size_t before = items.size();
+      items.erase(std::remove_if(items.begin(), items.end(), is_late),
+                  items.end());
+      rank.size -= before - items.size();
+      size_ -= before - items.size();
+    }
+  }
+  return late;
+}
+
+bool AdmissionQueue::Remove(WorkId work) {
+  for (RankQueue& rank : ranks_) {
+    for (auto& entry : rank.kinds) {
+      auto& items = entry.second.items;
+      auto found =
+          std::find_if(items.begin(), items.end(),
+                       [&](const QueuedWork& i) { return i.work == work; });
+      if (found == items.end()) continue;
+      items.erase(found);
+      rank.size--;
+      size_--;
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<WorkId> AdmissionQueue::Drain() {
+  std::vector<WorkId> all;
+  for (RankQueue& rank : ranks_) {
+    for (auto& entry : rank.kinds) {
+      for (const QueuedWork& item : entry.second.items) {
+        all.push_back(item.work);
+      }
+      entry.second.items.clear();
+    }
+    rank.size = 0;
+  }
+  size_ = 0;
+  return all;
+}
+
+size_t AdmissionQueue::CountUpTo(Rank rank) const {
+  size_t count = 0;
+  for (size_t i = 0; i < ranks_.size(); i++) {
+    if (static_cast<int>(i) <= rank.value()) count += ranks_[i].size;
+  }
+  return count;
+}
+
+AdmissionQueue::RankQueue& AdmissionQueue::RankOf(Rank rank) {
+  size_t index = static_cast<size_t>(std::max(0, rank.value()));
+  if (index >= ranks_.size()) ranks_.resize(index + 1);
+  return ranks_[index];
+}
+
+AdmissionQueue::KindQueue& AdmissionQueue::KindOf(const QueuedWork& item) {
+  RankQueue& rank = RankOf(item.rank);
+  auto inserted = rank.kinds.emplace(item.kind, KindQueue());
+  KindQueue& kind = inserted.first->second;
+  if (inserted.second) {
+    auto weight = weights_.find(item.kind);
+    if (weight != weights_.end()) kind.weight = weight->second;
+  }
+  if (kind.items.empty()) {
+    kind.virtual_time = std::max(kind.virtual_time, rank.virtual_time);
+  }
+  return kind;
+}
+
+std::vector<size_t> AdmissionQueue::ServiceOrder() const {
+  std::vector<size_t> order;
+  for (size_t i = 0; i < ranks_.size(); i++) {
+    if (ranks_[i].size > 0 && ranks_[i].credit >= 1) order.push_back(i);
+  }
+  for (size_t i = 0; i < ranks_.size(); i++) {
+    if (ranks_[i].size > 0 && ranks_[i].credit < 1) order.push_back(i);
+  }
+  return order;
+}
+
+std::optional<QueuedWork> AdmissionQueue::PopFrom(RankQueue* rank,
+                                                  const WorkFilter& filter) {
+  std::vector<KindQueue*> order;
+  for (auto& entry : rank->kinds) {
+    if (!entry.second.items.empty()) order.push_back(&entry.second);
+  }
+  std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) {
+    return a->virtual_time < b->virtual_time;
+  });
+  for (KindQueue* kind : order) {
+    size_t scan = std::min(kScanLimit, kind->items.size());
+    for (size_t i = 0; i < scan; i++) {
+      if (!filter.Accepts(kind->items[i])) continue;
+      QueuedWork item = kind->items[i];
+      kind->items.erase(kind->items.begin() + static_cast<std::ptrdiff_t>(i));
+      rank->virtual_time = std::max(rank->virtual_time, kind->virtual_time);
+      kind->virtual_time += 1 / kind->weight;
+      rank->size--;
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
+void AdmissionQueue::Settle(size_t served) {
+  for (size_t i = 0; i < ranks_.size(); i++) {
+    RankQueue& rank = ranks_[i];
+    bool waits = rank.size > 0 || i == served;
+    if (!waits) {
+      rank.credit = 0;
+      continue;
+    }
+    rank.credit = std::min(kMaxCredit, rank.credit + rank.floor_share);
+  }
+  RankQueue& payer = ranks_[served];
+  payer.credit = std::max(0.0, payer.credit - 1);
+}
+
+std::optional<WorkId> AdmissionQueue::MakeRoom(const QueuedWork& newcomer) {
+  size_t own = static_cast<size_t>(std::max(0, newcomer.rank.value()));
+  for (size_t i = ranks_.size(); i > own + 1; i--) {
+    RankQueue& rank = ranks_[i - 1];
+    double kept = rank.floor_share * static_cast<double>(limit_);
+    if (static_cast<double>(rank.size) <= kept || rank.size == 0) continue;
+    return EvictLongest(&rank, 1);
+  }
+  RankQueue& rank = RankOf(newcomer.rank);
+  auto found = rank.kinds.find(newcomer.kind);
+  size_t mine = found == rank.kinds.end() ? 0 : found->second.items.size();
+  return EvictLongest(&rank, mine + 2);
+}
+
+std::optional<WorkId> AdmissionQueue::EvictLongest(RankQueue* rank,
+                                                   size_t at_least) {
+  KindQueue* longest = nullptr;
+  for (auto& entry : rank->kinds) {
+    KindQueue& kind = entry.second;
+    bool longer =
+        longest == nullptr ||
+        static_cast<double>(kind.items.size()) / kind.weight >
+            static_cast<double>(longest->items.size()) / longest->weight;
+    if (longer) longest = &kind;
+  }
+  if (longest == nullptr || longest->items.size() < at_least) {
+    return std::nullopt;
+  }
+  WorkId evicted = longest->items.back().work;
+  longest->items.pop_back();
+  rank->size--;
+  size_--;
+  return evicted;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/admission_queue.h
@@ -0,0 +1,100 @@
+// Requests that wait at the coordinator of a group, and the order in which
+// they are served: by rank, with a floor for lower ranks, and fairly between
+// the kinds of one rank.
+//
+//   auto evicted = queue.Push(item);           // may evict less urgent work
+//   auto next = queue.Pop(filter);             // first item the filter takes
+//   for (WorkId late : queue.Expire(now)) ...
+//
+// Limits: at most `limit` items. When it is full, an item of a lower rank
+// makes room, then one of the longest kind of the same rank; else the new item
+// is refused. A rank keeps its floor share of the places.
+
+#ifndef FIREFLYCART_CORE_ADMISSION_QUEUE_H_
+#define FIREFLYCART_CORE_ADMISSION_QUEUE_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/configuration.h"
+#include "fireflycart/core/ids.h"
+
+namespace fireflycart {
+
+struct QueuedWork {
+  WorkId work;
+  KindId kind;
+  Rank rank;
+  TimePoint deadline;
+};
+
+// Decides whether the resources at hand can serve an item.
+class WorkFilter {
+ public:
+  virtual ~WorkFilter() = default;
+  virtual bool Accepts(const QueuedWork& item) const = 0;
+};
+
+class AdmissionQueue {
+ public:
+  // Takes the policies from the configuration. Items of kinds that no longer
+  // exist keep their place under their old rank.
+  void Configure(const std::vector<RankPolicy>& ranks,
+                 const std::vector<KindPolicy>& kinds, size_t limit);
+
+  struct PushResult {
+    bool queued = false;
+    std::optional<WorkId> evicted;
+  };
+  PushResult Push(const QueuedWork& item);
+
+  // Puts an item back at the head of its kind, beyond the limit if need be.
+  void PushFront(const QueuedWork& item);
+
+  std::optional<QueuedWork> Pop(const WorkFilter& filter);
+
+  // Removes and returns the items whose deadline has passed.
+  std::vector<WorkId> Expire(TimePoint now);
+  bool Remove(WorkId work);
+  // Removes and returns everything.
+  std::vector<WorkId> Drain();
+
+  size_t size() const { return size_; }
+  // Items of this rank and of more urgent ones.
+  size_t CountUpTo(Rank rank) const;
+
+ private:
+  struct KindQueue {
+    std::deque<QueuedWork> items;
+    double weight = 1;
+    double virtual_time = 0;
+  };
+  struct RankQueue {
+    std::map<KindId, KindQueue> kinds;
+    size_t size = 0;
+    double virtual_time = 0;
+    double floor_share = 0;
+    double credit = 0;
+  };
+
+  RankQueue& RankOf(Rank rank);
+  KindQueue& KindOf(const QueuedWork& item);
+  std::vector<size_t> ServiceOrder() const;
+  std::optional<QueuedWork> PopFrom(RankQueue* rank, const WorkFilter& filter);
+  void Settle(size_t served);
+  std::optional<WorkId> MakeRoom(const QueuedWork& newcomer);
+  std::optional<WorkId> EvictLongest(RankQueue* rank, size_t at_least);
+
+  std::vector<RankQueue> ranks_;
+  std::map<KindId, double> weights_;
+  size_t limit_ = 1;
+  size_t size_ = 0;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_ADMISSION_QUEUE_H_
--- /dev/null
+++ b/fireflycart/core/config_keeper.h
@@ -0,0 +1,135 @@
+// Keeps the configuration in force at this VM, learns newer versions from the
+// platform or from peers, and submits changes.
+//
+// The platform's table holds one row that names the version in force; the
+// object store holds the documents. Few VMs read the row; the others hear of a
+// new version from their peers and fetch the difference.
+//
+//   keeper.OnTick(is_reader, &context);
+//   keeper.OnPeerVersion(peer, address, version, &context);
+//   keeper.Submit(handle, call, &context);
+//   if (keeper.TakeInstalled()) ApplyConfiguration(keeper.current());
+//
+// Limits: the last kKeptSteps differences are kept for peers; a VM further
+// behind gets the whole document. A version never goes back.
+
+#ifndef FIREFLYCART_CORE_CONFIG_KEEPER_H_
+#define FIREFLYCART_CORE_CONFIG_KEEPER_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/configuration.h"
+#include "fireflycart/core/context.h"
+#include "fireflycart/core/event.h"
+#include "fireflycart/core/ids.h"
+
+namespace fireflycart {
+
+// The row in the platform's table that names the version in force.
+struct ConfigPointer {
+  ConfigVersion version;
+  ConfigVersion base;
+  std::string digest;
+  std::string base_digest;
+  std::string operator_name;
+};
+
+std::string EncodeConfigPointer(const ConfigPointer& pointer);
+// Throws Error if the text is malformed.
+ConfigPointer DecodeConfigPointer(const std::string& text);
+
+class ConfigKeeper {
+ public:
+  // Polls the platform when it is due. Readers poll always, others only after
+  // they heard nothing from peers for a while.
+  void OnTick(bool is_reader, Context* context);
+
+  // A peer has this version in force.
+  void OnPeerVersion(const VmId& peer, const std::string& address,
+                     ConfigVersion version, Context* context);
+  ConfigFetchReply AnswerFetch(const ConfigFetchCall& call) const;
+
+  void Submit(HandleId handle, const SubmitConfigCall& call, Context* context);
+
+  // Handle replies to calls of this part; false if the call is another's.
+  bool OnPeerReplied(const PeerReplied& reply, Context* context);
+  bool OnPlatformReplied(const PlatformReplied& reply, Context* context);
+
+  ConfigVersion version() const { return version_; }
+  const std::string& document() const { return document_; }
+  const Configuration& current() const { return configuration_; }
+  // When the platform last answered.
+  TimePoint platform_heard() const { return platform_heard_; }
+  // True once after a new version came into force.
+  bool TakeInstalled();
+
+ private:
+  enum class SubmitStep {
+    kReadPointer,
+    kReadBase,  // Only if the base is not the version in force here.
+    kPutObject,
+    kTransact,
+    kReadChanges,  // Only after a conflict.
+  };
+  struct Submission {
+    HandleId handle;
+    SubmitConfigCall call;
+    std::string canonical;
+    std::string digest;
+    std::string base_document;
+    SubmitStep step = SubmitStep::kReadPointer;
+    uint64_t row_version = 0;
+    ConfigPointer pointer;
+    int tries = 0;
+    TimePoint deadline;
+    TimePoint retry_at;  // Set while waiting to try again.
+  };
+
+  void Poll(Context* context);
+  void OnPointerRead(const PlatformReply& reply, Context* context);
+  void OnDocumentRead(const PlatformReply& reply);
+  void Install(ConfigVersion version, const std::string& canonical);
+  void LogInstalled(Context* context);
+  void CallPlatformFor(Submission* submission, PlatformCallBody body,
+                       Context* context);
+  void StepSubmission(CallId call, const PlatformReply& reply,
+                      Context* context);
+  void OnSubmitPointer(Submission* submission, const PlatformReply& reply,
+                       Context* context);
+  void OnSubmitChanges(const Submission& submission, const PlatformReply& reply,
+                       Context* context);
+  void PutObject(Submission* submission, Context* context);
+  void Transact(Submission* submission, Context* context);
+  void RetrySubmission(Submission submission, Context* context);
+  void RetryDue(Context* context);
+  void EndSubmission(const Submission& submission, SubmitReply reply,
+                     Context* context);
+
+  ConfigVersion version_;
+  std::string document_;
+  std::string digest_;
+  Configuration configuration_;
+  std::deque<ConfigStep> steps_;
+  bool installed_ = false;
+
+  TimePoint next_poll_;
+  TimePoint platform_heard_;
+  TimePoint peers_heard_;
+  CallId poll_call_;
+  CallId document_call_;
+  ConfigPointer reading_;
+  CallId fetch_call_;
+  VmId fetch_peer_;
+  TimePoint fetch_started_;
+  bool fetch_whole_ = false;  // The last difference did not fit.
+  std::map<CallId, Submission> submissions_;
+  std::vector<Submission> waiting_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_CONFIG_KEEPER_H_
--- /dev/null
+++ b/fireflycart/core/group_coordinator.cc
@@ -0,0 +1,324 @@
+// Life of a group at one VM: configuration, submission, timers, and the pump
+// that moves everything on after each event. Control connections, dispatch and
+// replies are in group_control.cc, group_dispatch.cc and group_replies.cc, in
+// the order in which a request meets them.
+
+#include "fireflycart/core/group_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflycart {
+namespace {
+
+constexpr Duration kSessionTrimPeriod = Duration::Seconds(1);
+constexpr Duration kOverloadRetry = Duration::Millis(200);
+
+}  // namespace
+
+const char* GroupPhaseText(GroupPhase phase) {
+  switch (phase) {
+    case GroupPhase::kIdle:
+      return "idle";
+    case GroupPhase::kTakingOver:
+      return "taking_over";
+    case GroupPhase::kServing:
+      return "serving";
+    case GroupPhase::kPausing:
+      return "pausing";
+    case GroupPhase::kHandingOver:
+      return "handing_over";
+  }
+  return "unknown";
+}
+
+GroupCoordinator::GroupCoordinator(GroupId id, const TermSource* terms,
+                                   Context* context)
+    : id_(id),
+      terms_(terms),
+      context_(context),
+      links_(id),
+      sessions_(context->options().session_budget()),
+      outcomes_(context->options().outcome_budget()) {}
+
+void GroupCoordinator::Configure(const GroupPolicy& policy,
+                                 const Configuration& all) {
+  policy_ = policy;
+  ranks_ = all.ranks;
+  kinds_.clear();
+  for (const KindPolicy& kind : all.kinds) kinds_[kind.id] = kind;
+  std::vector<UpstreamId> members;
+  for (const UpstreamPolicy& upstream : policy.upstreams) {
+    members.push_back(upstream.id);
+  }
+  view_.SetMembers(members);
+  queue_.Configure(all.ranks, all.kinds,
+                   static_cast<size_t>(policy.queue_limit));
+  for (WorkId cut : links_.Configure(policy.upstreams, context_)) {
+    Work* work = FindWork(cut);
+    if (work == nullptr) continue;
+    DataConnection lost;
+    lost.work = cut;
+    lost.transaction = work->request.transaction;
+    OnConnectionLost(lost);
+  }
+  SetLeaving(listed_leaving_);
+  Pump();
+}
+
+void GroupCoordinator::SetLeaving(const std::set<UpstreamId>& leaving) {
+  listed_leaving_ = leaving;
+  for (auto& item : links_.all()) {
+    item.second.leaving =
+        item.second.policy.leaving || leaving.count(item.first) != 0;
+  }
+}
+
+void GroupCoordinator::TakeOver(const std::string& why) {
+  bool held_back = context_->now() < next_takeover_;
+  if (coordinating() || held_back || !terms_->ready()) return;
+  context_->Log(LogLevel::kInfo, "takeover",
+                "Taking over " + id_.value() + ": " + why + ".");
+  BeginLearning();
+  Pump();
+}
+
+void GroupCoordinator::TakeOverFrom(const HandoverCall& predecessor) {
+  if (coordinating() || !terms_->ready()) return;
+  predecessor_ = predecessor;
+  primary_ = predecessor.primary;
+  term_ = std::max(term_, predecessor.term);
+  context_->Log(LogLevel::kInfo, "takeover",
+                "Taking over " + id_.value() + " from its coordinator.");
+  BeginLearning();
+  Pump();
+}
+
+void GroupCoordinator::HandOverTo(const VmId& successor,
+                                  const std::string& address) {
+  if (phase_ != GroupPhase::kServing) return;
+  successor_ = successor;
+  successor_address_ = address;
+  phase_ = GroupPhase::kPausing;
+  phase_since_ = context_->now();
+  context_->Log(LogLevel::kInfo, "handover",
+                "Handing " + id_.value() + " to " + successor.value() + ".");
+  Pump();
+}
+
+void GroupCoordinator::StepDown(const std::string& why, const VmId& successor) {
+  if (!coordinating()) return;
+  context_->Log(LogLevel::kInfo, "takeover",
+                "Giving up " + id_.value() + ": " + why + ".");
+  phase_ = GroupPhase::kIdle;
+  phase_since_ = context_->now();
+  AbandonAll(successor);
+  links_.CloseAll(context_);
+  sessions_.Clear();
+  outcomes_.Clear();
+  open_keys_.clear();
+  transactions_.Clear();
+  view_.ForgetAges();
+  predecessor_.reset();
+  successor_ = VmId();
+  handover_call_ = CallId();
+}
+
+void GroupCoordinator::Submit(const Request& request, const WorkOrigin& origin,
+                              Duration time_left, bool maybe_run) {
+  Work work;
+  work.id = WorkId(context_->NextNumber());
+  work.request = request;
+  work.request.deadline = context_->now() + time_left;
+  work.origin = origin;
+  work.arrival = context_->now();
+  work.arrival_sequence = context_->sequence();
+  work.maybe_run = maybe_run;
+  auto kind = kinds_.find(request.kind);
+  WorkId id = work.id;
+  if (kind != kinds_.end()) work.rank = kind->second.rank;
+  works_[id] = std::move(work);
+  if (!coordinating()) {
+    FinishMoved(id, VmId());
+    return;
+  }
+  if (kind == kinds_.end()) {
+    Finish(id, Outcome::kNotRun, Reason::kUnknownKind);
+    return;
+  }
+  Enqueue(&works_[id]);
+  Pump();
+}
+
+void GroupCoordinator::Cancel(const RequestKey& key) {
+  for (auto& item : works_) {
+    bool waits = item.second.state == WorkState::kQueued &&
+                 item.second.request.key == key && !item.second.maybe_run;
+    if (!waits || outcomes_.HasJoined(key)) continue;
+    queue_.Remove(item.first);
+    Finish(item.first, Outcome::kNotRun, Reason::kCallerGone);
+    return;
+  }
+}
+
+void GroupCoordinator::CancelLocal(HandleId handle) {
+  for (auto& item : works_) {
+    const Work& work = item.second;
+    bool is_it = work.origin.local && work.origin.handle == handle;
+    if (!is_it || work.state != WorkState::kQueued) continue;
+    if (outcomes_.HasJoined(work.request.key)) continue;
+    queue_.Remove(item.first);
+    Finish(item.first, Outcome::kNotRun, Reason::kCallerGone);
+    return;
+  }
+}
+
+void GroupCoordinator::OnTick() {
+  if (!coordinating()) return;
+  CheckDeadlines();
+  CheckTransactions();
+  bool serves =
+      phase_ == GroupPhase::kServing || phase_ == GroupPhase::kPausing;
+  if (serves) WatchPrimary();
+  if (phase_ == GroupPhase::kServing) WatchLeaving();
+  TrimSessions();
+  Pump();
+}
+
+void GroupCoordinator::OnConnectionOpened(const ConnectionOpened& event) {
+  links_.OnOpened(event, context_);
+  Pump();
+}
+
+void GroupCoordinator::OnConnectionBroken(const ConnectionBroken& event) {
+  DataConnection lost = links_.OnBroken(event.connection, context_);
+  if (lost.id != ConnectionId()) OnConnectionLost(lost);
+  Pump();
+}
+
+void GroupCoordinator::OnUpstreamReplied(const UpstreamReplied& event) {
+  std::optional<ControlReply> control = links_.OnControlReply(event, context_);
+  if (control) {
+    Observe(control->upstream, event.reply, control->sent_at);
+    OnControlReply(*control, event.reply);
+    Pump();
+    return;
+  }
+  DataConnection* connection = links_.FindData(event.connection);
+  if (connection == nullptr || connection->call != event.call) return;
+  Observe(connection->upstream, event.reply, connection->sent_at);
+  OnDataReply(connection, event.reply);
+  Pump();
+}
+
+bool GroupCoordinator::OnPeerReplied(const PeerReplied& event) {
+  if (handover_call_ == CallId() || event.call != handover_call_) return false;
+  handover_call_ = CallId();
+  const auto* reply = std::get_if<HandoverReply>(&event.body);
+  bool accepted = event.error == PeerCallError::kNone && reply != nullptr &&
+                  reply->accepted;
+  if (phase_ != GroupPhase::kHandingOver) return true;
+  if (accepted) {
+    StepDown("handed over", successor_);
+    return true;
+  }
+  // A lost answer leaves open whether the successor began. If it did, its term
+  // deposes this VM at the next call.
+  phase_ = GroupPhase::kServing;
+  successor_ = VmId();
+  Pump();
+  return true;
+}
+
+std::vector<WorkResult> GroupCoordinator::TakeResults() {
+  return std::exchange(results_, {});
+}
+
+// Queues new work, or answers it from what is known of its key.
+void GroupCoordinator::Enqueue(Work* work) {
+  const RequestKey& key = work->request.key;
+  if (key != RequestKey()) {
+    if (const Answer* first = outcomes_.FindDone(key)) {
+      work->answer = *first;
+      work->answer.replayed = true;
+      FinishAnswered(work);
+      return;
+    }
+    if (outcomes_.IsRunning(key)) {
+      work->state = WorkState::kJoined;
+      outcomes_.Join(key, work->id);
+      return;
+    }
+    outcomes_.Start(key);
+    if (open_keys_.count(key) != 0) work->maybe_run = true;
+  }
+  bool needs_transaction = work->request.type != RequestType::kStatement &&
+                           work->request.type != RequestType::kBegin;
+  if (needs_transaction &&
+      transactions_.Find(work->request.transaction) == nullptr) {
+    bool is_commit =
+        work->request.type == RequestType::kCommit && key != RequestKey();
+    if (is_commit) {
+      StartResolving(work);
+    } else {
+      Finish(work->id, Outcome::kNotRun, Reason::kTransactionLost);
+    }
+    return;
+  }
+  QueuedWork item{work->id, work->request.kind, work->rank,
+                  work->request.deadline};
+  AdmissionQueue::PushResult pushed = queue_.Push(item);
+  if (pushed.evicted) {
+    Finish(*pushed.evicted, Outcome::kNotRun, Reason::kOverloaded);
+  }
+  if (!pushed.queued) {
+    work->answer.retry_after = context_->Jitter(kOverloadRetry);
+    Finish(work->id, Outcome::kNotRun, Reason::kOverloaded);
+  }
+}
+
+void GroupCoordinator::TrimSessions() {
+  if (context_->now() < next_session_trim_) return;
+  next_session_trim_ = context_->now() + kSessionTrimPeriod;
+  Position applied = view_.AppliedByAll(term_);
+  if (applied != Position()) sessions_.DropApplied(applied);
+}
+
+// Ends every work when this VM stops coordinating. What never ran moves on;
+// what may have run is looked up by the next coordinator through its key.
+void GroupCoordinator::AbandonAll(const VmId& successor) {
+  queue_.Drain();
+  resolving_.clear();
+  awaiting_ack_.clear();
+  awaiting_quorum_.clear();
+  std::vector<WorkId> all;
+  for (const auto& item : works_) all.push_back(item.first);
+  for (WorkId id : all) {
+    Work* work = FindWork(id);
+    if (work == nullptr) continue;
+    bool pinned = work->request.transaction != TransactionId() &&
+                  work->request.type != RequestType::kCommit;
+    if (pinned) {
+      Finish(id, Outcome::kNotRun, Reason::kTransactionLost);
+    } else {
+      FinishMoved(id, successor);
+    }
+  }
+}
+
+// Moves everything on as far as it goes without a further event.
+void GroupCoordinator::Pump() {
+  if (!coordinating() || in_pump_) return;
+  in_pump_ = true;
+  PlanConnections();
+  links_.Maintain(term_, context_);
+  if (phase_ == GroupPhase::kTakingOver) StepTakeover();
+  if (phase_ == GroupPhase::kPausing) StepPause();
+  CompleteAcks();
+  CompleteReads();
+  Dispatch();
+  DriveControl();
+  in_pump_ = false;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/group_coordinator.h
@@ -0,0 +1,213 @@
+// One database group as seen by a VM that may coordinate it.
+//
+// At most one VM should coordinate a group at a time, but nothing breaks if two
+// believe that they do: every write carries the coordinator's term, and reads
+// are returned only after a majority was seen in that term.
+//
+//   GroupCoordinator group(id, &terms, &context);
+//   group.Configure(policy, configuration);
+//   group.Submit(request, origin, time_left, maybe_run);
+//   group.OnUpstreamReplied(event);
+//   for (WorkResult& result : group.TakeResults()) Send(result);
+//
+// Limits: at most queue_limit requests wait; those beyond it are refused as not
+// run. Each request ends by its deadline.
+
+#ifndef FIREFLYCART_CORE_GROUP_COORDINATOR_H_
+#define FIREFLYCART_CORE_GROUP_COORDINATOR_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/admission_queue.h"
+#include "fireflycart/core/configuration.h"
+#include "fireflycart/core/context.h"
+#include "fireflycart/core/event.h"
+#include "fireflycart/core/outcome_cache.h"
+#include "fireflycart/core/replication_view.h"
+#include "fireflycart/core/session_positions.h"
+#include "fireflycart/core/takeover.h"
+#include "fireflycart/core/term_source.h"
+#include "fireflycart/core/transaction_table.h"
+#include "fireflycart/core/upstream_links.h"
+#include "fireflycart/core/work.h"
+
+namespace fireflycart {
+
+enum class GroupPhase {
+  kIdle,        // Another VM coordinates the group, or none.
+  kTakingOver,  // Fencing and promoting.
+  kServing,
+  kPausing,      // Work in flight ends before the primary or this VM changes.
+  kHandingOver,  // The successor was told and has not answered yet.
+};
+
+const char* GroupPhaseText(GroupPhase phase);
+
+// How a transaction ended: kClean leaves its connection fit for reuse.
+enum class TransactionEnd { kClean, kBroken };
+
+class GroupCoordinator {
+ public:
+  GroupCoordinator(GroupId id, const TermSource* terms, Context* context);
+
+  void Configure(const GroupPolicy& policy, const Configuration& all);
+  // Upstreams that the platform lists as leaving.
+  void SetLeaving(const std::set<UpstreamId>& leaving);
+
+  // Starts coordinating, unless it does already or must hold back.
+  void TakeOver(const std::string& why);
+  // Starts coordinating with what the predecessor knew.
+  void TakeOverFrom(const HandoverCall& predecessor);
+  // Ends coordinating as soon as work in flight has ended, and names the
+  // successor to it. Does nothing unless it serves.
+  void HandOverTo(const VmId& successor, const std::string& address);
+  // Ends coordinating at once.
+  void StepDown(const std::string& why, const VmId& successor);
+
+  void Submit(const Request& request, const WorkOrigin& origin,
+              Duration time_left, bool maybe_run);
+  // The caller left: what has not begun is dropped.
+  void Cancel(const RequestKey& key);
+  void CancelLocal(HandleId handle);
+
+  void OnTick();
+  void OnConnectionOpened(const ConnectionOpened& event);
+  void OnConnectionBroken(const ConnectionBroken& event);
+  void OnUpstreamReplied(const UpstreamReplied& event);
+  // The reply to the hand-over call, if it is one.
+  bool OnPeerReplied(const PeerReplied& event);
+
+  bool Owns(ConnectionId connection) const { return links_.Owns(connection); }
+  std::vector<WorkResult> TakeResults();
+
+  const GroupId& id() const { return id_; }
+  const GroupPolicy& policy() const { return policy_; }
+  GroupPhase phase() const { return phase_; }
+  bool coordinating() const { return phase_ != GroupPhase::kIdle; }
+  Term term() const { return term_; }
+  const UpstreamId& primary() const { return primary_; }
+  size_t queued() const { return queue_.size(); }
+  size_t sessions() const { return sessions_.size(); }
+  bool busy() const { return !works_.empty(); }
+  const ReplicationView& view() const { return view_; }
+  const UpstreamLinks& links() const { return links_; }
+  // When this VM may try again after it was overtaken.
+  TimePoint next_takeover() const { return next_takeover_; }
+
+ private:
+  friend class DispatchFilter;
+
+  // Control connections and leadership: group_control.cc.
+  void DriveControl();
+  std::optional<UpstreamCallBody> NextControlCall(const UpstreamLink& link);
+  std::optional<UpstreamCallBody> NextServingCall(const UpstreamLink& link);
+  bool NeedsStatus(const UpstreamLink& link) const;
+  void OnControlReply(const ControlReply& control, const UpstreamReply& reply);
+  void OnResolved(const ResolveCall& call, const UpstreamReply& reply);
+  void Observe(const UpstreamId& upstream, const UpstreamReply& reply,
+               Instant sent_at);
+  void BeginLearning();
+  UpstreamId KnownPrimary() const;
+  bool HasLearned() const;
+  void StepTakeover();
+  void BeginServing();
+  void StartTakeover(const UpstreamId& old_primary,
+                     std::set<UpstreamId> avoided);
+  void WatchPrimary();
+  bool MajorityReachableWithout(const UpstreamId& upstream) const;
+  bool ReplicationStalled() const;
+  void OnOvertaken();
+  void WatchLeaving();
+  void StepPause();
+  void SendHandover();
+  std::set<UpstreamId> LeavingUpstreams() const;
+
+  // From the queue to a connection: group_dispatch.cc.
+  void Dispatch();
+  bool DispatchOn(UpstreamLink* link);
+  bool CanServe(const UpstreamLink& link, const QueuedWork& item) const;
+  bool CanRead(const UpstreamLink& link, const Work& work) const;
+  bool ReplicaHasData(const UpstreamId& upstream, const Work& work) const;
+  bool ShouldReadAtPrimary(const UpstreamLink& link, const Work& work) const;
+  void Send(Work* work, DataConnection* connection);
+  ExecuteCall MakeCall(Work* work, const DataConnection& connection);
+  int InFlightLimit(const UpstreamLink& link, Rank rank) const;
+  void PlanConnections();
+  Position NeededBy(const Work& work) const;
+
+  // Replies and outcomes: group_replies.cc.
+  void OnDataReply(DataConnection* connection, const UpstreamReply& reply);
+  void OnStatementDone(Work* work, const DataConnection& connection,
+                       const UpstreamReply& reply);
+  void OnStatementRefused(Work* work, const UpstreamReply& reply);
+  void OnConnectionLost(const DataConnection& lost);
+  void CompleteAcks();
+  void CompleteReads();
+  void CheckDeadlines();
+  void CheckSilence(Work* work);
+  void StartResolving(Work* work);
+  Work* NextToResolve();
+  void DropConnectionOf(const Work& work);
+  void Requeue(Work* work);
+  void Finish(WorkId id, Outcome outcome, Reason reason);
+  void FinishAnswered(Work* work);
+  void FinishMoved(WorkId id, const VmId& coordinator);
+  void EndTransaction(const TransactionId& id, TransactionEnd end);
+  void CheckTransactions();
+  void Reply(const Work& work, ForwardReply reply);
+  void RememberOpenKey(const Work& work, const ForwardReply& reply);
+  Work* FindWork(WorkId id);
+
+  void Enqueue(Work* work);
+  void TrimSessions();
+  void AbandonAll(const VmId& successor);
+  void Pump();
+
+  GroupId id_;
+  const TermSource* terms_;
+  Context* context_;
+  GroupPolicy policy_;
+  std::map<KindId, KindPolicy> kinds_;
+  std::vector<RankPolicy> ranks_;
+  std::set<UpstreamId> listed_leaving_;
+
+  GroupPhase phase_ = GroupPhase::kIdle;
+  Term term_;
+  UpstreamId primary_;
+  Takeover takeover_;
+  bool learning_ = false;  // Statuses are read before a term is made.
+  TimePoint next_takeover_;
+  Duration overtaken_pause_;
+  TimePoint phase_since_;
+  std::optional<HandoverCall> predecessor_;
+  VmId successor_;
+  std::string successor_address_;
+  CallId handover_call_;
+
+  ReplicationView view_;
+  UpstreamLinks links_;
+  SessionPositions sessions_;
+  OutcomeCache outcomes_;
+  AdmissionQueue queue_;
+  TransactionTable transactions_;
+  std::map<WorkId, Work> works_;
+  std::set<WorkId> awaiting_ack_;
+  std::set<WorkId> awaiting_quorum_;
+  std::deque<WorkId> resolving_;
+  std::set<RequestKey> open_keys_;  // Outcome left unknown in this term.
+  std::vector<WorkResult> results_;
+  Position acknowledged_;  // Highest position acknowledged in this term.
+  TimePoint ack_progress_;
+  TimePoint next_session_trim_;
+  double service_ms_ = 0;  // Moving average over all statements.
+  bool in_pump_ = false;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_GROUP_COORDINATOR_H_
--- /dev/null
+++ b/fireflycart/core/group_dispatch.cc
@@ -0,0 +1,220 @@
+// From the queue to a connection. Upstreams with free capacity take the next
+// work that they can serve: replicas first, the one with the least work in
+// flight before the others, and the primary last, so that it keeps its slots
+// for what only it can do.
+
+#include <algorithm>
+#include <vector>
+
+#include "fireflycart/core/error.h"
+#include "fireflycart/core/group_coordinator.h"
+
+namespace fireflycart {
+namespace {
+
+// How long a read waits for a replica to catch up before the primary takes it.
+constexpr Duration kReplicaWait = Duration::Millis(10);
+// Data connections that are kept open beyond the calls in flight.
+constexpr int kSpareConnections = 2;
+// Calls beyond the slots that the most urgent rank may have in flight. They
+// wait at the upstream and begin the moment a slot is free.
+constexpr int kUrgentExtra = 1;
+
+}  // namespace
+
+// Offers the items of the queue to one upstream.
+class DispatchFilter : public WorkFilter {
+ public:
+  DispatchFilter(const GroupCoordinator* group, const UpstreamLink* link)
+      : group_(group), link_(link) {}
+
+  bool Accepts(const QueuedWork& item) const override {
+    return group_->CanServe(*link_, item);
+  }
+
+ private:
+  const GroupCoordinator* group_;
+  const UpstreamLink* link_;
+};
+
+void GroupCoordinator::Dispatch() {
+  bool open = phase_ == GroupPhase::kServing || phase_ == GroupPhase::kPausing;
+  if (!open) return;
+  bool progress = true;
+  while (progress && queue_.size() > 0) {
+    std::vector<UpstreamLink*> order;
+    for (auto& item : links_.all()) order.push_back(&item.second);
+    std::stable_sort(order.begin(), order.end(), [&](auto* a, auto* b) {
+      bool a_primary = a->policy.id == primary_;
+      bool b_primary = b->policy.id == primary_;
+      if (a_primary != b_primary) return b_primary;
+      return a->in_flight * b->policy.slots < b->in_flight * a->policy.slots;
+    });
+    progress = false;
+    for (UpstreamLink* link : order) {
+      if (DispatchOn(link)) progress = true;
+    }
+  }
+}
+
+bool GroupCoordinator::DispatchOn(UpstreamLink* link) {
+  const UpstreamStatus* status = view_.Find(link->policy.id);
+  bool ready = status != nullptr && status->term == term_ &&
+               link->control_ready && !link->health.suspect();
+  if (!ready) return false;
+  if (link->in_flight >= InFlightLimit(*link, Rank(0))) return false;
+  DispatchFilter filter(this, link);
+  std::optional<QueuedWork> item = queue_.Pop(filter);
+  if (!item) return false;
+  Work* work = FindWork(item->work);
+  CheckInvariant(work != nullptr && work->state == WorkState::kQueued,
+                 "dispatch", "popped work is not waiting");
+  DataConnection* connection = nullptr;
+  if (work->request.transaction != TransactionId()) {
+    Transaction* transaction = transactions_.Find(work->request.transaction);
+    connection = links_.FindData(transaction->connection);
+    transaction->running = work->id;
+  } else {
+    connection = links_.FindIdle(link->policy.id);
+  }
+  Send(work, connection);
+  return true;
+}
+
+bool GroupCoordinator::CanServe(const UpstreamLink& link,
+                                const QueuedWork& item) const {
+  if (link.in_flight >= InFlightLimit(link, item.rank)) return false;
+  const Work& work = works_.at(item.work);
+  if (work.request.transaction != TransactionId()) {
+    const Transaction* transaction =
+        transactions_.Find(work.request.transaction);
+    return transaction != nullptr && transaction->running == WorkId() &&
+           transaction->upstream == link.policy.id;
+  }
+  if (phase_ != GroupPhase::kServing || link.leaving) return false;
+  bool has_idle = false;
+  int pinned = 0;
+  for (const auto& data : link.data) {
+    bool is_pinned = data.second.transaction != TransactionId();
+    if (is_pinned) pinned++;
+    if (!is_pinned && data.second.state == ConnectionState::kIdle) {
+      has_idle = true;
+    }
+  }
+  if (!has_idle) return false;
+  bool is_read = work.request.type == RequestType::kStatement &&
+                 work.request.access == Access::kRead;
+  if (is_read) return CanRead(link, work);
+  if (link.policy.id != primary_) return false;
+  if (work.request.type != RequestType::kBegin) return true;
+  // Less urgent transactions leave half of the connections to others.
+  int pool = std::max(1, link.policy.connections - kControlReserve);
+  bool urgent = item.rank == Rank(0);
+  return pinned < (urgent ? pool - 1 : std::max(1, pool / 2));
+}
+
+bool GroupCoordinator::CanRead(const UpstreamLink& link,
+                               const Work& work) const {
+  if (link.policy.id == primary_) return ShouldReadAtPrimary(link, work);
+  return ReplicaHasData(link.policy.id, work);
+}
+
+bool GroupCoordinator::ReplicaHasData(const UpstreamId& upstream,
+                                      const Work& work) const {
+  if (!view_.IsConsistent(upstream, term_)) return false;
+  Position applied = view_.Find(upstream)->applied;
+  if (applied < NeededBy(work)) return false;
+  if (!work.request.max_age) return true;
+  std::optional<Duration> age = view_.AgeOf(applied, context_->now());
+  return age && *age <= *work.request.max_age;
+}
+
+// The primary serves a read that no replica can serve, or that all replicas
+// are too busy for while the primary has slots to spare.
+bool GroupCoordinator::ShouldReadAtPrimary(const UpstreamLink& link,
+                                           const Work& work) const {
+  int slots = link.policy.slots;
+  int kept_free = work.rank == Rank(0) || slots == 1 ? 0 : 1;
+  if (link.in_flight >= slots - kept_free) return false;
+  bool replica_has_data = false;
+  for (const auto& item : links_.all()) {
+    bool usable = item.first != primary_ && !item.second.leaving &&
+                  item.second.control_ready && !item.second.health.suspect();
+    if (usable && ReplicaHasData(item.first, work)) replica_has_data = true;
+  }
+  if (replica_has_data) return true;
+  return context_->now() - work.arrival >= kReplicaWait;
+}
+
+Position GroupCoordinator::NeededBy(const Work& work) const {
+  if (work.request.session == SessionId()) return Position();
+  return sessions_.Needed(work.request.session);
+}
+
+void GroupCoordinator::Send(Work* work, DataConnection* connection) {
+  work->state = WorkState::kRunning;
+  work->connection = connection->id;
+  work->upstream = connection->upstream;
+  work->sent_at = context_->now();
+  work->next_check = TimePoint();
+  work->attempt = AttemptId(context_->NextNumber());
+  ExecuteCall call = MakeCall(work, *connection);
+  links_.CallData(connection, work->id, call, context_);
+}
+
+ExecuteCall GroupCoordinator::MakeCall(Work* work,
+                                       const DataConnection& connection) {
+  ExecuteCall call;
+  call.term = term_;
+  call.access = work->request.access;
+  call.attempt = work->attempt;
+  call.statement = work->request.statement;
+  bool is_write = work->request.access == Access::kWrite;
+  switch (work->request.type) {
+    case RequestType::kStatement:
+      if (is_write) call.key = work->request.key;
+      break;
+    case RequestType::kBegin:
+      call.step = TransactionStep::kBegin;
+      break;
+    case RequestType::kTransactionStatement:
+      call.step = TransactionStep::kContinue;
+      break;
+    case RequestType::kCommit:
+      call.step = TransactionStep::kCommit;
+      call.key = work->request.key;
+      break;
+    case RequestType::kRollback:
+      call.step = TransactionStep::kRollback;
+      break;
+  }
+  (void)connection;
+  return call;
+}
+
+int GroupCoordinator::InFlightLimit(const UpstreamLink& link, Rank rank) const {
+  return link.policy.slots + (rank == Rank(0) ? kUrgentExtra : 0);
+}
+
+// Connections are opened before they are needed: as many as can have a call in
+// flight, those that transactions hold, and a few to spare.
+void GroupCoordinator::PlanConnections() {
+  bool serves =
+      phase_ == GroupPhase::kServing || phase_ == GroupPhase::kPausing;
+  for (auto& item : links_.all()) {
+    UpstreamLink& link = item.second;
+    const UpstreamStatus* status = view_.Find(item.first);
+    bool in_term = status != nullptr && status->term == term_;
+    if (!serves || !in_term) {
+      link.wanted = 0;
+      continue;
+    }
+    int pinned = 0;
+    for (const auto& data : link.data) {
+      if (data.second.transaction != TransactionId()) pinned++;
+    }
+    link.wanted = InFlightLimit(link, Rank(0)) + pinned + kSpareConnections;
+  }
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/outcome_cache.h
@@ -0,0 +1,53 @@
+// The outcome of each write by its request key, so that a repeated request
+// gets the first outcome at once and two copies never run side by side.
+//
+//   if (const Answer* first = outcomes.FindDone(key)) return *first;
+//   if (outcomes.IsRunning(key)) outcomes.Join(key, work); else
+//     outcomes.Start(key, work);
+//   for (WorkId waiting : outcomes.Finish(key, answer)) Answer(waiting);
+//
+// Limits: running keys are never dropped. Of the finished ones the oldest are
+// dropped beyond `budget`; the upstream's own record of the key still tells.
+
+#ifndef FIREFLYCART_CORE_OUTCOME_CACHE_H_
+#define FIREFLYCART_CORE_OUTCOME_CACHE_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "fireflycart/core/ids.h"
+#include "fireflycart/core/request.h"
+
+namespace fireflycart {
+
+class OutcomeCache {
+ public:
+  explicit OutcomeCache(size_t budget) : budget_(budget) {}
+
+  const Answer* FindDone(const RequestKey& key) const;
+  bool IsRunning(const RequestKey& key) const;
+
+  bool HasJoined(const RequestKey& key) const;
+
+  void Start(const RequestKey& key);
+  void Join(const RequestKey& key, WorkId work);
+
+  // Ends a running key; returns the works that joined it. Only an answer that
+  // is done is remembered.
+  std::vector<WorkId> Finish(const RequestKey& key, const Answer& answer);
+
+  void Clear();
+  size_t size() const { return done_.size() + running_.size(); }
+
+ private:
+  size_t budget_;
+  std::map<RequestKey, std::vector<WorkId>> running_;
+  std::map<RequestKey, Answer> done_;
+  std::deque<RequestKey> order_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_OUTCOME_CACHE_H_
--- /dev/null
+++ b/fireflycart/core/peer_message.cc
@@ -0,0 +1,21 @@
+// Texts of the member states.
+
+#include "fireflycart/core/peer_message.h"
+
+namespace fireflycart {
+
+const char* MemberStateText(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kDead:
+      return "dead";
+    case MemberState::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/reducer.cc
@@ -0,0 +1,537 @@
+// Each event goes to the part that it concerns; then the results of the groups
+// are handed to the callers' side until nothing is left to hand on. Peer calls
+// are answered in reducer_peers.cc.
+
+#include "fireflycart/core/reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fireflycart/core/error.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr Duration kSeekPeriod = Duration::Millis(50);
+constexpr Duration kListPeriod = Duration::Millis(1000);
+// Number of VMs that together read the list of VMs once per kListPeriod. A
+// larger fleet reads less often for each VM.
+constexpr size_t kListReadersPerPeriod = 100;
+constexpr Duration kListTimeout = Duration::Millis(1500);
+// Time that a fresh VM gives the others to be heard.
+constexpr Duration kStartGrace = Duration::Millis(1500);
+constexpr Duration kRequestPeriod = Duration::Millis(1000);
+constexpr Duration kRequestTimeout = Duration::Millis(500);
+// A peer that was not heard for as long no longer proves a connection.
+constexpr Duration kPeerSilence = Duration::Millis(2000);
+constexpr int kAnnounceFanout = 4;
+constexpr Duration kAnnounceTimeout = Duration::Millis(500);
+constexpr int kConfigReaders = 3;
+constexpr Duration kAuditTimeout = Duration::Millis(1500);
+constexpr char kAuditPrefix[] = "audit/";
+// Time in which the balancer learns that this VM is not ready.
+constexpr Duration kBalancerGrace = Duration::Millis(1000);
+
+MemberUpdate SelfUpdate(const NodeIdentity& identity) {
+  return MemberUpdate{identity.vm, identity.address, identity.data_centre,
+                      identity.incarnation, MemberState::kAlive};
+}
+
+}  // namespace
+
+Reducer::Reducer(const NodeIdentity& identity, const Options& options,
+                 uint64_t seed)
+    : context_(identity.vm, options, seed),
+      identity_(identity),
+      membership_(SelfUpdate(identity)),
+      router_(this, &context_) {}
+
+Effects Reducer::Reduce(const Event& event) {
+  Effects effects;
+  now_ = std::max(now_, event.now);
+  context_.Begin(now_, &effects);
+  if (!has_started_) {
+    has_started_ = true;
+    started_ = now_;
+    settled_since_ = now_;
+  }
+  if (exited_) return effects;
+  std::visit([this](const auto& body) { Handle(body); }, event.body);
+  if (config_.TakeInstalled()) ApplyConfiguration();
+  DrainResults();
+  AnnounceLeadership();
+  return effects;
+}
+
+std::string Reducer::NotReadyBecause() const {
+  if (stopping_) return "stopping";
+  if (config_.version() == ConfigVersion()) return "no configuration";
+  if (IsIsolated()) return "isolated";
+  return "";
+}
+
+const GroupCoordinator* Reducer::FindGroup(const GroupId& id) const {
+  auto found = groups_.find(id);
+  return found == groups_.end() ? nullptr : found->second.get();
+}
+
+Gauges Reducer::ReadGauges() const {
+  Gauges gauges;
+  gauges.pending_requests = static_cast<int64_t>(router_.size());
+  for (const auto& item : groups_) {
+    const GroupCoordinator& group = *item.second;
+    if (!group.coordinating()) continue;
+    gauges.coordinated_groups++;
+    gauges.queued_requests += static_cast<int64_t>(group.queued());
+    gauges.sessions += static_cast<int64_t>(group.sessions());
+  }
+  gauges.members = static_cast<int64_t>(membership_.Usable().size());
+  gauges.config_version = config_.version().value();
+  gauges.ready = ready();
+  return gauges;
+}
+
+void Reducer::Handle(const Tick&) {
+  membership_.OnTick(this, &context_);
+  ordinals_.OnTick(Peers(), &context_);
+  if (!terms_.ready() && ordinals_.ordinal() != Ordinal()) {
+    terms_ = TermSource(ordinals_.ordinal());
+  }
+  config_.OnTick(IsConfigReader(), &context_);
+  PollVmList();
+  UpdatePlacement();
+  SeekGroups();
+  for (auto& item : groups_) item.second->OnTick();
+  DrainResults();
+  router_.OnTick();
+  if (stopping_) StepStop();
+}
+
+void Reducer::Handle(const CallerRequested& event) {
+  Reason refusal = Reason::kNone;
+  const Request& request = event.request;
+  if (config_.version() == ConfigVersion()) {
+    refusal = Reason::kNoConfiguration;
+  } else if (IsIsolated()) {
+    refusal = Reason::kIsolated;
+  } else if (groups_.count(request.group) == 0) {
+    refusal = Reason::kUnknownGroup;
+  } else if (config_.current().FindKind(request.kind) == nullptr) {
+    refusal = Reason::kUnknownKind;
+  }
+  if (refusal == Reason::kNone) {
+    router_.OnRequest(event.handle, Completed(request));
+    return;
+  }
+  Answer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = refusal;
+  answer.retry_after = context_.Jitter(kListPeriod);
+  context_.Emit(AnswerCaller{event.handle, answer});
+}
+
+// Fills in what the caller left out: a deadline from the kind's policy, and a
+// key for each write, so that its outcome can be looked up.
+Request Reducer::Completed(Request request) {
+  const KindPolicy* kind = config_.current().FindKind(request.kind);
+  if (request.deadline == TimePoint()) {
+    request.deadline = now_ + kind->deadline;
+  }
+  bool is_write = request.type == RequestType::kCommit ||
+                  (request.type == RequestType::kStatement &&
+                   request.access == Access::kWrite);
+  if (is_write && request.key == RequestKey()) {
+    request.key = RequestKey("~" + context_.self().value() + "." +
+                             std::to_string(identity_.incarnation) + "." +
+                             std::to_string(context_.NextNumber()));
+  }
+  return request;
+}
+
+void Reducer::Handle(const CallerLeft& event) {
+  router_.OnCallerLeft(event.handle);
+}
+
+void Reducer::Handle(const OperatorCalled& event) {
+  const OperatorCallBody& body = event.body;
+  if (const auto* submit = std::get_if<SubmitConfigCall>(&body)) {
+    config_.Submit(event.handle, *submit, &context_);
+  } else if (std::holds_alternative<ShowConfigCall>(body)) {
+    context_.Emit(AnswerOperator{
+        event.handle, ShowConfigReply{config_.version(), config_.document()}});
+  } else if (std::holds_alternative<ShowStatusCall>(body)) {
+    context_.Emit(AnswerOperator{event.handle, Status()});
+  } else if (const auto* audit = std::get_if<ShowAuditCall>(&body)) {
+    CallId call = context_.NextCall();
+    audit_calls_[call] = event.handle;
+    context_.Emit(CallPlatform{call, kAuditTimeout,
+                               ScanRowsCall{kAuditPrefix, audit->limit}});
+  }
+}
+
+void Reducer::Handle(const PeerReplied& event) {
+  // Gossip counts whatever part made the call.
+  const auto* ping = std::get_if<PingReply>(&event.body);
+  if (event.error == PeerCallError::kNone && ping != nullptr) {
+    TakeGossip(ping->gossip);
+  }
+  if (membership_.OnReply(event, &context_)) return;
+  if (router_.OnPeerReplied(event)) return;
+  if (config_.OnPeerReplied(event, &context_)) return;
+  if (ordinals_.OnPeerReplied(event)) return;
+  auto request = handover_requests_.find(event.call);
+  if (request != handover_requests_.end()) {
+    GroupId group = request->second;
+    handover_requests_.erase(request);
+    const auto* reply = std::get_if<HandoverRequestReply>(&event.body);
+    bool answered = event.error == PeerCallError::kNone && reply != nullptr;
+    VmId asked = placement_.Leader(group);
+    if (answered && reply->coordinator != asked) {
+      placement_.ForgetLeader(group, asked);
+    }
+    return;
+  }
+  for (auto& item : groups_) {
+    if (item.second->OnPeerReplied(event)) return;
+  }
+}
+
+void Reducer::Handle(const ConnectionOpened& event) {
+  GroupCoordinator* group = GroupOf(event.connection);
+  if (group != nullptr) group->OnConnectionOpened(event);
+}
+
+void Reducer::Handle(const ConnectionBroken& event) {
+  GroupCoordinator* group = GroupOf(event.connection);
+  if (group != nullptr) group->OnConnectionBroken(event);
+}
+
+void Reducer::Handle(const UpstreamReplied& event) {
+  GroupCoordinator* group = GroupOf(event.connection);
+  if (group != nullptr) group->OnUpstreamReplied(event);
+}
+
+void Reducer::Handle(const PlatformReplied& event) {
+  if (config_.OnPlatformReplied(event, &context_)) return;
+  if (ordinals_.OnPlatformReplied(event, &context_)) return;
+  if (list_call_ != CallId() && event.call == list_call_) {
+    list_call_ = CallId();
+    OnVmList(event.reply);
+    return;
+  }
+  auto audit = audit_calls_.find(event.call);
+  if (audit == audit_calls_.end()) return;
+  ShowAuditReply reply;
+  reply.available = event.reply.code == PlatformCode::kOk;
+  for (const Row& row : event.reply.rows) reply.records.push_back(row.value);
+  context_.Emit(AnswerOperator{audit->second, reply});
+  audit_calls_.erase(audit);
+}
+
+void Reducer::Handle(const StopRequested&) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_started_ = now_;
+  membership_.Leave();
+  context_.Log(LogLevel::kInfo, "stop", "Planned stop begins.");
+}
+
+VmId Reducer::CoordinatorOf(const GroupId& group) const {
+  VmId leader = placement_.Leader(group);
+  if (leader != VmId() && membership_.IsReachable(leader)) return leader;
+  return placement_.Chosen(group);
+}
+
+std::string Reducer::AddressOf(const VmId& vm) const {
+  return membership_.AddressOf(vm);
+}
+
+bool Reducer::IsReachable(const VmId& vm) const {
+  return membership_.IsReachable(vm);
+}
+
+void Reducer::SubmitLocally(const Request& request, HandleId entry,
+                            Duration time_left, bool maybe_run) {
+  GroupCoordinator* group = GroupById(request.group);
+  if (group == nullptr) {
+    router_.OnLocalReply(entry, ForwardReply());
+    return;
+  }
+  group->Submit(request, WorkOrigin{true, entry}, time_left, maybe_run);
+}
+
+void Reducer::CancelLocally(const GroupId& group, HandleId entry) {
+  GroupCoordinator* found = GroupById(group);
+  if (found != nullptr) found->CancelLocal(entry);
+}
+
+void Reducer::OnForwardFailed(const GroupId& group, const VmId& vm) {
+  (void)group;
+  membership_.Suspect(vm);
+}
+
+void Reducer::OnMoved(const GroupId& group, const VmId& from, const VmId& to) {
+  placement_.ForgetLeader(group, from);
+  if (to == VmId() || to == from) return;
+  placement_.HintLeader(group, to);
+}
+
+GroupCoordinator* Reducer::GroupOf(ConnectionId connection) {
+  for (auto& item : groups_) {
+    if (item.second->Owns(connection)) return item.second.get();
+  }
+  return nullptr;
+}
+
+GroupCoordinator* Reducer::GroupById(const GroupId& id) {
+  auto found = groups_.find(id);
+  return found == groups_.end() ? nullptr : found->second.get();
+}
+
+void Reducer::ApplyConfiguration() {
+  const Configuration& current = config_.current();
+  std::set<GroupId> kept;
+  for (const GroupPolicy& policy : current.groups) {
+    kept.insert(policy.id);
+    auto& group = groups_[policy.id];
+    if (group == nullptr) {
+      group = std::make_unique<GroupCoordinator>(policy.id, &terms_, &context_);
+    }
+    group->Configure(policy, current);
+    group->SetLeaving(leaving_upstreams_);
+  }
+  for (auto it = groups_.begin(); it != groups_.end();) {
+    if (kept.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    it->second->StepDown("no longer configured", VmId());
+    DrainResults();
+    it = groups_.erase(it);
+  }
+  AnnounceConfiguration();
+  UpdatePlacement();
+}
+
+// Epidemic push: each VM tells a few others as soon as it has a new version.
+void Reducer::AnnounceConfiguration() {
+  std::vector<MemberUpdate> peers = Peers();
+  for (int i = 0; i < kAnnounceFanout && !peers.empty(); i++) {
+    size_t index = context_.Random(peers.size());
+    MemberUpdate peer = peers[index];
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+    context_.Emit(CallPeer{context_.NextCall(), peer.vm, peer.address,
+                           kAnnounceTimeout,
+                           ConfigAnnounceCall{config_.version()}});
+  }
+}
+
+void Reducer::PollVmList() {
+  if (now_ < next_list_) return;
+  size_t fleet = membership_.All().size();
+  auto factor = static_cast<int64_t>(1 + fleet / kListReadersPerPeriod);
+  next_list_ = now_ + context_.Jitter(kListPeriod * factor);
+  list_call_ = context_.NextCall();
+  context_.Emit(CallPlatform{list_call_, kListTimeout, ListVmsCall{}});
+}
+
+void Reducer::OnVmList(const PlatformReply& reply) {
+  if (reply.code != PlatformCode::kOk) return;
+  std::set<std::string> upstreams;
+  for (const auto& item : groups_) {
+    for (const UpstreamPolicy& u : item.second->policy().upstreams) {
+      upstreams.insert(u.id.value());
+    }
+  }
+  std::vector<ListedVm> vms;
+  leaving_upstreams_.clear();
+  for (const ListedVm& vm : reply.vms) {
+    bool is_upstream = upstreams.count(vm.vm.value()) != 0;
+    if (!is_upstream) {
+      vms.push_back(vm);
+    } else if (vm.leaving) {
+      leaving_upstreams_.insert(UpstreamId(vm.vm.value()));
+    }
+  }
+  membership_.OnPlatformList(vms, now_);
+  for (auto& item : groups_) item.second->SetLeaving(leaving_upstreams_);
+}
+
+void Reducer::UpdatePlacement() {
+  bool same = placed_membership_ == membership_.version() &&
+              placed_config_ == config_.version();
+  if (same) return;
+  placed_membership_ = membership_.version();
+  placed_config_ = config_.version();
+  settled_since_ = now_;
+  placement_.Recompute(config_.current().groups, membership_.Usable());
+}
+
+void Reducer::SeekGroups() {
+  if (now_ < next_seek_) return;
+  next_seek_ = now_ + kSeekPeriod;
+  if (IsIsolated()) {
+    for (auto& item : groups_) item.second->StepDown("isolated", VmId());
+    return;
+  }
+  if (!MaySeek()) return;
+  for (auto& item : groups_) SeekGroup(item.second.get());
+}
+
+// A VM that hears no peer though it knows some is probably cut off itself.
+bool Reducer::MaySeek() const {
+  if (stopping_ || !terms_.ready()) return false;
+  if (now_ - settled_since_ < context_.options().settle_period()) return false;
+  bool heard = now_ - membership_.last_heard() < kPeerSilence &&
+               membership_.last_heard() != TimePoint();
+  bool alone = !membership_.knows_others() && now_ - started_ >= kStartGrace;
+  bool waited = now_ - started_ >= kStartGrace * 2 && Peers().empty();
+  return heard || alone || waited;
+}
+
+void Reducer::SeekGroup(GroupCoordinator* group) {
+  bool chosen = placement_.Chosen(group->id()) == context_.self();
+  if (!chosen || group->coordinating()) return;
+  VmId leader = placement_.Leader(group->id());
+  bool led = leader != VmId() && leader != context_.self() &&
+             membership_.IsReachable(leader);
+  if (!led) {
+    group->TakeOver(leader == VmId() ? "nobody coordinates it"
+                                     : leader.value() + " is gone");
+    return;
+  }
+  TimePoint& next = next_request_[group->id()];
+  if (now_ < next) return;
+  next = now_ + context_.Jitter(kRequestPeriod);
+  CallId call = context_.NextCall();
+  handover_requests_[call] = group->id();
+  context_.Emit(CallPeer{call, leader, AddressOf(leader), kRequestTimeout,
+                         HandoverRequestCall{group->id()}});
+}
+
+void Reducer::AnnounceLeadership() {
+  for (auto& item : groups_) {
+    GroupCoordinator& group = *item.second;
+    Term& announced = announced_[item.first];
+    bool leads = group.phase() == GroupPhase::kServing;
+    if (leads && announced != group.term()) {
+      announced = group.term();
+      placement_.LearnLeader(
+          LeaderUpdate{item.first, context_.self(), group.term()});
+    }
+    if (!group.coordinating() && announced != Term()) {
+      announced = Term();
+      placement_.ForgetLeader(item.first, context_.self());
+    }
+  }
+}
+
+// Hands the groups' replies to this VM's callers and to other VMs.
+void Reducer::DrainResults() {
+  bool progress = true;
+  while (progress) {
+    progress = false;
+    for (auto& item : groups_) {
+      for (WorkResult& result : item.second->TakeResults()) {
+        progress = true;
+        ForwardReply& reply = result.reply;
+        bool no_hint = reply.status != ForwardStatus::kAnswered &&
+                       reply.coordinator == VmId();
+        if (no_hint) reply.coordinator = placement_.Leader(item.first);
+        if (reply.coordinator == context_.self()) reply.coordinator = VmId();
+        if (result.origin.local) {
+          router_.OnLocalReply(result.origin.handle, reply);
+        } else {
+          context_.Emit(AnswerPeer{result.origin.handle, reply});
+        }
+      }
+    }
+  }
+}
+
+// Hands the groups over one by one, lets requests in flight end, then exits.
+void Reducer::StepStop() {
+  Duration waited = now_ - stop_started_;
+  bool coordinating = false;
+  for (auto& item : groups_) {
+    GroupCoordinator& group = *item.second;
+    if (!group.coordinating()) continue;
+    coordinating = true;
+    VmId successor = placement_.Chosen(item.first);
+    if (successor != VmId() && successor != context_.self()) {
+      group.HandOverTo(successor, AddressOf(successor));
+    } else if (!group.busy()) {
+      group.StepDown("stopping", VmId());
+    }
+  }
+  bool idle = !coordinating && router_.size() == 0;
+  bool done = idle && waited >= kBalancerGrace;
+  bool out_of_time = waited >= context_.options().stop_limit();
+  if (!done && !out_of_time) return;
+  for (auto& item : groups_) item.second->StepDown("stopping", VmId());
+  DrainResults();
+  router_.RefuseWaiting(Reason::kStopping);
+  context_.Log(LogLevel::kInfo, "stop",
+               out_of_time ? "Planned stop ran out of time."
+                           : "Planned stop is complete.");
+  exited_ = true;
+  context_.Emit(Exit{});
+}
+
+bool Reducer::IsIsolated() const {
+  if (!membership_.knows_others()) return false;
+  Duration limit = context_.options().isolation_limit();
+  TimePoint heard =
+      std::max(membership_.last_heard(), config_.platform_heard());
+  return now_ - std::max(heard, started_) > limit;
+}
+
+// A few VMs, chosen by hash, read the platform for all.
+bool Reducer::IsConfigReader() const {
+  GroupPolicy role;
+  std::vector<MemberUpdate> usable = membership_.Usable();
+  for (int i = 0; i < kConfigReaders; i++) {
+    role.id = GroupId("config-reader-" + std::to_string(i));
+    if (ChooseCoordinator(role, usable) == context_.self()) return true;
+  }
+  return false;
+}
+
+ShowStatusReply Reducer::Status() const {
+  ShowStatusReply status;
+  status.vm = context_.self();
+  status.not_ready_because = NotReadyBecause();
+  status.ready = status.not_ready_because.empty();
+  status.version = config_.version();
+  status.ordinal = ordinals_.ordinal();
+  status.members = membership_.All();
+  for (const auto& item : groups_) {
+    const GroupCoordinator& group = *item.second;
+    GroupStatusLine line;
+    line.group = item.first;
+    line.coordinator = placement_.Leader(item.first);
+    line.term = placement_.LeaderTerm(item.first);
+    line.phase = GroupPhaseText(group.phase());
+    if (group.coordinating()) {
+      line.primary = group.primary();
+      line.term = group.term();
+      line.queued = static_cast<int>(group.queued());
+    }
+    status.groups.push_back(line);
+  }
+  return status;
+}
+
+std::vector<MemberUpdate> Reducer::Peers() const {
+  std::vector<MemberUpdate> peers;
+  for (const MemberUpdate& member : membership_.Usable()) {
+    if (member.vm != context_.self()) peers.push_back(member);
+  }
+  return peers;
+}
+
+Effects Reduce(Reducer* state, const Event& event) {
+  return state->Reduce(event);
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/reducer.h
@@ -0,0 +1,173 @@
+// One node of fireflycart as a pure state machine: events in, effects out.
+//
+// The reducer owns every decision of a node: membership, placement, takeover,
+// admission, routing, retries, configuration and the planned stop. It has no
+// thread, socket, clock or global randomness; the seed comes at the start and
+// the time with each event. The daemon and the tests drive the same code.
+//
+//   NodeIdentity identity{VmId("gbg-a-1"), "127.0.0.1:7100", ...};
+//   Reducer reducer(identity, Options(), seed);
+//   Effects effects = reducer.Reduce(Event{now, StopRequested{}});
+//
+// Limits: not thread safe; call it from one thread. Tick is expected at least
+// every kTickPeriod. Throws Error(kInvariantViolated) if its own state is
+// inconsistent; the caller should let the process end then.
+
+#ifndef FIREFLYCART_CORE_REDUCER_H_
+#define FIREFLYCART_CORE_REDUCER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/config_keeper.h"
+#include "fireflycart/core/context.h"
+#include "fireflycart/core/effect.h"
+#include "fireflycart/core/entry_router.h"
+#include "fireflycart/core/event.h"
+#include "fireflycart/core/group_coordinator.h"
+#include "fireflycart/core/membership.h"
+#include "fireflycart/core/options.h"
+#include "fireflycart/core/ordinal_keeper.h"
+#include "fireflycart/core/placement.h"
+#include "fireflycart/core/term_source.h"
+
+namespace fireflycart {
+
+struct NodeIdentity {
+  VmId vm;
+  std::string address;  // For peers: IP number and port.
+  DataCentreId data_centre;
+  uint64_t incarnation = 1;  // Higher at each start of the same VM.
+};
+
+// Sizes of a node's state at one moment.
+struct Gauges {
+  int64_t pending_requests = 0;
+  int64_t coordinated_groups = 0;
+  int64_t queued_requests = 0;
+  int64_t sessions = 0;
+  int64_t members = 0;
+  uint64_t config_version = 0;
+  bool ready = false;
+};
+
+class Reducer : private RoutingTable, private GossipSource {
+ public:
+  Reducer(const NodeIdentity& identity, const Options& options, uint64_t seed);
+
+  Reducer(const Reducer&) = delete;
+  Reducer& operator=(const Reducer&) = delete;
+
+  Effects Reduce(const Event& event);
+
+  // True if callers should be sent here.
+  bool ready() const { return NotReadyBecause().empty(); }
+  // Why callers should not be sent here; empty if they should.
+  std::string NotReadyBecause() const;
+
+  ConfigVersion config_version() const { return config_.version(); }
+  const Membership& membership() const { return membership_; }
+  const GroupCoordinator* FindGroup(const GroupId& id) const;
+  size_t pending_requests() const { return router_.size(); }
+  Gauges ReadGauges() const;
+  Ordinal ordinal() const { return ordinals_.ordinal(); }
+
+ private:
+  void Handle(const Tick& event);
+  void Handle(const CallerRequested& event);
+  void Handle(const CallerLeft& event);
+  void Handle(const OperatorCalled& event);
+  void Handle(const PeerCalled& event);
+  void Handle(const PeerReplied& event);
+  void Handle(const ConnectionOpened& event);
+  void Handle(const ConnectionBroken& event);
+  void Handle(const UpstreamReplied& event);
+  void Handle(const PlatformReplied& event);
+  void Handle(const StopRequested& event);
+
+  void OnPeerCall(HandleId handle, const VmId& from, const PingCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from,
+                  const IndirectPingCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const ForwardCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const CancelCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from,
+                  const ConfigFetchCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from,
+                  const ConfigAnnounceCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from,
+                  const OrdinalLoanCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const HandoverCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from,
+                  const HandoverRequestCall& call);
+
+  // RoutingTable.
+  VmId CoordinatorOf(const GroupId& group) const override;
+  std::string AddressOf(const VmId& vm) const override;
+  bool IsReachable(const VmId& vm) const override;
+  void SubmitLocally(const Request& request, HandleId entry, Duration time_left,
+                     bool maybe_run) override;
+  void CancelLocally(const GroupId& group, HandleId entry) override;
+  void OnForwardFailed(const GroupId& group, const VmId& vm) override;
+  void OnMoved(const GroupId& group, const VmId& from, const VmId& to) override;
+
+  // GossipSource.
+  Gossip GossipFor(const VmId& peer) override;
+  void TakeGossip(const Gossip& gossip);
+
+  Request Completed(Request request);
+  GroupCoordinator* GroupOf(ConnectionId connection);
+  GroupCoordinator* GroupById(const GroupId& id);
+  void ApplyConfiguration();
+  void AnnounceConfiguration();
+  void PollVmList();
+  void OnVmList(const PlatformReply& reply);
+  void UpdatePlacement();
+  void SeekGroups();
+  void SeekGroup(GroupCoordinator* group);
+  bool MaySeek() const;
+  void AnnounceLeadership();
+  void DrainResults();
+  void StepStop();
+  bool IsIsolated() const;
+  bool IsConfigReader() const;
+  ShowStatusReply Status() const;
+  std::vector<MemberUpdate> Peers() const;
+
+  Context context_;
+  NodeIdentity identity_;
+  TermSource terms_;
+  Membership membership_;
+  Placement placement_;
+  ConfigKeeper config_;
+  OrdinalKeeper ordinals_;
+  EntryRouter router_;
+  std::map<GroupId, std::unique_ptr<GroupCoordinator>> groups_;
+  std::map<GroupId, Term> announced_;
+  std::map<CallId, GroupId> handover_requests_;
+  std::map<GroupId, TimePoint> next_request_;
+  std::map<CallId, HandleId> audit_calls_;
+  std::set<UpstreamId> leaving_upstreams_;
+
+  TimePoint now_;
+  TimePoint started_;
+  bool has_started_ = false;
+  TimePoint next_seek_;
+  TimePoint next_list_;
+  CallId list_call_;
+  uint64_t placed_membership_ = 0;
+  ConfigVersion placed_config_;
+  TimePoint settled_since_;
+  bool stopping_ = false;
+  bool exited_ = false;
+  TimePoint stop_started_;
+};
+
+// The reducer as a function, for callers that keep the state elsewhere.
+Effects Reduce(Reducer* state, const Event& event);
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_REDUCER_H_
--- /dev/null
+++ b/fireflycart/core/reducer_peers.cc
@@ -0,0 +1,110 @@
+// Answers to the calls of other VMs. Each call has exactly one answer, at once
+// or, for forwarded requests, when the group has decided.
+
+#include <utility>
+
+#include "fireflycart/core/reducer.h"
+
+namespace fireflycart {
+
+void Reducer::Handle(const PeerCalled& event) {
+  std::visit(
+      [&](const auto& call) { OnPeerCall(event.handle, event.from, call); },
+      event.body);
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const PingCall& call) {
+  TakeGossip(call.gossip);
+  context_.Emit(AnswerPeer{handle, PingReply{GossipFor(from)}});
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const IndirectPingCall& call) {
+  (void)from;
+  membership_.PingFor(handle, call.target, this, &context_);
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const ForwardCall& call) {
+  (void)from;
+  GroupCoordinator* group = GroupById(call.request.group);
+  if (group == nullptr || IsIsolated()) {
+    context_.Emit(AnswerPeer{handle, ForwardReply()});
+    return;
+  }
+  group->Submit(call.request, WorkOrigin{false, handle}, call.time_left,
+                call.maybe_run);
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const CancelCall& call) {
+  (void)from;
+  GroupCoordinator* group = GroupById(call.group);
+  if (group != nullptr) group->Cancel(call.key);
+  context_.Emit(AnswerPeer{handle, CancelReply{}});
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const ConfigFetchCall& call) {
+  (void)from;
+  context_.Emit(AnswerPeer{handle, config_.AnswerFetch(call)});
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const ConfigAnnounceCall& call) {
+  config_.OnPeerVersion(from, AddressOf(from), call.version, &context_);
+  context_.Emit(AnswerPeer{handle, ConfigAnnounceReply{}});
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const OrdinalLoanCall& call) {
+  (void)from;
+  (void)call;
+  context_.Emit(AnswerPeer{handle, OrdinalLoanReply{ordinals_.Lend()}});
+}
+
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const HandoverCall& call) {
+  (void)from;
+  GroupCoordinator* group = GroupById(call.group);
+  bool fit = group != nullptr && !stopping_ && !IsIsolated();
+  if (fit) group->TakeOverFrom(call);
+  bool accepted = fit && group->coordinating();
+  context_.Emit(AnswerPeer{handle, HandoverReply{accepted}});
+}
+
+// Hands the group over if this VM, too, thinks that the sender should have it.
+void Reducer::OnPeerCall(HandleId handle, const VmId& from,
+                         const HandoverRequestCall& call) {
+  GroupCoordinator* group = GroupById(call.group);
+  VmId coordinator = placement_.Leader(call.group);
+  bool mine = group != nullptr && group->coordinating();
+  if (mine) coordinator = context_.self();
+  if (!mine && coordinator == context_.self()) coordinator = VmId();
+  context_.Emit(AnswerPeer{handle, HandoverRequestReply{coordinator}});
+  bool agreed = mine && placement_.Chosen(call.group) == from &&
+                membership_.IsUsable(from);
+  if (agreed) group->HandOverTo(from, AddressOf(from));
+}
+
+Gossip Reducer::GossipFor(const VmId& peer) {
+  Gossip gossip;
+  gossip.sender = context_.self();
+  gossip.members = membership_.TakeUpdates(peer);
+  gossip.leaders = placement_.TakeUpdates(gossip.members.size());
+  gossip.config_version = config_.version();
+  gossip.platform_age = now_ - config_.platform_heard();
+  return gossip;
+}
+
+void Reducer::TakeGossip(const Gossip& gossip) {
+  membership_.Merge(gossip.members, now_);
+  for (const LeaderUpdate& leader : gossip.leaders) {
+    placement_.LearnLeader(leader);
+  }
+  config_.OnPeerVersion(gossip.sender, AddressOf(gossip.sender),
+                        gossip.config_version, &context_);
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/request.h
@@ -0,0 +1,94 @@
+// What a caller asks for and what it is told.
+//
+// A request is a single statement, or one step of a transaction. Every request
+// ends with exactly one Answer, whose outcome is one of three:
+//
+//   kDone     the request ran once and its effect will not be lost
+//   kNotRun   the request did not run and will not run later
+//   kUnknown  a write was sent and nobody can tell now whether it ran
+
+#ifndef FIREFLYCART_CORE_REQUEST_H_
+#define FIREFLYCART_CORE_REQUEST_H_
+
+#include <optional>
+#include <string>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/ids.h"
+
+namespace fireflycart {
+
+enum class Access { kRead, kWrite };
+
+enum class RequestType {
+  kStatement,             // One statement, committed by itself.
+  kBegin,                 // Opens a transaction.
+  kTransactionStatement,  // One statement of an open transaction.
+  kCommit,
+  kRollback,
+};
+
+struct Request {
+  GroupId group;
+  KindId kind;
+  CallerId caller;
+  SessionId session;  // Read-your-writes holds over one session.
+  RequestKey key;     // Empty for reads; every write has one.
+  RequestType type = RequestType::kStatement;
+  Access access = Access::kRead;
+  // A repeatable request may be sent again after an unknown outcome.
+  bool repeatable = false;
+  std::string statement;
+  TransactionId transaction;
+  TimePoint deadline;  // The start of time: the kind's own deadline holds.
+  // Oldest data that a read accepts. Absent: any data that the session's own
+  // writes are part of.
+  std::optional<Duration> max_age;
+};
+
+enum class Outcome { kDone, kNotRun, kUnknown };
+
+// Why a request was refused or left unknown.
+enum class Reason {
+  kNone,
+  kDeadline,          // The deadline passed or cannot be met.
+  kOverloaded,        // The queue is full, or lower ranks are shed.
+  kNoPrimary,         // The group has no primary for now.
+  kNoCoordinator,     // No VM coordinates the group for now.
+  kUnknownGroup,      // The configuration has no such group.
+  kUnknownKind,       // The configuration has no such kind of work.
+  kTransactionLost,   // The transaction was rolled back.
+  kStopping,          // The VM is shutting down.
+  kIsolated,          // The VM hears neither peers nor the platform.
+  kNoConfiguration,   // The VM has no configuration yet.
+  kTooStale,          // No upstream can prove the accepted age.
+  kStatementFailed,   // The upstream refused the statement itself.
+  kConnectionBroken,  // The connection broke while the statement ran.
+  kCallerGone,        // The caller left before the work began.
+};
+
+const char* ReasonText(Reason reason);
+const char* OutcomeText(Outcome outcome);
+
+struct Answer {
+  Outcome outcome = Outcome::kNotRun;
+  Reason reason = Reason::kNone;
+  std::string result;         // Set when done.
+  Duration retry_after;       // Set when not run: when to come back.
+  TransactionId transaction;  // Set by kBegin.
+  UpstreamId upstream;        // Which upstream ran it.
+  bool from_replica = false;  // True if a replica answered the read.
+  bool replayed = false;      // True if an earlier attempt had run it.
+};
+
+// The VM that owns a transaction, read from the transaction's id.
+VmId TransactionOwner(const TransactionId& transaction);
+// The group that a transaction belongs to.
+GroupId TransactionGroup(const TransactionId& transaction);
+// Builds an id from its owner, group and a number unique in the owner.
+TransactionId MakeTransactionId(const VmId& owner, const GroupId& group,
+                                const std::string& unique);
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_REQUEST_H_
--- /dev/null
+++ b/fireflycart/core/retry_budget.h
@@ -0,0 +1,41 @@
+// Bounds how much work retries may add. Each request earns a part of a token
+// and each retry costs one, so retries stay a fixed share of the traffic; a
+// small steady income lets a quiet VM retry too.
+//
+//   budget.OnRequest();
+//   if (budget.TryRetry(now)) SendAgain();
+
+#ifndef FIREFLYCART_CORE_RETRY_BUDGET_H_
+#define FIREFLYCART_CORE_RETRY_BUDGET_H_
+
+#include <algorithm>
+
+#include "fireflycart/core/clock.h"
+
+namespace fireflycart {
+
+class RetryBudget {
+ public:
+  static constexpr double kPerRequest = 0.2;
+  static constexpr double kPerSecond = 20;
+  static constexpr double kMost = 200;
+
+  void OnRequest() { tokens_ = std::min(kMost, tokens_ + kPerRequest); }
+
+  bool TryRetry(TimePoint now) {
+    double seconds = static_cast<double>((now - last_).millis()) / 1000;
+    last_ = now;
+    tokens_ = std::min(kMost, tokens_ + seconds * kPerSecond);
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double tokens_ = kMost / 2;
+  TimePoint last_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_RETRY_BUDGET_H_
--- /dev/null
+++ b/fireflycart/core/takeover.cc
@@ -0,0 +1,94 @@
+// Why the choice holds every acknowledged write: a write is acknowledged once a
+// majority holds it. Any fenced majority shares a member with that majority,
+// and a fenced member takes nothing more from the old primary. The most
+// advanced member, by term of its last entry and then by position, holds all
+// that any fenced member holds of acknowledged writes (Raft, section 5.4.1).
+//
+// Avoiding an upstream never breaks this: those that are left must still be a
+// fenced majority of their own, or as advanced as the avoided one.
+
+#include "fireflycart/core/takeover.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace fireflycart {
+
+void Takeover::Start(Term term, const UpstreamId& old_primary,
+                     std::set<UpstreamId> avoided, TimePoint now) {
+  stage_ = TakeoverStage::kFencing;
+  term_ = term;
+  old_primary_ = old_primary;
+  avoided_ = std::move(avoided);
+  primary_ = UpstreamId();
+  first_entry_ = Position();
+  started_ = now;
+  has_majority_ = false;
+}
+
+std::optional<UpstreamCallBody> Takeover::NextCall(const UpstreamId& upstream,
+                                                   const ReplicationView& view,
+                                                   const VmId& self) const {
+  const UpstreamStatus* status = view.Find(upstream);
+  bool fenced = status != nullptr && status->term >= term_;
+  if (!fenced) return FenceCall{term_, self};
+  bool promotes = stage_ == TakeoverStage::kPromoting && upstream == primary_;
+  if (promotes) return PromoteCall{term_};
+  return std::nullopt;
+}
+
+void Takeover::Step(const ReplicationView& view,
+                    const std::set<UpstreamId>& unreachable, size_t members,
+                    Duration grace, TimePoint now) {
+  if (view.HighestTerm() > term_) {
+    stage_ = TakeoverStage::kOvertaken;
+    return;
+  }
+  if (stage_ != TakeoverStage::kFencing) return;
+  size_t fenced = view.CountFenced(term_);
+  if (fenced < view.majority()) return;
+  if (!has_majority_) {
+    has_majority_ = true;
+    majority_since_ = now;
+  }
+  // More upstreams make a better choice possible, so the reachable ones are
+  // given a moment.
+  bool all_heard = fenced + unreachable.size() >= members;
+  bool waited = now - majority_since_ >= grace;
+  if (!all_heard && !waited) return;
+  primary_ = Choose(view);
+  if (primary_ == UpstreamId()) return;
+  inherited_term_ = view.Find(primary_)->entry_term;
+  stage_ = TakeoverStage::kPromoting;
+}
+
+void Takeover::OnPromoted(Position first_entry) {
+  if (stage_ != TakeoverStage::kPromoting) return;
+  first_entry_ = first_entry;
+  stage_ = TakeoverStage::kPromoted;
+}
+
+void Takeover::OnPromotionFailed(const UpstreamId& upstream) {
+  avoided_.insert(upstream);
+  if (stage_ == TakeoverStage::kPromoting) stage_ = TakeoverStage::kFencing;
+}
+
+UpstreamId Takeover::Choose(const ReplicationView& view) const {
+  ReplicationView others = view.Without(avoided_);
+  bool others_suffice = others.CountFenced(term_) >= view.majority();
+  std::vector<UpstreamId> best = view.MostAdvanced(term_);
+  std::vector<UpstreamId> wanted;
+  for (const UpstreamId& id : best) {
+    if (avoided_.count(id) == 0) wanted.push_back(id);
+  }
+  if (wanted.empty()) {
+    wanted = others_suffice ? others.MostAdvanced(term_) : best;
+  }
+  if (wanted.empty()) return UpstreamId();
+  bool keeps =
+      std::find(wanted.begin(), wanted.end(), old_primary_) != wanted.end();
+  return keeps ? old_primary_ : wanted.front();
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/core/takeover.h
@@ -0,0 +1,77 @@
+// Gaining a group: fences a majority of its upstreams in a new term, chooses a
+// primary among them and promotes it.
+//
+//   takeover.Start(term, old_primary, avoided, now);
+//   auto call = takeover.NextCall(upstream, view, self);  // per upstream
+//   takeover.Step(view, reachable, now);                  // after each reply
+//   if (takeover.stage() == TakeoverStage::kPromoted) Serve();
+//
+// Limits: one attempt, in one term. If another VM raises the term meanwhile,
+// the attempt is over and a new one needs a higher term.
+
+#ifndef FIREFLYCART_CORE_TAKEOVER_H_
+#define FIREFLYCART_CORE_TAKEOVER_H_
+
+#include <optional>
+#include <set>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/context.h"
+#include "fireflycart/core/ids.h"
+#include "fireflycart/core/replication_view.h"
+#include "fireflycart/core/upstream_message.h"
+
+namespace fireflycart {
+
+enum class TakeoverStage { kFencing, kPromoting, kPromoted, kOvertaken };
+
+class Takeover {
+ public:
+  // Begins in the given term. old_primary is kept if it is well; avoided
+  // upstreams are promoted only if there is no other.
+  void Start(Term term, const UpstreamId& old_primary,
+             std::set<UpstreamId> avoided, TimePoint now);
+
+  // The control call that the upstream needs next, if any.
+  std::optional<UpstreamCallBody> NextCall(const UpstreamId& upstream,
+                                           const ReplicationView& view,
+                                           const VmId& self) const;
+
+  // Moves on as far as the view allows. unreachable are the upstreams that are
+  // down, for which it does not wait.
+  void Step(const ReplicationView& view,
+            const std::set<UpstreamId>& unreachable, size_t members,
+            Duration grace, TimePoint now);
+
+  // The promotion was answered: its first entry is at this position.
+  void OnPromoted(Position first_entry);
+  // The chosen upstream could not be promoted: choose again.
+  void OnPromotionFailed(const UpstreamId& upstream);
+
+  TakeoverStage stage() const { return stage_; }
+  Term term() const { return term_; }
+  const UpstreamId& primary() const { return primary_; }
+  Position first_entry() const { return first_entry_; }
+  TimePoint started() const { return started_; }
+  // Term of the last entry that the primary held before its promotion. Tells
+  // whether another VM led the group since a given term.
+  Term inherited_term() const { return inherited_term_; }
+
+ private:
+  UpstreamId Choose(const ReplicationView& view) const;
+
+  TakeoverStage stage_ = TakeoverStage::kFencing;
+  Term term_;
+  UpstreamId old_primary_;
+  std::set<UpstreamId> avoided_;
+  UpstreamId primary_;
+  Position first_entry_;
+  Term inherited_term_;
+  TimePoint started_;
+  TimePoint majority_since_;
+  bool has_majority_ = false;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_TAKEOVER_H_
--- /dev/null
+++ b/fireflycart/core/transaction_table.h
@@ -0,0 +1,53 @@
+// Open transactions of a group, each pinned to one connection.
+//
+//   Transaction* t = table.Open(id, connection, rank, now);
+//   for (const TransactionId& late : table.Expired(now, idle, longest)) ...
+//
+// Limits: a transaction ends when it is idle or open for too long.
+
+#ifndef FIREFLYCART_CORE_TRANSACTION_TABLE_H_
+#define FIREFLYCART_CORE_TRANSACTION_TABLE_H_
+
+#include <map>
+#include <vector>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/ids.h"
+
+namespace fireflycart {
+
+struct Transaction {
+  TransactionId id;
+  ConnectionId connection;
+  UpstreamId upstream;
+  Rank rank;
+  SessionId session;
+  TimePoint opened;
+  TimePoint last_used;
+  WorkId running;  // The statement under way, 0 if none.
+};
+
+class TransactionTable {
+ public:
+  Transaction* Open(const TransactionId& id, ConnectionId connection,
+                    const UpstreamId& upstream, Rank rank, TimePoint now);
+  Transaction* Find(const TransactionId& id);
+  const Transaction* Find(const TransactionId& id) const;
+  void Close(const TransactionId& id) { open_.erase(id); }
+  void Clear() { open_.clear(); }
+
+  // Transactions that are idle or open for too long.
+  std::vector<TransactionId> Expired(TimePoint now, Duration idle,
+                                     Duration longest) const;
+
+  size_t size() const { return open_.size(); }
+  // Open transactions of this rank and of less urgent ones.
+  size_t CountFrom(Rank rank) const;
+
+ private:
+  std::map<TransactionId, Transaction> open_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_TRANSACTION_TABLE_H_
--- /dev/null
+++ b/fireflycart/core/upstream_health.h
@@ -0,0 +1,53 @@
+// Tells a dead upstream from a silent connection.
+//
+// A call without a reply only makes the upstream suspect: a new connection is
+// tried. If that one works, the old connection was at fault; if it fails too,
+// repeatedly, the upstream is down.
+//
+//   health.OnCallTimeout();          // then close and open a new connection
+//   health.OnOpenFailed(now);
+//   if (health.down()) StartFailover();
+
+#ifndef FIREFLYCART_CORE_UPSTREAM_HEALTH_H_
+#define FIREFLYCART_CORE_UPSTREAM_HEALTH_H_
+
+#include <algorithm>
+
+#include "fireflycart/core/clock.h"
+
+namespace fireflycart {
+
+class UpstreamHealth {
+ public:
+  // Failed openings in a row after which the upstream counts as down.
+  static constexpr int kOpenFailuresUntilDown = 2;
+  static constexpr Duration kFirstRetry = Duration::Millis(40);
+  static constexpr Duration kLongestRetry = Duration::Millis(500);
+
+  bool down() const { return failures_ >= kOpenFailuresUntilDown; }
+  bool suspect() const { return failures_ > 0 || silent_; }
+
+  void OnReply() {
+    failures_ = 0;
+    silent_ = false;
+  }
+  void OnCallTimeout() { silent_ = true; }
+  void OnOpenFailed(TimePoint now) {
+    failures_++;
+    int64_t doubled = kFirstRetry.millis()
+                      << std::min(failures_ - 1, kMaxDoublings);
+    next_open_ = now + std::min(Duration::Millis(doubled), kLongestRetry);
+  }
+  bool MayOpen(TimePoint now) const { return now >= next_open_; }
+
+ private:
+  static constexpr int kMaxDoublings = 5;
+
+  int failures_ = 0;
+  bool silent_ = false;
+  TimePoint next_open_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_UPSTREAM_HEALTH_H_
--- /dev/null
+++ b/fireflycart/ctl/load_generator.cc
@@ -0,0 +1,437 @@
+// Each session appends numbered entries to a list of its own group and reads
+// the list back now and then. What it wrote and how each write was answered is
+// kept, and compared with the lists at the end.
+//
+// Expected of each entry, by the outcome of its write: done: exactly once; not
+// run: never; unknown or no answer: at most once.
+
+#include "fireflycart/ctl/load_generator.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/histogram.hpp>
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <iomanip>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "fireflycart/net/http_client.h"
+#include "fireflycart/net/json_types.h"
+#include "fireflycart/net/steady_clock.h"
+
+namespace fireflycart {
+namespace {
+
+namespace bh = boost::histogram;
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram = decltype(bh::make_histogram(LogAxis()));
+
+constexpr unsigned kBuckets = 200;
+constexpr double kHighestMs = 60000;
+constexpr Duration kCallMargin = Duration::Millis(1500);
+constexpr Duration kRetryPause = Duration::Millis(100);
+constexpr int kCheckTries = 100;
+constexpr Duration kCheckLimit = Duration::Millis(3000);
+
+enum class WriteFate { kDone, kNotRun, kOpen };
+
+// What the load knows of one list.
+struct ListHistory {
+  std::string group;
+  std::map<std::string, WriteFate> entries;
+};
+
+// Shared by all sessions.
+struct LoadState {
+  boost::asio::io_context io;
+  SteadyClock clock;
+  TimePoint end;
+  LoadReport report;
+  std::map<std::string, LatencyHistogram> latencies;
+  std::map<std::string, ListHistory> lists;
+  std::map<std::string, TimePoint> last_write;
+};
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  std::string part;
+  while (std::getline(in, part, ',')) parts.push_back(part);
+  return parts;
+}
+
+double Quantile(const LatencyHistogram& histogram, double q) {
+  const auto& axis = histogram.axis();
+  double total = histogram.at(-1);
+  for (int i = 0; i < axis.size(); i++) total += histogram.at(i);
+  if (total == 0) return 0;
+  double seen = histogram.at(-1);
+  for (int i = 0; i < axis.size(); i++) {
+    seen += histogram.at(i);
+    if (seen >= q * total) return axis.bin(i).upper();
+  }
+  return kHighestMs;
+}
+
+// One caller: a request at a time, each through a randomly chosen entry VM.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(const LoadOptions* options, LoadState* state, int number)
+      : options_(options),
+        state_(state),
+        name_("s" + std::to_string(number)),
+        group_(options->groups[static_cast<size_t>(number) %
+                               options->groups.size()]),
+        list_(group_ + "-" + name_),
+        random_(options->seed * 1000003 + static_cast<uint64_t>(number)),
+        timer_(state->io) {
+    state_->lists[list_].group = group_;
+  }
+
+  void Next() {
+    if (state_->clock.Now() >= state_->end) return;
+    const LoadKind& kind = PickKind();
+    bool in_transaction =
+        kind.writes &&
+        Draw(100) < static_cast<uint64_t>(options_->transaction_percent);
+    if (in_transaction) {
+      StartTransaction(kind);
+    } else if (kind.writes) {
+      StartWrite(kind);
+    } else {
+      StartRead(kind);
+    }
+  }
+
+ private:
+  using OnAnswer = std::function<void(bool, const Json&)>;
+
+  uint64_t Draw(uint64_t bound) { return random_() % bound; }
+
+  const LoadKind& PickKind() {
+    int total = 0;
+    for (const LoadKind& kind : options_->kinds) total += kind.weight;
+    int drawn = static_cast<int>(Draw(static_cast<uint64_t>(total)));
+    for (const LoadKind& kind : options_->kinds) {
+      drawn -= kind.weight;
+      if (drawn < 0) return kind;
+    }
+    return options_->kinds.back();
+  }
+
+  Json Body(const LoadKind& kind) const {
+    return {{"kind", kind.name},
+            {"caller", "load"},
+            {"session", name_},
+            {"deadline_ms", kind.deadline_ms}};
+  }
+
+  std::string Statement(const LoadKind& kind, const std::string& text) const {
+    if (kind.cost_ms == 0) return text;
+    return "cost=" + std::to_string(kind.cost_ms) + " " + text;
+  }
+
+  void StartWrite(const LoadKind& kind) {
+    std::string entry = name_ + "-" + std::to_string(++number_);
+    Json body = Body(kind);
+    body["group"] = group_;
+    body["request_id"] = entry;
+    body["access"] = "write";
+    body["statement"] = Statement(kind, "append " + list_ + " " + entry);
+    Send(kind, "/v1/statement", body,
+         [this, entry](bool answered, const Json& reply) {
+           NoteWrite(entry, answered, reply);
+         });
+  }
+
+  void StartRead(const LoadKind& kind) {
+    Json body = Body(kind);
+    body["group"] = group_;
+    body["access"] = "read";
+    body["statement"] = Statement(kind, "get " + list_);
+    if (kind.max_age_ms > 0) body["max_age_ms"] = kind.max_age_ms;
+    std::set<std::string> needed = done_;
+    Send(kind, "/v1/statement", body,
+         [this, kind, needed](bool answered, const Json& reply) {
+           if (!answered || reply.value("outcome", "") != "done") return;
+           if (reply.value("from_replica", false)) {
+             state_->report.kinds[kind.name].from_replica++;
+           }
+           std::vector<std::string> parts = Split(reply.value("result", ""));
+           std::set<std::string> seen(parts.begin(), parts.end());
+           for (const std::string& entry : needed) {
+             if (seen.count(entry) == 0) state_->report.stale_reads++;
+           }
+         });
+  }
+
+  void StartTransaction(const LoadKind& kind) {
+    Json body = Body(kind);
+    body["group"] = group_;
+    auto self = shared_from_this();
+    transaction_kind_ = kind;
+    Call(kind, "/v1/transaction", body,
+         [self](bool answered, const Json& reply) {
+           bool begun = answered && reply.value("outcome", "") == "done";
+           if (!begun) {
+             self->Count(self->transaction_kind_, answered, reply);
+             self->Pause();
+             return;
+           }
+           self->RunTransaction(reply.value("transaction", ""));
+         });
+  }
+
+  void RunTransaction(const std::string& id) {
+    std::string entry = name_ + "-" + std::to_string(++number_);
+    Json body = Body(transaction_kind_);
+    body["access"] = "write";
+    body["statement"] =
+        Statement(transaction_kind_, "append " + list_ + " " + entry);
+    auto self = shared_from_this();
+    Call(transaction_kind_, "/v1/transaction/" + id + "/statement", body,
+         [self, id, entry](bool answered, const Json& reply) {
+           bool ran = answered && reply.value("outcome", "") == "done";
+           if (!ran) {
+             // Without a commit nothing of it may be there.
+             self->state_->lists[self->list_].entries[entry] =
+                 WriteFate::kNotRun;
+             self->Count(self->transaction_kind_, answered, reply);
+             self->Pause();
+             return;
+           }
+           self->Commit(id, entry);
+         });
+  }
+
+  void Commit(const std::string& id, const std::string& entry) {
+    Json body = Body(transaction_kind_);
+    body["request_id"] = "commit-" + entry;
+    Send(transaction_kind_, "/v1/transaction/" + id + "/commit", body,
+         [this, entry](bool answered, const Json& reply) {
+           NoteWrite(entry, answered, reply);
+         });
+  }
+
+  void NoteWrite(const std::string& entry, bool answered, const Json& reply) {
+    std::string outcome = answered ? reply.value("outcome", "") : "";
+    WriteFate fate = WriteFate::kOpen;
+    if (outcome == "done") fate = WriteFate::kDone;
+    if (outcome == "not_run") fate = WriteFate::kNotRun;
+    state_->lists[list_].entries[entry] = fate;
+    if (fate != WriteFate::kDone) return;
+    done_.insert(entry);
+    TimePoint now = state_->clock.Now();
+    TimePoint& last = state_->last_write[group_];
+    if (last != TimePoint()) {
+      int64_t& longest = state_->report.longest_write_gap_ms[group_];
+      longest = std::max(longest, (now - last).millis());
+    }
+    last = now;
+  }
+
+  // Sends, counts the answer, then goes on with the next request.
+  void Send(const LoadKind& kind, const std::string& path, const Json& body,
+            OnAnswer on_answer) {
+    auto self = shared_from_this();
+    Call(kind, path, body,
+         [self, kind, on_answer](bool answered, const Json& reply) {
+           on_answer(answered, reply);
+           self->Count(kind, answered, reply);
+           self->Pause();
+         });
+  }
+
+  void Call(const LoadKind& kind, const std::string& path, const Json& body,
+            OnAnswer on_answer) {
+    started_ = state_->clock.Now();
+    size_t entry = Draw(options_->entries.size());
+    const std::string& address = options_->entries[entry];
+    Duration limit = Duration::Millis(kind.deadline_ms) + kCallMargin;
+    PostOnce(&state_->io, address, path, body.dump(), limit,
+             [on_answer](HttpReply reply) {
+               Json json = Json::parse(reply.body, nullptr, false);
+               bool answered =
+                   reply.ok && json.is_object() && json.contains("outcome");
+               on_answer(answered, answered ? json : Json::object());
+             });
+  }
+
+  void Count(const LoadKind& kind, bool answered, const Json& reply) {
+    KindReport& report = state_->report.kinds[kind.name];
+    std::string outcome = answered ? reply.value("outcome", "") : "";
+    if (outcome == "done") {
+      report.done++;
+      double took =
+          static_cast<double>((state_->clock.Now() - started_).millis());
+      auto inserted = state_->latencies.emplace(
+          kind.name, bh::make_histogram(LogAxis(kBuckets, 1, kHighestMs)));
+      inserted.first->second(std::max(1.0, took));
+      return;
+    }
+    if (outcome == "not_run") {
+      report.not_run++;
+    } else if (outcome == "unknown") {
+      report.unknown++;
+    } else {
+      report.failed++;
+    }
+    std::string reason = answered ? reply.value("reason", "") : "no_answer";
+    state_->report.reasons[reason]++;
+    refused_ = true;
+  }
+
+  void Pause() {
+    Duration pause = refused_ ? kRetryPause : options_->think_time;
+    refused_ = false;
+    auto self = shared_from_this();
+    timer_.expires_after(std::chrono::milliseconds(pause.millis()));
+    timer_.async_wait([self](boost::system::error_code) { self->Next(); });
+  }
+
+  const LoadOptions* options_;
+  LoadState* state_;
+  std::string name_;
+  std::string group_;
+  std::string list_;
+  std::mt19937_64 random_;
+  boost::asio::steady_timer timer_;
+  LoadKind transaction_kind_;
+  std::set<std::string> done_;
+  TimePoint started_;
+  int64_t number_ = 0;
+  bool refused_ = false;
+};
+
+// Reads one list back through any entry VM that answers.
+bool ReadBack(const LoadOptions& options, const std::string& list,
+              const std::string& group, std::string* result) {
+  for (int i = 0; i < kCheckTries; i++) {
+    const std::string& entry =
+        options.entries[static_cast<size_t>(i) % options.entries.size()];
+    Json body = {{"kind", options.kinds.front().name},
+                 {"caller", "load-check"},
+                 {"session", "check-" + list},
+                 {"group", group},
+                 {"access", "read"},
+                 {"max_age_ms", 0},
+                 {"deadline_ms", kCheckLimit.millis()},
+                 {"statement", "get " + list}};
+    HttpReply reply = RequestAndWait(entry, "POST", "/v1/statement",
+                                     body.dump(), options.token, kCheckLimit);
+    Json json = Json::parse(reply.body, nullptr, false);
+    bool done =
+        reply.ok && json.is_object() && json.value("outcome", "") == "done";
+    if (!done) continue;
+    *result = json.value("result", "");
+    return true;
+  }
+  return false;
+}
+
+void CheckLists(const LoadOptions& options, const LoadState& state,
+                LoadReport* report) {
+  for (const auto& item : state.lists) {
+    std::string text;
+    if (!ReadBack(options, item.first, item.second.group, &text)) {
+      report->unchecked_lists++;
+      continue;
+    }
+    std::map<std::string, int> counts;
+    for (const std::string& entry : Split(text)) counts[entry]++;
+    for (const auto& entry : item.second.entries) {
+      int count = counts[entry.first];
+      if (count > 1) report->doubled_writes++;
+      if (entry.second == WriteFate::kDone && count == 0) {
+        report->lost_writes++;
+      }
+      if (entry.second == WriteFate::kNotRun && count > 0) {
+        report->phantom_writes++;
+      }
+    }
+  }
+}
+
+}  // namespace
+
+std::string LoadReport::ToJson() const {
+  Json json;
+  for (const auto& item : kinds) {
+    const KindReport& kind = item.second;
+    json["kinds"][item.first] = {{"done", kind.done},
+                                 {"not_run", kind.not_run},
+                                 {"unknown", kind.unknown},
+                                 {"failed", kind.failed},
+                                 {"from_replica", kind.from_replica},
+                                 {"p50_ms", kind.p50_ms},
+                                 {"p99_ms", kind.p99_ms}};
+  }
+  json["reasons"] = reasons;
+  json["longest_write_gap_ms"] = longest_write_gap_ms;
+  json["stale_reads"] = stale_reads;
+  json["lost_writes"] = lost_writes;
+  json["doubled_writes"] = doubled_writes;
+  json["phantom_writes"] = phantom_writes;
+  json["unchecked_lists"] = unchecked_lists;
+  return json.dump(2);
+}
+
+std::string LoadReport::ToText() const {
+  std::ostringstream out;
+  out << std::left << std::setw(14) << "kind" << std::right << std::setw(8)
+      << "done" << std::setw(9) << "not_run" << std::setw(9) << "unknown"
+      << std::setw(10) << "no_answer" << std::setw(10) << "replica%"
+      << std::setw(9) << "p50_ms" << std::setw(9) << "p99_ms"
+      << "\n";
+  for (const auto& item : kinds) {
+    const KindReport& kind = item.second;
+    double share = kind.done == 0
+                       ? 0
+                       : 100.0 * static_cast<double>(kind.from_replica) /
+                             static_cast<double>(kind.done);
+    out << std::left << std::setw(14) << item.first << std::right
+        << std::setw(8) << kind.done << std::setw(9) << kind.not_run
+        << std::setw(9) << kind.unknown << std::setw(10) << kind.failed
+        << std::setw(10) << std::fixed << std::setprecision(1) << share
+        << std::setw(9) << kind.p50_ms << std::setw(9) << kind.p99_ms << "\n";
+  }
+  out << "not done, by reason:";
+  for (const auto& item : reasons) {
+    out << " " << item.first << "=" << item.second;
+  }
+  out << "\nlongest pause between two writes (ms):";
+  for (const auto& item : longest_write_gap_ms) {
+    out << " " << item.first << "=" << item.second;
+  }
+  out << "\nbroken promises: stale_reads=" << stale_reads
+      << " lost_writes=" << lost_writes << " doubled_writes=" << doubled_writes
+      << " phantom_writes=" << phantom_writes
+      << " unchecked_lists=" << unchecked_lists << "\n";
+  return out.str();
+}
+
+LoadReport RunLoad(const LoadOptions& options) {
+  LoadState state;
+  state.end = state.clock.Now() + options.length;
+  std::vector<std::shared_ptr<Session>> sessions;
+  sessions.reserve(static_cast<size_t>(options.sessions));
+  for (int i = 0; i < options.sessions; i++) {
+    sessions.push_back(std::make_shared<Session>(&options, &state, i));
+  }
+  for (auto& session : sessions) session->Next();
+  state.io.run();
+  LoadReport report = state.report;
+  for (const auto& item : state.latencies) {
+    report.kinds[item.first].p50_ms = Quantile(item.second, 0.5);
+    report.kinds[item.first].p99_ms = Quantile(item.second, 0.99);
+  }
+  CheckLists(options, state, &report);
+  return report;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/daemon/caller_api.cc
@@ -0,0 +1,475 @@
+// A reader checks each field and keeps the first fault, which names the field,
+// its value and what is allowed.
+
+#include "fireflycart/daemon/caller_api.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "fireflycart/net/json_types.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr char kTransactionPath[] = "/v1/transaction";
+constexpr size_t kMaxDocument = size_t{16} << 20;
+constexpr int kDefaultAuditLimit = 20;
+constexpr int kMaxAuditLimit = 1000;
+constexpr size_t kShownValue = 60;
+
+HttpResponse Problem(int status, const std::string& field,
+                     const std::string& value, const std::string& allowed) {
+  HttpResponse response;
+  response.status = status;
+  Json json = {{"error", "invalid request"},
+               {"field", field},
+               {"value", value.substr(0, kShownValue)},
+               {"allowed", allowed}};
+  response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return response;
+}
+
+std::string Shown(const Json& value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// Compares in time that does not depend on where the texts differ.
+bool SameToken(const std::string& a, const std::string& b) {
+  unsigned char difference = a.size() == b.size() ? 0 : 1;
+  for (size_t i = 0; i < std::min(a.size(), b.size()); i++) {
+    difference |= static_cast<unsigned char>(a[i] ^ b[i]);
+  }
+  return difference == 0;
+}
+
+// Reads the fields of a JSON body.
+class BodyReader {
+ public:
+  explicit BodyReader(const std::string& text) {
+    body_ = Json::parse(text, nullptr, false);
+    if (!body_.is_object()) Fail("(body)", text, "a JSON object");
+  }
+
+  std::string Text(const char* field, size_t longest, bool required) {
+    seen_.insert(field);
+    std::string allowed =
+        "a text of 1 to " + std::to_string(longest) + " bytes";
+    const Json* value = Find(field);
+    if (value == nullptr) {
+      if (required) Fail(field, "(missing)", allowed);
+      return std::string();
+    }
+    bool fits = value->is_string() && !value->get<std::string>().empty() &&
+                value->get<std::string>().size() <= longest;
+    if (!fits) {
+      Fail(field, Shown(*value), allowed);
+      return std::string();
+    }
+    return value->get<std::string>();
+  }
+
+  std::optional<int64_t> Number(const char* field, int64_t low, int64_t high) {
+    seen_.insert(field);
+    const Json* value = Find(field);
+    if (value == nullptr) return std::nullopt;
+    bool fits = value->is_number_integer() && value->get<int64_t>() >= low &&
+                value->get<int64_t>() <= high;
+    if (!fits) {
+      Fail(field, Shown(*value),
+           "a whole number from " + std::to_string(low) + " to " +
+               std::to_string(high));
+      return std::nullopt;
+    }
+    return value->get<int64_t>();
+  }
+
+  bool Flag(const char* field, bool fallback) {
+    seen_.insert(field);
+    const Json* value = Find(field);
+    if (value == nullptr) return fallback;
+    if (!value->is_boolean()) {
+      Fail(field, Shown(*value), "true or false");
+      return fallback;
+    }
+    return value->get<bool>();
+  }
+
+  // The value of a field, of any type.
+  const Json* Any(const char* field) {
+    seen_.insert(field);
+    const Json* value = Find(field);
+    if (value == nullptr) Fail(field, "(missing)", "a JSON value");
+    return value;
+  }
+
+  void Fail(const std::string& field, const std::string& value,
+            const std::string& allowed) {
+    if (!problem_) problem_ = Problem(400, field, value, allowed);
+  }
+
+  std::optional<HttpResponse> Finish() {
+    if (body_.is_object()) {
+      for (const auto& item : body_.items()) {
+        if (seen_.count(item.key()) != 0) continue;
+        Fail(item.key(), Shown(item.value()), "no such field");
+      }
+    }
+    return problem_;
+  }
+
+ private:
+  const Json* Find(const char* field) const {
+    if (!body_.is_object()) return nullptr;
+    auto found = body_.find(field);
+    return found == body_.end() ? nullptr : &*found;
+  }
+
+  Json body_;
+  std::set<std::string> seen_;
+  std::optional<HttpResponse> problem_;
+};
+
+void ReadDeadline(BodyReader* reader, TimePoint now, CallerCall* call) {
+  std::optional<int64_t> ms = reader->Number("deadline_ms", 1, kMaxDeadlineMs);
+  if (ms) call->request.deadline = now + Duration::Millis(*ms);
+}
+
+// Fields that all requests share.
+void ReadCommon(BodyReader* reader, TimePoint now, CallerCall* call) {
+  Request& request = call->request;
+  request.kind = KindId(reader->Text("kind", kMaxId, true));
+  request.caller = CallerId(reader->Text("caller", kMaxId, true));
+  request.session = SessionId(reader->Text("session", kMaxId, false));
+  if (request.session == SessionId()) {
+    request.session = SessionId(request.caller.value());
+  }
+  std::string id = reader->Text("request_id", kMaxId, false);
+  if (!id.empty()) {
+    request.key = RequestKey(request.caller.value() + "/" + id);
+  }
+  ReadDeadline(reader, now, call);
+}
+
+void ReadStatement(BodyReader* reader, CallerCall* call) {
+  Request& request = call->request;
+  request.statement = reader->Text("statement", kMaxStatement, true);
+  std::string access = reader->Text("access", kMaxId, true);
+  bool known = access == "read" || access == "write";
+  if (!known && !access.empty()) {
+    reader->Fail("access", access, "\"read\" or \"write\"");
+  }
+  request.access = access == "write" ? Access::kWrite : Access::kRead;
+}
+
+std::optional<HttpResponse> ParseSingle(const HttpRequest& http, TimePoint now,
+                                        CallerCall* call) {
+  BodyReader reader(http.body);
+  Request& request = call->request;
+  request.group = GroupId(reader.Text("group", kMaxId, true));
+  ReadCommon(&reader, now, call);
+  ReadStatement(&reader, call);
+  request.repeatable = reader.Flag("repeatable", false);
+  std::optional<int64_t> age = reader.Number("max_age_ms", 0, kMaxDeadlineMs);
+  if (age) request.max_age = Duration::Millis(*age);
+  if (age && request.access == Access::kWrite) {
+    reader.Fail("max_age_ms", std::to_string(*age), "reads only");
+  }
+  return reader.Finish();
+}
+
+std::optional<HttpResponse> ParseBegin(const HttpRequest& http, TimePoint now,
+                                       CallerCall* call) {
+  BodyReader reader(http.body);
+  call->request.type = RequestType::kBegin;
+  call->request.access = Access::kWrite;
+  call->request.group = GroupId(reader.Text("group", kMaxId, true));
+  ReadCommon(&reader, now, call);
+  return reader.Finish();
+}
+
+// /v1/transaction/ID/statement, /commit or /rollback.
+std::optional<HttpResponse> ParseStep(const HttpRequest& http, TimePoint now,
+                                      CallerCall* call) {
+  std::string rest = http.path.substr(std::string(kTransactionPath).size() + 1);
+  size_t slash = rest.find('/');
+  std::string id = rest.substr(0, slash);
+  std::string step = slash == std::string::npos ? "" : rest.substr(slash + 1);
+  Request& request = call->request;
+  request.transaction = TransactionId(id);
+  request.group = TransactionGroup(request.transaction);
+  request.access = Access::kWrite;
+  if (request.group == GroupId()) {
+    return Problem(400, "(path)", id, "the id that begin returned");
+  }
+  BodyReader reader(http.body);
+  ReadCommon(&reader, now, call);
+  if (step == "statement") {
+    request.type = RequestType::kTransactionStatement;
+    ReadStatement(&reader, call);
+  } else if (step == "commit") {
+    request.type = RequestType::kCommit;
+  } else if (step == "rollback") {
+    request.type = RequestType::kRollback;
+  } else {
+    return Problem(404, "(path)", http.path,
+                   "statement, commit or rollback after the id");
+  }
+  return reader.Finish();
+}
+
+std::string WallClockText() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::optional<HttpResponse> ParseSubmit(const HttpRequest& http,
+                                        OperatorCall* call) {
+  BodyReader reader(http.body);
+  SubmitConfigCall submit;
+  std::optional<int64_t> base = reader.Number("base", 0, INT64_MAX);
+  if (!base) reader.Fail("base", "(missing)", "the version of the base");
+  submit.base = ConfigVersion(static_cast<uint64_t>(base.value_or(0)));
+  submit.operator_name = reader.Text("operator", kMaxId, true);
+  const Json* document = reader.Any("document");
+  if (document != nullptr) submit.document = Shown(*document);
+  if (submit.document.size() > kMaxDocument) {
+    reader.Fail("document", std::to_string(submit.document.size()) + " bytes",
+                "at most " + std::to_string(kMaxDocument) + " bytes");
+  }
+  submit.submitted_at = WallClockText();
+  call->body = submit;
+  return reader.Finish();
+}
+
+int AuditLimit(const std::string& query) {
+  const std::string prefix = "limit=";
+  if (query.compare(0, prefix.size(), prefix) != 0) return kDefaultAuditLimit;
+  int64_t limit = std::strtoll(query.c_str() + prefix.size(), nullptr, 10);
+  return static_cast<int>(std::clamp<int64_t>(limit, 1, kMaxAuditLimit));
+}
+
+std::optional<HttpResponse> Authorize(const std::string& wanted,
+                                      const HttpRequest& http) {
+  if (wanted.empty() || SameToken(wanted, http.bearer_token)) {
+    return std::nullopt;
+  }
+  return Problem(401, "Authorization", "(not shown)",
+                 "Bearer and the token of this interface");
+}
+
+bool IsOperatorPath(const std::string& path) {
+  return path == "/v1/config" || path == "/v1/status" || path == "/v1/audit";
+}
+
+int StatusOf(const Answer& answer) {
+  if (answer.outcome == Outcome::kDone) return 200;
+  if (answer.outcome == Outcome::kUnknown) return 504;
+  switch (answer.reason) {
+    case Reason::kUnknownGroup:
+    case Reason::kUnknownKind:
+      return 404;
+    case Reason::kTransactionLost:
+      return 409;
+    case Reason::kStatementFailed:
+      return 422;
+    case Reason::kOverloaded:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+Json ToJson(const ConfigurationProblem& problem) {
+  return {{"path", problem.path},
+          {"value", problem.value},
+          {"allowed", problem.allowed}};
+}
+
+const char* SubmitText(SubmitCode code) {
+  switch (code) {
+    case SubmitCode::kAccepted:
+      return "accepted";
+    case SubmitCode::kAlreadyAccepted:
+      return "already_accepted";
+    case SubmitCode::kInvalid:
+      return "invalid";
+    case SubmitCode::kConflict:
+      return "conflict";
+    case SubmitCode::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+int SubmitStatus(SubmitCode code) {
+  switch (code) {
+    case SubmitCode::kAccepted:
+    case SubmitCode::kAlreadyAccepted:
+      return 200;
+    case SubmitCode::kInvalid:
+      return 400;
+    case SubmitCode::kConflict:
+      return 409;
+    case SubmitCode::kUnknown:
+      return 504;
+  }
+  return 504;
+}
+
+HttpResponse Render(const SubmitReply& reply) {
+  Json problems = Json::array();
+  for (const ConfigurationProblem& problem : reply.problems) {
+    problems.push_back(ToJson(problem));
+  }
+  Json changes = Json::array();
+  for (const std::string& change : reply.changes) {
+    changes.push_back(Json::parse(change, nullptr, false));
+  }
+  Json json = {{"result", SubmitText(reply.code)},
+               {"version", reply.version},
+               {"problems", problems},
+               {"changes", changes}};
+  HttpResponse response;
+  response.status = SubmitStatus(reply.code);
+  response.body = json.dump();
+  return response;
+}
+
+HttpResponse Render(const ShowConfigReply& reply) {
+  Json document = Json::parse(reply.document, nullptr, false);
+  if (document.is_discarded()) document = Json::object();
+  Json json = {{"version", reply.version}, {"document", document}};
+  HttpResponse response;
+  response.body = json.dump();
+  return response;
+}
+
+HttpResponse Render(const ShowStatusReply& reply) {
+  Json members = Json::array();
+  for (const MemberUpdate& member : reply.members) {
+    members.push_back({{"vm", member.vm},
+                       {"address", member.address},
+                       {"data_centre", member.data_centre},
+                       {"state", MemberStateText(member.state)}});
+  }
+  Json groups = Json::array();
+  for (const GroupStatusLine& line : reply.groups) {
+    groups.push_back({{"group", line.group},
+                      {"coordinator", line.coordinator},
+                      {"term", line.term},
+                      {"primary", line.primary},
+                      {"phase", line.phase},
+                      {"queued", line.queued}});
+  }
+  Json json = {{"vm", reply.vm},
+               {"ready", reply.ready},
+               {"not_ready_because", reply.not_ready_because},
+               {"version", reply.version},
+               {"ordinal", reply.ordinal},
+               {"members", members},
+               {"groups", groups}};
+  HttpResponse response;
+  response.body = json.dump();
+  return response;
+}
+
+HttpResponse Render(const ShowAuditReply& reply) {
+  Json records = Json::array();
+  for (const std::string& record : reply.records) {
+    records.push_back(Json::parse(record, nullptr, false));
+  }
+  HttpResponse response;
+  response.status = reply.available ? 200 : 503;
+  response.body = Json({{"records", records}}).dump();
+  return response;
+}
+
+}  // namespace
+
+ParsedCall ParseCall(const HttpRequest& http, const AccessTokens& tokens,
+                     TimePoint now) {
+  ParsedCall parsed;
+  const std::string& path = http.path;
+  bool is_step = path.compare(0, std::string(kTransactionPath).size() + 1,
+                              std::string(kTransactionPath) + "/") == 0;
+  bool is_post_path =
+      path == "/v1/statement" || path == kTransactionPath || is_step;
+  if (path == "/ready" && http.method == "GET") {
+    parsed.call = ReadyProbe{};
+    return parsed;
+  }
+  if (path == "/metrics" && http.method == "GET") {
+    parsed.call = MetricsPage{};
+    return parsed;
+  }
+  if (IsOperatorPath(path)) {
+    parsed.error = Authorize(tokens.operator_token, http);
+    if (parsed.error) return parsed;
+    OperatorCall call;
+    if (http.method == "POST" && path == "/v1/config") {
+      parsed.error = ParseSubmit(http, &call);
+    } else if (http.method != "GET") {
+      parsed.error = Problem(405, "(method)", http.method, "GET");
+    } else if (path == "/v1/config") {
+      call.body = ShowConfigCall{};
+    } else if (path == "/v1/status") {
+      call.body = ShowStatusCall{};
+    } else {
+      call.body = ShowAuditCall{AuditLimit(http.query)};
+    }
+    parsed.call = call;
+    return parsed;
+  }
+  if (!is_post_path) {
+    parsed.error = Problem(404, "(path)", path, "a path in docs/API.md");
+    return parsed;
+  }
+  if (http.method != "POST") {
+    parsed.error = Problem(405, "(method)", http.method, "POST");
+    return parsed;
+  }
+  parsed.error = Authorize(tokens.caller, http);
+  if (parsed.error) return parsed;
+  CallerCall call;
+  if (path == "/v1/statement") {
+    parsed.error = ParseSingle(http, now, &call);
+  } else if (is_step) {
+    parsed.error = ParseStep(http, now, &call);
+  } else {
+    parsed.error = ParseBegin(http, now, &call);
+  }
+  parsed.call = call;
+  return parsed;
+}
+
+HttpResponse RenderAnswer(const Answer& answer) {
+  Json json = {{"outcome", OutcomeText(answer.outcome)},
+               {"reason", ReasonText(answer.reason)},
+               {"result", answer.result}};
+  if (answer.outcome == Outcome::kDone) {
+    json["upstream"] = answer.upstream;
+    json["from_replica"] = answer.from_replica;
+    json["replayed"] = answer.replayed;
+  } else {
+    json["retry_after_ms"] = answer.retry_after;
+  }
+  if (answer.transaction != TransactionId()) {
+    json["transaction"] = answer.transaction;
+  }
+  HttpResponse response;
+  response.status = StatusOf(answer);
+  response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (answer.outcome != Outcome::kDone) {
+    response.retry_after = answer.retry_after;
+  }
+  return response;
+}
+
+HttpResponse RenderOperatorReply(const OperatorReplyBody& body) {
+  return std::visit([](const auto& reply) { return Render(reply); }, body);
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/daemon/daemon.cc
@@ -0,0 +1,220 @@
+// Events come in from several threads and are posted to the reducer's thread;
+// effects go out through adapters that take them from any thread.
+
+#include "fireflycart/daemon/daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+#include "fireflycart/core/error.h"
+#include "fireflycart/daemon/logging.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{kTickPeriod.millis()};
+constexpr int kNotReady = 503;
+
+}  // namespace
+
+Daemon::Daemon(Settings settings)
+    : settings_(std::move(settings)),
+      tokens_{settings_.caller_token, settings_.operator_token},
+      control_work_(control_io_.get_executor()),
+      reducer_(settings_.identity, settings_.options, settings_.seed),
+      tick_(control_io_),
+      traffic_work_(traffic_io_.get_executor()) {}
+
+Daemon::~Daemon() {
+  control_io_.stop();
+  traffic_io_.stop();
+  if (control_thread_.joinable()) control_thread_.join();
+  if (traffic_thread_.joinable()) traffic_thread_.join();
+}
+
+void Daemon::Start() {
+  peers_ = std::make_unique<Http2Transport>(&traffic_io_, settings_.identity.vm,
+                                            this);
+  upstreams_ = MakeHttpUpstreamAdapter(&traffic_io_, this);
+  platform_ =
+      MakeHttpPlatformAdapter(&traffic_io_, settings_.platform_address, this);
+  peers_->Listen(settings_.peer_address.ip, settings_.peer_address.port);
+  HttpServerOptions options;
+  options.ip = settings_.http_address.ip;
+  options.port = settings_.http_address.port;
+  options.threads = static_cast<size_t>(settings_.http_threads);
+  options.max_body = size_t{16} << 20;
+  http_ = StartHttpServer(options, this);
+  LogRecord(LogLevel::kInfo, "start",
+            "Seed " + std::to_string(settings_.seed) + ".");
+  ScheduleTick();
+  traffic_thread_ = std::thread([this] { traffic_io_.run(); });
+  control_thread_ = std::thread([this] {
+    try {
+      control_io_.run();
+    } catch (const std::exception& e) {
+      LogRecord(LogLevel::kError, "reducer", e.what());
+      failed_ = true;
+    }
+  });
+}
+
+void Daemon::RequestStop() { Post(StopRequested{}); }
+
+bool Daemon::WaitUntilStopped() {
+  control_thread_.join();
+  http_->Stop();
+  traffic_io_.stop();
+  traffic_thread_.join();
+  return !failed_;
+}
+
+void Daemon::OnHttpRequest(HttpRequest request,
+                           std::shared_ptr<HttpResponder> responder) {
+  ParsedCall parsed = ParseCall(request, tokens_, clock_.Now());
+  if (parsed.error) {
+    responder->Respond(*parsed.error);
+    return;
+  }
+  boost::asio::post(control_io_, [this, request, parsed, responder] {
+    StartCall(request, parsed, responder);
+  });
+}
+
+void Daemon::OnHttpClosed(uint64_t connection) {
+  boost::asio::post(control_io_, [this, connection] {
+    auto found = by_connection_.find(connection);
+    if (found == by_connection_.end()) return;
+    std::set<HandleId> left = std::move(found->second);
+    by_connection_.erase(found);
+    for (HandleId handle : left) {
+      waiting_.erase(handle);
+      Reduce(CallerLeft{handle});
+    }
+  });
+}
+
+void Daemon::OnPeerCalled(PeerCalled event) { Post(std::move(event)); }
+void Daemon::OnPeerReplied(PeerReplied event) { Post(std::move(event)); }
+void Daemon::OnConnectionOpened(ConnectionOpened event) {
+  Post(std::move(event));
+}
+void Daemon::OnConnectionBroken(ConnectionBroken event) { Post(event); }
+void Daemon::OnUpstreamReplied(UpstreamReplied event) {
+  Post(std::move(event));
+}
+void Daemon::OnPlatformReplied(PlatformReplied event) {
+  Post(std::move(event));
+}
+
+void Daemon::Post(EventBody body) {
+  boost::asio::post(control_io_,
+                    [this, body = std::move(body)] { Reduce(body); });
+}
+
+void Daemon::Reduce(const EventBody& body) {
+  Effects effects = reducer_.Reduce(Event{clock_.Now(), body});
+  for (const Effect& effect : effects) {
+    std::visit([this](const auto& e) { Perform(e); }, effect);
+  }
+}
+
+void Daemon::ScheduleTick() {
+  tick_.expires_after(kTickInterval);
+  tick_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    Reduce(Tick{});
+    ScheduleTick();
+  });
+}
+
+void Daemon::StartCall(const HttpRequest& http, const ParsedCall& parsed,
+                       std::shared_ptr<HttpResponder> responder) {
+  if (std::holds_alternative<ReadyProbe>(parsed.call)) {
+    responder->Respond(RenderReady());
+    return;
+  }
+  if (std::holds_alternative<MetricsPage>(parsed.call)) {
+    responder->Respond(RenderMetrics());
+    return;
+  }
+  if (const auto* caller = std::get_if<CallerCall>(&parsed.call)) {
+    StartCallerCall(http, *caller, std::move(responder));
+    return;
+  }
+  HandleId handle(++last_handle_);
+  waiting_[handle] = Waiting{std::move(responder), 0, KindId(), clock_.Now()};
+  Reduce(OperatorCalled{handle, std::get<OperatorCall>(parsed.call).body});
+}
+
+void Daemon::StartCallerCall(const HttpRequest& http, CallerCall call,
+                             std::shared_ptr<HttpResponder> responder) {
+  HandleId handle(++last_handle_);
+  waiting_[handle] = Waiting{std::move(responder), http.connection,
+                             call.request.kind, clock_.Now()};
+  by_connection_[http.connection].insert(handle);
+  Reduce(CallerRequested{handle, call.request});
+}
+
+HttpResponse Daemon::RenderReady() const {
+  HttpResponse response;
+  std::string because = reducer_.NotReadyBecause();
+  response.content_type = "text/plain";
+  response.status = because.empty() ? 200 : kNotReady;
+  response.body = because.empty() ? "ready\n" : "not ready: " + because + "\n";
+  return response;
+}
+
+HttpResponse Daemon::RenderMetrics() const {
+  HttpResponse response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = metrics_.Render(reducer_.ReadGauges());
+  return response;
+}
+
+void Daemon::Perform(const AnswerCaller& effect) {
+  auto found = waiting_.find(effect.handle);
+  if (found == waiting_.end()) return;
+  Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  auto connection = by_connection_.find(waiting.connection);
+  if (connection != by_connection_.end()) {
+    connection->second.erase(effect.handle);
+    if (connection->second.empty()) by_connection_.erase(connection);
+  }
+  metrics_.Record(waiting.kind, effect.answer, clock_.Now() - waiting.since);
+  HttpResponse response = RenderAnswer(effect.answer);
+  response.close_connection = !reducer_.ready();
+  waiting.responder->Respond(response);
+}
+
+void Daemon::Perform(const AnswerOperator& effect) {
+  auto found = waiting_.find(effect.handle);
+  if (found == waiting_.end()) return;
+  found->second.responder->Respond(RenderOperatorReply(effect.body));
+  waiting_.erase(found);
+}
+
+void Daemon::Perform(const CallPeer& effect) { peers_->Call(effect); }
+void Daemon::Perform(const AnswerPeer& effect) { peers_->Answer(effect); }
+void Daemon::Perform(const OpenConnection& effect) { upstreams_->Open(effect); }
+void Daemon::Perform(const CloseConnection& effect) {
+  upstreams_->Close(effect);
+}
+void Daemon::Perform(const CallUpstream& effect) { upstreams_->Call(effect); }
+void Daemon::Perform(const CallPlatform& effect) { platform_->Call(effect); }
+
+void Daemon::Perform(const WriteLog& effect) {
+  LogRecord(effect.level, effect.part, effect.text);
+}
+
+void Daemon::Perform(const Exit&) {
+  tick_.cancel();
+  control_work_.reset();
+  // Answers that were given in this step are still being written.
+  tick_.expires_after(kTickInterval * 10);
+  tick_.async_wait([this](boost::system::error_code) { control_io_.stop(); });
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/daemon/settings.cc
@@ -0,0 +1,182 @@
+// Environment variables are given to the flags first, then the command line
+// overrides them. Checks collect their faults.
+
+#include "fireflycart/daemon/settings.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "absl/flags/usage_config.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "fireflycart/core/error.h"
+#include "fireflycart/net/flag_environment.h"
+
+ABSL_FLAG(std::string, vm, "", "Name of this VM: a-z, 0-9, '-' and '_'.");
+ABSL_FLAG(std::string, data_centre, "", "Data centre of this VM.");
+ABSL_FLAG(std::string, peer_address, "", "IP:PORT for other VMs.");
+ABSL_FLAG(std::string, http_address, "", "IP:PORT for callers and operators.");
+ABSL_FLAG(std::string, platform_address, "", "IP:PORT of the platform.");
+ABSL_FLAG(std::string, caller_token, "",
+          "Token that callers must send. Better set as a variable.");
+ABSL_FLAG(std::string, operator_token, "",
+          "Token that operators must send. Better set as a variable.");
+ABSL_FLAG(std::string, log_level, "info",
+          "Lowest level logged: debug, info, warning or error.");
+ABSL_FLAG(std::string, log_format, "text", "Log lines as text or json.");
+ABSL_FLAG(int, http_threads, 2, "Threads that serve callers: 1 to 64.");
+ABSL_FLAG(int64_t, seed, 0,
+          "Seed of all random choices; 0 draws one at start.");
+ABSL_FLAG(int, stop_limit_ms, 10000,
+          "Longest planned stop: 1000 to 600000 ms.");
+ABSL_FLAG(int, probe_period_ms, 200, "Pause between two pings: 20 to 60000.");
+ABSL_FLAG(int, isolation_limit_ms, 5000,
+          "Time without peers and platform after which this VM stops serving: "
+          "500 to 600000.");
+ABSL_FLAG(int, session_budget, 100000,
+          "Sessions remembered for each group: 100 to 10000000.");
+ABSL_FLAG(int, caller_budget, 20000,
+          "Callers' requests held at a time: 10 to 1000000.");
+
+namespace fireflycart {
+namespace {
+
+constexpr char kVersion[] = "fireflycartd 0.1.0\n";
+
+class Checker {
+ public:
+  std::string Name(const char* flag, const std::string& value) {
+    bool valid =
+        !value.empty() &&
+        value.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_") ==
+            std::string::npos;
+    if (!valid) Add(flag, value, "one or more of a-z, 0-9, '-' and '_'");
+    return value;
+  }
+
+  IpAddress Address(const char* flag, const std::string& value) {
+    try {
+      return ParseAddress(value);
+    } catch (const Error&) {
+      Add(flag, value, "an IP number and a port, as in 127.0.0.1:7001");
+      return IpAddress();
+    }
+  }
+
+  int Range(const char* flag, int value, int low, int high) {
+    if (value < low || value > high) {
+      Add(flag, absl::StrCat(value),
+          absl::StrCat("a whole number from ", low, " to ", high));
+    }
+    return value;
+  }
+
+  std::string OneOf(const char* flag, const std::string& value,
+                    const std::vector<std::string>& allowed) {
+    std::string list;
+    for (const std::string& item : allowed) {
+      if (item == value) return value;
+      list += (list.empty() ? "" : ", ") + item;
+    }
+    Add(flag, value, "one of " + list);
+    return value;
+  }
+
+  void Add(const char* flag, const std::string& value,
+           const std::string& allowed) {
+    faults_.push_back(absl::StrCat("--", flag, ": \"", value,
+                                   "\" is not allowed; allowed is ", allowed));
+  }
+
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
+};
+
+uint64_t DrawSeed() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+// Later starts have higher incarnations as long as the wall clock does not go
+// back; if it does, the first ping refutes with a higher one.
+uint64_t DrawIncarnation() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+}  // namespace
+
+Settings ReadSettings(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Daemon of fireflycart, one on each entry VM.\n"
+      "Each flag can be set by a variable: --log_level by "
+      "FIREFLYCART_LOG_LEVEL.\n"
+      "Exit codes: 0 after a planned stop, 1 after a failure, 2 for faulty "
+      "settings.");
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] { return std::string(kVersion); };
+  usage.contains_helpshort_flags = [](absl::string_view file) {
+    return absl::StrContains(file, "daemon/settings");
+  };
+  usage.contains_help_flags = usage.contains_helpshort_flags;
+  absl::SetFlagsUsageConfig(usage);
+  std::vector<std::string> faults =
+      SetFlagsFromEnvironment(UnknownVariables::kReport);
+  std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  Checker check;
+  for (size_t i = 1; i < rest.size(); i++) {
+    faults.push_back(absl::StrCat("argument \"", rest[i],
+                                  "\" is not allowed; allowed are flags only"));
+  }
+  Settings settings;
+  NodeIdentity& identity = settings.identity;
+  identity.vm = VmId(check.Name("vm", absl::GetFlag(FLAGS_vm)));
+  identity.data_centre =
+      DataCentreId(check.Name("data_centre", absl::GetFlag(FLAGS_data_centre)));
+  identity.address = absl::GetFlag(FLAGS_peer_address);
+  identity.incarnation = DrawIncarnation();
+  settings.peer_address = check.Address("peer_address", identity.address);
+  settings.http_address =
+      check.Address("http_address", absl::GetFlag(FLAGS_http_address));
+  settings.platform_address = absl::GetFlag(FLAGS_platform_address);
+  check.Address("platform_address", settings.platform_address);
+  settings.caller_token = absl::GetFlag(FLAGS_caller_token);
+  settings.operator_token = absl::GetFlag(FLAGS_operator_token);
+  settings.log_level = check.OneOf("log_level", absl::GetFlag(FLAGS_log_level),
+                                   {"debug", "info", "warning", "error"});
+  settings.log_format = check.OneOf(
+      "log_format", absl::GetFlag(FLAGS_log_format), {"text", "json"});
+  settings.http_threads =
+      check.Range("http_threads", absl::GetFlag(FLAGS_http_threads), 1, 64);
+  int64_t seed = absl::GetFlag(FLAGS_seed);
+  settings.seed = seed == 0 ? DrawSeed() : static_cast<uint64_t>(seed);
+  Options& options = settings.options;
+  options.set_stop_limit(Duration::Millis(check.Range(
+      "stop_limit_ms", absl::GetFlag(FLAGS_stop_limit_ms), 1000, 600000)));
+  options.set_probe_period(Duration::Millis(check.Range(
+      "probe_period_ms", absl::GetFlag(FLAGS_probe_period_ms), 20, 60000)));
+  options.set_isolation_limit(Duration::Millis(
+      check.Range("isolation_limit_ms", absl::GetFlag(FLAGS_isolation_limit_ms),
+                  500, 600000)));
+  options.set_session_budget(static_cast<size_t>(check.Range(
+      "session_budget", absl::GetFlag(FLAGS_session_budget), 100, 10000000)));
+  options.set_caller_budget(static_cast<size_t>(check.Range(
+      "caller_budget", absl::GetFlag(FLAGS_caller_budget), 10, 1000000)));
+  faults.insert(faults.end(), check.faults().begin(), check.faults().end());
+  if (!faults.empty()) {
+    for (const std::string& fault : faults) std::cerr << fault << "\n";
+    std::exit(kExitUsage);
+  }
+  return settings;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/net/address.cc
@@ -0,0 +1,39 @@
+// The port stands behind the last colon; the IP number is checked by Asio.
+
+#include "fireflycart/net/address.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "fireflycart/core/error.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr int kMaxPort = 65535;
+constexpr size_t kMaxPortDigits = 5;
+
+[[noreturn]] void Fail(const std::string& text) {
+  throw Error(ErrorCode::kInvalidArgument, "parse address", text,
+              "allowed is an IP number and a port, as in 127.0.0.1:7001");
+}
+
+}  // namespace
+
+IpAddress ParseAddress(const std::string& text) {
+  size_t colon = text.rfind(':');
+  if (colon == std::string::npos) Fail(text);
+  std::string port = text.substr(colon + 1);
+  bool digits = port.find_first_not_of("0123456789") == std::string::npos;
+  if (port.empty() || port.size() > kMaxPortDigits || !digits) Fail(text);
+  int number = std::stoi(port);
+  if (number < 1 || number > kMaxPort) Fail(text);
+  IpAddress address;
+  address.ip = text.substr(0, colon);
+  address.port = static_cast<uint16_t>(number);
+  boost::system::error_code error;
+  boost::asio::ip::make_address(address.ip, error);
+  if (error) Fail(text);
+  return address;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/net/flag_environment.cc
@@ -0,0 +1,45 @@
+// Walks the environment once and looks each variable's flag up.
+
+#include "fireflycart/net/flag_environment.h"
+
+#include <unistd.h>
+
+#include "absl/flags/reflection.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr absl::string_view kPrefix = "FIREFLYCART_";
+
+}  // namespace
+
+std::vector<std::string> SetFlagsFromEnvironment(UnknownVariables unknown) {
+  std::vector<std::string> faults;
+  for (char** entry = environ; *entry != nullptr; entry++) {
+    absl::string_view text(*entry);
+    size_t equals = text.find('=');
+    if (text.substr(0, kPrefix.size()) != kPrefix) continue;
+    if (equals == absl::string_view::npos) continue;
+    absl::string_view variable = text.substr(0, equals);
+    std::string name = absl::AsciiStrToLower(variable.substr(kPrefix.size()));
+    absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+    if (flag == nullptr) {
+      if (unknown == UnknownVariables::kReport) {
+        faults.push_back(
+            absl::StrCat(variable, ": no flag --", name, " exists"));
+      }
+      continue;
+    }
+    // The value is not shown, since it may be a secret.
+    std::string error;
+    if (!flag->ParseFrom(text.substr(equals + 1), &error)) {
+      faults.push_back(
+          absl::StrCat(variable, ": the value does not fit flag --", name));
+    }
+  }
+  return faults;
+}
+
+}  // namespace fireflycart
--- /dev/null
+++ b/fireflycart/net/http2_connection.h
@@ -0,0 +1,106 @@
+// One HTTP/2 connection over TCP, for either side. Derived classes handle the
+// streams; this class moves bytes between the socket and nghttp2.
+//
+//   class Server : public Http2Connection { void OnStreamEnd(int) override; };
+//   connection->Start();
+//   connection->SubmitResponse(stream, body);
+//
+// Limits: one thread. A stream's body is at most kMaxPeerMessage bytes; at most
+// kMaxStreams streams are open at a time.
+
+#ifndef FIREFLYCART_NET_HTTP2_CONNECTION_H_
+#define FIREFLYCART_NET_HTTP2_CONNECTION_H_
+
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fireflycart {
+
+constexpr uint32_t kMaxStreams = 4096;
+
+struct Http2Header {
+  std::string name;
+  std::string value;
+};
+
+class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
+ public:
+  enum class Side { kClient, kServer };
+
+  Http2Connection(boost::asio::ip::tcp::socket socket, Side side);
+  virtual ~Http2Connection();
+
+  Http2Connection(const Http2Connection&) = delete;
+  Http2Connection& operator=(const Http2Connection&) = delete;
+
+  // Begins to read. The socket must be connected.
+  void Start();
+  void Close();
+  bool closed() const { return closed_; }
+
+  // Sends a request; returns the stream, or a negative number on failure.
+  int32_t SubmitRequest(const std::vector<Http2Header>& headers,
+                        std::string body);
+  void SubmitResponse(int32_t stream, std::string body);
+  void ResetStream(int32_t stream);
+
+ protected:
+  virtual void OnHeader(int32_t stream, const std::string& name,
+                        const std::string& value) = 0;
+  // The peer sent the whole body of the stream.
+  virtual void OnMessage(int32_t stream, std::string body) = 0;
+  virtual void OnStreamClosed(int32_t stream) = 0;
+  // The connection is gone; no stream will hear anything more.
+  virtual void OnClosed() = 0;
+
+ private:
+  struct Outgoing {
+    std::string body;
+    size_t sent = 0;
+  };
+
+  static Http2Connection* Self(void* user_data);
+  static ssize_t ReadBody(nghttp2_session* session, int32_t stream,
+                          uint8_t* buffer, size_t length, uint32_t* flags,
+                          nghttp2_data_source* source, void* user_data);
+  static int HeaderReceived(nghttp2_session* session,
+                            const nghttp2_frame* frame, const uint8_t* name,
+                            size_t name_length, const uint8_t* value,
+                            size_t value_length, uint8_t flags,
+                            void* user_data);
+  static int DataReceived(nghttp2_session* session, uint8_t flags,
+                          int32_t stream, const uint8_t* data, size_t length,
+                          void* user_data);
+  static int FrameReceived(nghttp2_session* session, const nghttp2_frame* frame,
+                           void* user_data);
+  static int StreamClosed(nghttp2_session* session, int32_t stream,
+                          uint32_t error, void* user_data);
+
+  void ReadSome();
+  void Flush();
+  nghttp2_data_provider Provider(int32_t stream);
+
+  static constexpr size_t kReadBuffer = 65536;
+
+  boost::asio::ip::tcp::socket socket_;
+  nghttp2_session* session_ = nullptr;
+  std::array<uint8_t, kReadBuffer> buffer_;
+  std::string writing_;
+  bool is_writing_ = false;
+  bool closed_ = false;
+  bool in_callback_ = false;
+  std::map<int32_t, Outgoing> outgoing_;
+  std::map<int32_t, std::string> incoming_;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_NET_HTTP2_CONNECTION_H_
--- /dev/null
+++ b/fireflycart/net/http2_transport.h
@@ -0,0 +1,75 @@
+// PeerTransport over HTTP/2: each call is a stream of its own with a deadline.
+//
+//   Http2Transport transport(&io, VmId("gbg-a-1"), &handler);
+//   transport.Listen("127.0.0.1", 7100);
+//
+// Limits: all work runs on the one thread of the io_context. At most
+// kMaxQueuedCalls calls wait for a connection; beyond it calls end as not sent.
+
+#ifndef FIREFLYCART_NET_HTTP2_TRANSPORT_H_
+#define FIREFLYCART_NET_HTTP2_TRANSPORT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fireflycart/net/http2_connection.h"
+#include "fireflycart/net/peer_transport.h"
+
+namespace fireflycart {
+
+constexpr size_t kMaxQueuedCalls = 10000;
+
+class Http2Transport : public PeerTransport {
+ public:
+  Http2Transport(boost::asio::io_context* io, VmId self, PeerHandler* handler);
+  ~Http2Transport() override;
+
+  // Throws Error(kUnavailable) if the address cannot be listened on.
+  void Listen(const std::string& ip, uint16_t port);
+
+  void Call(const CallPeer& call) override;
+  void Answer(const AnswerPeer& answer) override;
+
+ private:
+  class ClientConnection;
+  class ServerConnection;
+  struct Channel;
+  struct OpenCall;
+  struct Asked {
+    std::weak_ptr<ServerConnection> connection;
+    int32_t stream = 0;
+  };
+
+  void Accept();
+  void StartCall(const CallPeer& call);
+  void Connect(const std::string& address, Channel* channel);
+  void SubmitQueued(Channel* channel);
+  void Submit(Channel* channel, const std::shared_ptr<OpenCall>& call);
+  void OnReply(const std::string& address, int32_t stream, std::string body);
+  void OnStreamLost(const std::string& address, int32_t stream);
+  void OnChannelClosed(const std::string& address);
+  void OnTimeout(const std::shared_ptr<OpenCall>& call);
+  void End(const std::shared_ptr<OpenCall>& call, PeerCallError error,
+           PeerReplyBody body);
+  void OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                 int32_t stream, const VmId& from, const std::string& body);
+
+  boost::asio::io_context* io_;
+  VmId self_;
+  PeerHandler* handler_;
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::map<std::string, std::unique_ptr<Channel>> channels_;
+  std::map<HandleId, Asked> asked_;
+  uint64_t last_handle_ = 0;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_NET_HTTP2_TRANSPORT_H_
--- /dev/null
+++ b/fireflycart/net/stop_signal.h
@@ -0,0 +1,19 @@
+// Waiting for SIGTERM or SIGINT.
+//
+//   BlockStopSignals();     // first of all, before any thread starts
+//   WaitForStopSignal();    // on the main thread
+
+#ifndef FIREFLYCART_NET_STOP_SIGNAL_H_
+#define FIREFLYCART_NET_STOP_SIGNAL_H_
+
+namespace fireflycart {
+
+// Keeps the stop signals from ending the process, in this and later threads.
+void BlockStopSignals();
+
+// Returns when one of the stop signals arrives.
+void WaitForStopSignal();
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_NET_STOP_SIGNAL_H_
