--- a/fireflycart/core/entry_router.cc
+++ b/fireflycart/core/entry_router.cc
@@ -39,6 +39,7 @@
   Pending pending;
   pending.caller = caller;
   pending.request = request;
+  pending.maybe_run = request.sent_before && request.key != RequestKey();
   bool full = pending_.size() >= context_->options().caller_budget();
   pending_[entry] = pending;
   by_caller_[caller] = entry;
--- a/fireflycart/core/group_control.cc
+++ b/fireflycart/core/group_control.cc
@@ -215,6 +215,14 @@
 void GroupCoordinator::StepTakeover() {
   if (learning_) {
     if (!HasLearned()) return;
+    VmId holder = HolderOfHighestTerm();
+    bool led = !predecessor_ && holder != context_->self() &&
+               leaders_->MayLead(id_, holder);
+    if (led) {
+      known_holder_ = holder;
+      StepDown(holder.value() + " leads it", holder);
+      return;
+    }
     StartTakeover(KnownPrimary(), LeavingUpstreams());
   }
   std::set<UpstreamId> unreachable;
@@ -231,7 +239,17 @@
   if (takeover_.stage() == TakeoverStage::kPromoted) BeginServing();
 }
 
+VmId GroupCoordinator::HolderOfHighestTerm() const {
+  Term highest = view_.HighestTerm();
+  for (const auto& item : links_.all()) {
+    const UpstreamStatus* status = view_.Find(item.first);
+    if (status != nullptr && status->term == highest) return status->holder;
+  }
+  return VmId();
+}
+
 void GroupCoordinator::BeginServing() {
+  known_holder_ = VmId();
   phase_ = GroupPhase::kServing;
   phase_since_ = context_->now();
   primary_ = takeover_.primary();
@@ -317,12 +335,7 @@
 // each other for ever; pauses that double and differ settle it.
 void GroupCoordinator::OnOvertaken() {
   Term highest = view_.HighestTerm();
-  VmId holder;
-  for (const auto& item : links_.all()) {
-    const UpstreamStatus* status = view_.Find(item.first);
-    bool leads = status != nullptr && status->term == highest;
-    if (leads) holder = status->holder;
-  }
+  VmId holder = HolderOfHighestTerm();
   Duration quiet = context_->now() - next_takeover_;
   bool calm = quiet >= kLongestOvertakenPause * 2;
   bool first = overtaken_pause_ == Duration() || calm;
@@ -332,6 +345,7 @@
   next_takeover_ = context_->now() + context_->Jitter(overtaken_pause_);
   term_ = std::max(term_, highest);
   VmId successor = holder == context_->self() ? VmId() : holder;
+  known_holder_ = successor;
   StepDown("term raised by " + holder.value(), successor);
 }
 
--- a/fireflycart/core/group_coordinator.cc
+++ b/fireflycart/core/group_coordinator.cc
@@ -33,9 +33,10 @@
 }
 
 GroupCoordinator::GroupCoordinator(GroupId id, const TermSource* terms,
-                                   Context* context)
+                                   const LeaderView* leaders, Context* context)
     : id_(id),
       terms_(terms),
+      leaders_(leaders),
       context_(context),
       links_(id),
       sessions_(context->options().session_budget()),
--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -4,7 +4,7 @@
 // believe that they do: every write carries the coordinator's term, and reads
 // are returned only after a majority was seen in that term.
 //
-//   GroupCoordinator group(id, &terms, &context);
+//   GroupCoordinator group(id, &terms, &leaders, &context);
 //   group.Configure(policy, configuration);
 //   group.Submit(request, origin, time_left, maybe_run);
 //   group.OnUpstreamReplied(event);
@@ -51,9 +51,18 @@
 // How a transaction ended: kClean leaves its connection fit for reuse.
 enum class TransactionEnd { kClean, kBroken };
 
+// What a group needs to know of other VMs.
+class LeaderView {
+ public:
+  virtual ~LeaderView() = default;
+  // True if the VM can be reached and has not denied leading the group.
+  virtual bool MayLead(const GroupId& group, const VmId& vm) const = 0;
+};
+
 class GroupCoordinator {
  public:
-  GroupCoordinator(GroupId id, const TermSource* terms, Context* context);
+  GroupCoordinator(GroupId id, const TermSource* terms,
+                   const LeaderView* leaders, Context* context);
 
   void Configure(const GroupPolicy& policy, const Configuration& all);
   // Upstreams that the platform lists as leaving.
@@ -96,8 +105,9 @@
   bool busy() const { return !works_.empty(); }
   const ReplicationView& view() const { return view_; }
   const UpstreamLinks& links() const { return links_; }
-  // When this VM may try again after it was overtaken.
-  TimePoint next_takeover() const { return next_takeover_; }
+  // The VM that holds the highest term known to this one; empty if it is this
+  // VM, or not known.
+  const VmId& known_holder() const { return known_holder_; }
 
  private:
   friend class DispatchFilter;
@@ -114,6 +124,7 @@
   void BeginLearning();
   UpstreamId KnownPrimary() const;
   bool HasLearned() const;
+  VmId HolderOfHighestTerm() const;
   void StepTakeover();
   void BeginServing();
   void StartTakeover(const UpstreamId& old_primary,
@@ -170,6 +181,7 @@
 
   GroupId id_;
   const TermSource* terms_;
+  const LeaderView* leaders_;
   Context* context_;
   GroupPolicy policy_;
   std::map<KindId, KindPolicy> kinds_;
@@ -182,6 +194,7 @@
   Takeover takeover_;
   bool learning_ = false;  // Statuses are read before a term is made.
   TimePoint next_takeover_;
+  VmId known_holder_;
   Duration overtaken_pause_;
   TimePoint phase_since_;
   std::optional<HandoverCall> predecessor_;
--- a/fireflycart/core/reducer.cc
+++ b/fireflycart/core/reducer.cc
@@ -24,6 +24,8 @@
 constexpr Duration kRequestTimeout = Duration::Millis(500);
 // A peer that was not heard for as long no longer proves a connection.
 constexpr Duration kPeerSilence = Duration::Millis(2000);
+// How long a VM's word counts that it does not lead a group.
+constexpr Duration kDenialHolds = Duration::Millis(3000);
 constexpr int kAnnounceFanout = 4;
 constexpr Duration kAnnounceTimeout = Duration::Millis(500);
 constexpr int kConfigReaders = 3;
@@ -124,7 +126,8 @@
     return;
   }
   Answer answer;
-  answer.outcome = Outcome::kNotRun;
+  bool open = request.sent_before && request.key != RequestKey();
+  answer.outcome = open ? Outcome::kUnknown : Outcome::kNotRun;
   answer.reason = refusal;
   answer.retry_after = context_.Jitter(kListPeriod);
   context_.Emit(AnswerCaller{event.handle, answer});
@@ -187,6 +190,7 @@
     bool answered = event.error == PeerCallError::kNone && reply != nullptr;
     VmId asked = placement_.Leader(group);
     if (answered && reply->coordinator != asked) {
+      denials_[group] = Denial{asked, now_};
       placement_.ForgetLeader(group, asked);
     }
     return;
@@ -276,6 +280,14 @@
   placement_.HintLeader(group, to);
 }
 
+bool Reducer::MayLead(const GroupId& group, const VmId& vm) const {
+  if (vm == VmId() || !membership_.IsReachable(vm)) return false;
+  auto denial = denials_.find(group);
+  bool denied = denial != denials_.end() && denial->second.vm == vm &&
+                now_ - denial->second.at < kDenialHolds;
+  return !denied;
+}
+
 GroupCoordinator* Reducer::GroupOf(ConnectionId connection) {
   for (auto& item : groups_) {
     if (item.second->Owns(connection)) return item.second.get();
@@ -290,12 +302,14 @@
 
 void Reducer::ApplyConfiguration() {
   const Configuration& current = config_.current();
+  const LeaderView* leaders = this;
   std::set<GroupId> kept;
   for (const GroupPolicy& policy : current.groups) {
     kept.insert(policy.id);
     auto& group = groups_[policy.id];
     if (group == nullptr) {
-      group = std::make_unique<GroupCoordinator>(policy.id, &terms_, &context_);
+      group = std::make_unique<GroupCoordinator>(policy.id, &terms_, leaders,
+                                                 &context_);
     }
     group->Configure(policy, current);
     group->SetLeaving(leaving_upstreams_);
@@ -423,6 +437,10 @@
       announced = Term();
       placement_.ForgetLeader(item.first, context_.self());
     }
+    bool knows = !group.coordinating() && group.known_holder() != VmId() &&
+                 placement_.Leader(item.first) == VmId() &&
+                 MayLead(item.first, group.known_holder());
+    if (knows) placement_.HintLeader(item.first, group.known_holder());
   }
 }
 
--- a/fireflycart/core/reducer.h
+++ b/fireflycart/core/reducer.h
@@ -54,7 +54,7 @@
   bool ready = false;
 };
 
-class Reducer : private RoutingTable, private GossipSource {
+class Reducer : private RoutingTable, private GossipSource, private LeaderView {
  public:
   Reducer(const NodeIdentity& identity, const Options& options, uint64_t seed);
 
@@ -113,6 +113,9 @@
   void OnForwardFailed(const GroupId& group, const VmId& vm) override;
   void OnMoved(const GroupId& group, const VmId& from, const VmId& to) override;
 
+  // LeaderView.
+  bool MayLead(const GroupId& group, const VmId& vm) const override;
+
   // GossipSource.
   Gossip GossipFor(const VmId& peer) override;
   void TakeGossip(const Gossip& gossip);
@@ -147,6 +150,11 @@
   std::map<GroupId, std::unique_ptr<GroupCoordinator>> groups_;
   std::map<GroupId, Term> announced_;
   std::map<CallId, GroupId> handover_requests_;
+  struct Denial {
+    VmId vm;
+    TimePoint at;
+  };
+  std::map<GroupId, Denial> denials_;  // VMs that say they do not lead.
   std::map<GroupId, TimePoint> next_request_;
   std::map<CallId, HandleId> audit_calls_;
   std::set<UpstreamId> leaving_upstreams_;
--- a/fireflycart/core/request.h
+++ b/fireflycart/core/request.h
@@ -38,6 +38,9 @@
   Access access = Access::kRead;
   // A repeatable request may be sent again after an unknown outcome.
   bool repeatable = false;
+  // The caller has sent this key before and does not know the outcome. Such a
+  // request is answered "not run" only if the key was looked up.
+  bool sent_before = false;
   std::string statement;
   TransactionId transaction;
   TimePoint deadline;  // The start of time: the kind's own deadline holds.
--- a/fireflycart/daemon/caller_api.cc
+++ b/fireflycart/daemon/caller_api.cc
@@ -149,6 +149,7 @@
   if (!id.empty()) {
     request.key = RequestKey(request.caller.value() + "/" + id);
   }
+  request.sent_before = reader->Flag("sent_before", false);
   ReadDeadline(reader, now, call);
 }
 
--- a/fireflycart/standins/upstream_group_model.cc
+++ b/fireflycart/standins/upstream_group_model.cc
@@ -84,6 +84,7 @@
   bool stale =
       open.purpose == ConnectionPurpose::kData && open.term < upstream.term;
   bool full = open_now >= options_.connections;
+  if (full) limit_refusals_++;
   if (stale || full) {
     UpstreamCode code = stale ? UpstreamCode::kStaleTerm : UpstreamCode::kLimit;
     UpstreamReply refusal = MakeReply(upstream, code);
@@ -143,6 +144,7 @@
 
 void UpstreamGroupModel::Advance(TimePoint now) {
   now_ = std::max(now_, now);
+  EndSilentConnections();
   for (auto& item : upstreams_) Replicate(&item.second);
   CheckAwaits();
   std::vector<std::pair<int64_t, Due>> held_back;
@@ -186,15 +188,28 @@
 
 void UpstreamGroupModel::SilenceConnections(const UpstreamId& upstream) {
   for (auto& item : connections_) {
-    if (item.second.upstream == upstream) item.second.silent = true;
+    if (item.second.upstream != upstream || item.second.silent) continue;
+    item.second.silent = true;
+    item.second.silent_since = now_;
   }
 }
 
-void UpstreamGroupModel::Rebuild(const UpstreamId& upstream,
-                                 Position position) {
+void UpstreamGroupModel::SilenceConnection(uint64_t connection) {
+  auto found = connections_.find(connection);
+  if (found == connections_.end() || found->second.silent) return;
+  found->second.silent = true;
+  found->second.silent_since = now_;
+}
+
+void UpstreamGroupModel::Rebuild(const UpstreamId& upstream, Position position,
+                                 Duration length) {
   Upstream& target = At(upstream);
   if (target.role == UpstreamRole::kPrimary) return;
-  Truncate(&target, position.value());
+  uint64_t applied = std::min(target.applied, position.value());
+  target.applied = 0;
+  target.values.clear();
+  ApplyUpTo(&target, applied);
+  target.rebuilt_at = now_ + length;
 }
 
 UpstreamId UpstreamGroupModel::Primary() const {
@@ -581,6 +596,7 @@
       replica->log.push_back(next);
     }
   }
+  if (now_ < replica->rebuilt_at) return;
   uint64_t visible = replica->applied;
   while (visible < replica->log.size() &&
          replica->log[visible].written_at + options_.receive_delay + lag <=
@@ -590,6 +606,14 @@
   ApplyUpTo(replica, visible);
 }
 
+void UpstreamGroupModel::EndSilentConnections() {
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    bool over = it->second.silent &&
+                now_ - it->second.silent_since > options_.keep_alive;
+    it = over ? connections_.erase(it) : std::next(it);
+  }
+}
+
 void UpstreamGroupModel::CheckAwaits() {
   std::vector<Await> kept;
   std::vector<Await> awaits = std::exchange(awaits_, {});
--- a/fireflycart/standins/upstream_group_model.h
+++ b/fireflycart/standins/upstream_group_model.h
@@ -38,6 +38,8 @@
   Duration service_time = Duration::Millis(5);
   Duration receive_delay = Duration::Millis(1);
   Duration apply_lag = Duration::Millis(0);
+  // A silent connection is ended by the upstream's keep-alive after this.
+  Duration keep_alive = Duration::Seconds(10);
 };
 
 // Faults of one upstream.
@@ -75,15 +77,19 @@
   const UpstreamFaults& faults(const UpstreamId& upstream) const;
   // All connections that are open now go silent for good.
   void SilenceConnections(const UpstreamId& upstream);
-  // The upstream loses what it holds beyond the given position, as after being
-  // rebuilt from an old copy. Only for replicas.
-  void Rebuild(const UpstreamId& upstream, Position position);
+  // One connection goes silent, as when its other end vanished.
+  void SilenceConnection(uint64_t connection);
+  // The replica's reads go back to the given position for a while, as when it
+  // is rebuilt from an old copy. What it holds durably stays.
+  void Rebuild(const UpstreamId& upstream, Position position, Duration length);
 
   // For checks: the primary of the highest term, the values of a key there, and
   // the most connections that were ever open to one upstream.
   UpstreamId Primary() const;
   std::string Value(const UpstreamId& upstream, const std::string& key) const;
   int most_connections() const { return most_connections_; }
+  // Connections refused because of the limit.
+  int limit_refusals() const { return limit_refusals_; }
   // Statements that ran on a connection while a transaction of another owner
   // was open there. Must stay 0.
   int mixed_statements() const { return mixed_statements_; }
@@ -111,12 +117,14 @@
     UpstreamFaults faults;
     int busy_slots = 0;
     std::deque<uint64_t> waiting;  // Jobs that wait for a slot.
+    TimePoint rebuilt_at;          // Applies nothing before.
   };
   struct Connection {
     UpstreamId upstream;
     ConnectionPurpose purpose = ConnectionPurpose::kData;
     Term term;
     bool silent = false;
+    TimePoint silent_since;
     bool in_transaction = false;
     Term transaction_term;
     std::vector<std::string> operations;  // Written, not yet committed.
@@ -169,6 +177,7 @@
   void Truncate(Upstream* upstream, uint64_t length);
   void ApplyUpTo(Upstream* upstream, uint64_t position);
   void Replicate(Upstream* replica);
+  void EndSilentConnections();
   void CheckAwaits();
   void CloseFrom(uint64_t connection);
 
@@ -183,6 +192,7 @@
   TimePoint now_;
   uint64_t last_job_ = 0;
   int most_connections_ = 0;
+  int limit_refusals_ = 0;
   int mixed_statements_ = 0;
 };
 
--- a/fireflycart/standins/upstream_main.cc
+++ b/fireflycart/standins/upstream_main.cc
@@ -106,7 +106,8 @@
     model_.SetFaults(id, faults);
     if (json.value("silence", false)) model_.SilenceConnections(id);
     if (json.contains("rebuild_to")) {
-      model_.Rebuild(id, json.at("rebuild_to").get<Position>());
+      model_.Rebuild(id, json.at("rebuild_to").get<Position>(),
+                     Duration::Millis(json.value("rebuild_ms", 1000)));
     }
   }
 
