Keep "not run" and own reads true over failovers and rebuilt replicas

Cause 1: an absent request key was taken for "not run" in a new term before a majority held an entry of that term. The look-up now counts only after that. The reply's own status is checked. Ruled out: a lost tombstone within one term; the traces show term changes.

--- a/fireflycart/core/group_control.cc
+++ b/fireflycart/core/group_control.cc
@@ -127,8 +127,12 @@
     bool is_it =
         work.state == WorkState::kResolving && work.attempt == call.attempt;
     if (!is_it) continue;
-    bool settled = reply.code == UpstreamCode::kCancelled ||
-                   (reply.code == UpstreamCode::kOk && reply.replayed);
+    // Until a majority holds an entry of this term, a later primary may still
+    // bring back a log of an earlier term that has the key.
+    bool absent = reply.code == UpstreamCode::kCancelled &&
+                  view_.AckPosition(term_) >= takeover_.first_entry();
+    bool settled =
+        absent || (reply.code == UpstreamCode::kOk && reply.replayed);
     if (settled) DropConnectionOf(work);
     if (reply.code == UpstreamCode::kOk && reply.replayed) {
       work.written = reply.written;
@@ -136,7 +140,7 @@
       work.answer.replayed = true;
       work.state = WorkState::kAwaitingAck;
       awaiting_ack_.insert(work.id);
-    } else if (reply.code == UpstreamCode::kCancelled) {
+    } else if (absent) {
       // The attempt is cancelled for good, and all earlier ones were refused
       // or resolved before it, so the request has not run.
       work.maybe_run = false;
--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -144,6 +144,7 @@
   bool CanServe(const UpstreamLink& link, const QueuedWork& item) const;
   bool CanRead(const UpstreamLink& link, const Work& work) const;
   bool ReplicaHasData(const UpstreamId& upstream, const Work& work) const;
+  bool HasData(const UpstreamStatus& status, const Work& work) const;
   bool ShouldReadAtPrimary(const UpstreamLink& link, const Work& work) const;
   void Send(Work* work, DataConnection* connection);
   ExecuteCall MakeCall(Work* work, const DataConnection& connection);
--- a/fireflycart/core/group_dispatch.cc
+++ b/fireflycart/core/group_dispatch.cc
@@ -121,11 +121,17 @@
 
 bool GroupCoordinator::ReplicaHasData(const UpstreamId& upstream,
                                       const Work& work) const {
-  if (!view_.IsConsistent(upstream, term_)) return false;
-  Position applied = view_.Find(upstream)->applied;
-  if (applied < NeededBy(work)) return false;
+  const UpstreamStatus* status = view_.Find(upstream);
+  return status != nullptr && HasData(*status, work);
+}
+
+// True if a replica with this status can serve the read.
+bool GroupCoordinator::HasData(const UpstreamStatus& status,
+                               const Work& work) const {
+  bool consistent = status.term == term_ && status.entry_term == term_;
+  if (!consistent || status.applied < NeededBy(work)) return false;
   if (!work.request.max_age) return true;
-  std::optional<Duration> age = view_.AgeOf(applied, context_->now());
+  std::optional<Duration> age = view_.AgeOf(status.applied, context_->now());
   return age && *age <= *work.request.max_age;
 }
 
--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -97,7 +97,7 @@
       break;
     case RequestType::kStatement:
       if (IsRead(work->request) && work->answer.from_replica &&
-          !ReplicaHasData(connection.upstream, *work)) {
+          !HasData(reply.status, *work)) {
         Requeue(work);
         return;
       }
--- a/fireflycart/core/reducer.h
+++ b/fireflycart/core/reducer.h
@@ -73,6 +73,7 @@
   const GroupCoordinator* FindGroup(const GroupId& id) const;
   size_t pending_requests() const { return router_.size(); }
   Gauges ReadGauges() const;
+  ShowStatusReply Status() const;
   Ordinal ordinal() const { return ordinals_.ordinal(); }
 
  private:
@@ -136,7 +137,6 @@
   void StepStop();
   bool IsIsolated() const;
   bool IsConfigReader() const;
-  ShowStatusReply Status() const;
   std::vector<MemberUpdate> Peers() const;
 
   Context context_;
--- a/fireflycart/standins/testing/random_test.cc
+++ b/fireflycart/standins/testing/random_test.cc
@@ -92,6 +92,7 @@
       const std::deque<std::string>& lines = world_.trace();
       size_t most = static_cast<size_t>(absl::GetFlag(FLAGS_trace));
       size_t start = lines.size() > most ? lines.size() - most : 0;
+      DescribeNodes();
       for (size_t i = start; i < lines.size(); i++) {
         std::cout << "  " << lines[i] << "\n";
       }
@@ -99,6 +100,24 @@
     broken_.push_back(what);
   }
 
+  void DescribeNodes() const {
+    for (int n = 0; n < world_.nodes(); n++) {
+      const Reducer* node = world_.reducer(n);
+      if (node == nullptr) continue;
+      std::cout << "  vm-" << n << ": ordinal " << node->ordinal()
+                << ", not ready because \"" << node->NotReadyBecause() << "\"";
+      for (const GroupStatusLine& line : node->Status().groups) {
+        std::cout << ", " << line.group << " " << line.phase << " led by \""
+                  << line.coordinator << "\"";
+      }
+      for (const MemberUpdate& member : node->membership().All()) {
+        std::cout << ", " << member.vm << " " << MemberStateText(member.state)
+                  << " " << member.incarnation;
+      }
+      std::cout << "\n";
+    }
+  }
+
   void BreakAll(const History::Faults& faults) {
     for (const std::string& fault : faults) Break(fault);
   }
@@ -305,6 +324,9 @@
          [this, session, entries, commits](const Answer* answer) {
            Outcome outcome = answer ? answer->outcome : Outcome::kUnknown;
            if (!commits) outcome = Outcome::kNotRun;
+           world_.Note("commit of " + entries.front() + " " +
+                       OutcomeText(outcome) + " " +
+                       (answer ? ReasonText(answer->reason) : "no answer"));
            for (const std::string& entry : entries) {
              BreakAll(history_.OnWriteAnswer(ListOf(session), entry, outcome,
                                              world_.now()));
--- a/fireflycart/standins/testing/world.cc
+++ b/fireflycart/standins/testing/world.cc
@@ -295,9 +295,9 @@
 void World::Perform(int node, const CallPeer& effect) {
   uint64_t incarnation = nodes_[Index(node)].incarnation;
   CallId call = effect.call;
-  open_calls_.insert({node, call});
+  open_calls_.insert({incarnation, call});
   At(effect.timeout, [this, node, incarnation, call] {
-    if (open_calls_.erase({node, call}) == 0) return;
+    if (open_calls_.erase({incarnation, call}) == 0) return;
     Deliver(node, incarnation, PeerReplied{call, PeerCallError::kBroken, {}});
   });
   int to = NodeOfAddress(effect.address.empty() ? "-1" : effect.address);
@@ -307,7 +307,7 @@
   At(Delay(), [this, node, incarnation, call, to, exists, body] {
     bool up = exists && nodes_[Index(to)].reducer != nullptr;
     if (!up) {
-      if (open_calls_.erase({node, call}) == 0) return;
+      if (open_calls_.erase({incarnation, call}) == 0) return;
       Deliver(node, incarnation,
               PeerReplied{call, PeerCallError::kNotSent, {}});
       return;
@@ -327,7 +327,7 @@
   if (IsCut(node, wait.from) || IsLost()) return;
   PeerReplyBody body = effect.body;
   At(Delay(), [this, wait, body] {
-    if (open_calls_.erase({wait.from, wait.call}) == 0) return;
+    if (open_calls_.erase({wait.incarnation, wait.call}) == 0) return;
     Deliver(wait.from, wait.incarnation,
             PeerReplied{wait.call, PeerCallError::kNone, body});
   });
@@ -393,16 +393,16 @@
 void World::Perform(int node, const CallPlatform& effect) {
   uint64_t incarnation = nodes_[Index(node)].incarnation;
   CallId call = effect.call;
-  open_calls_.insert({node, call});
+  open_calls_.insert({incarnation, call});
   At(effect.timeout, [this, node, incarnation, call] {
-    if (open_calls_.erase({node, call}) == 0) return;
+    if (open_calls_.erase({incarnation, call}) == 0) return;
     Deliver(node, incarnation, PlatformReplied{call, PlatformReply()});
   });
   if (cut_platform_.count(node) != 0) return;
   PlatformCallBody body = effect.body;
   At(Delay() + platform_.faults().slow, [this, node, incarnation, call, body] {
     std::optional<PlatformReply> reply = platform_.Call(body, now_);
-    if (!reply || open_calls_.erase({node, call}) == 0) return;
+    if (!reply || open_calls_.erase({incarnation, call}) == 0) return;
     Deliver(node, incarnation, PlatformReplied{call, *reply});
   });
 }
--- a/fireflycart/standins/testing/world.h
+++ b/fireflycart/standins/testing/world.h
@@ -152,7 +152,7 @@
   std::map<std::pair<int, HandleId>, OnAnswer> callers_;
   std::map<std::pair<int, HandleId>, OnOperatorReply> operators_;
   std::map<std::pair<int, HandleId>, PeerWait> peer_waits_;
-  std::set<std::pair<int, CallId>> open_calls_;
+  std::set<std::pair<uint64_t, CallId>> open_calls_;  // By life of a node.
   std::set<std::pair<int, int>> cut_nodes_;
   std::set<std::pair<int, UpstreamId>> cut_upstreams_;
   std::set<int> cut_platform_;
