Make a hand-over offer stale once its sender goes on serving

The sender now renews its term, which the successor notices by the term of the last entry. Weighed: an expiry time in the offer, which needs comparable clocks.

--- a/fireflycart/core/group_control.cc
+++ b/fireflycart/core/group_control.cc
@@ -403,12 +403,16 @@
     }
   }
   if (!equal && waited < kPauseForWork) return;
-  HandoverCall own{id_, term_, UpstreamId(), sessions_.floor(),
-                   sessions_.List()};
-  predecessor_ = own;
+  RenewTerm(UpstreamId());
+}
+
+// Takes the group over from itself, keeping what it knows of the sessions.
+void GroupCoordinator::RenewTerm(const UpstreamId& old_primary) {
+  predecessor_ = HandoverCall{id_, term_, old_primary, sessions_.floor(),
+                              sessions_.List()};
   transactions_.Clear();
   links_.CloseData(context_);
-  StartTakeover(UpstreamId(), LeavingUpstreams());
+  StartTakeover(old_primary, LeavingUpstreams());
 }
 
 void GroupCoordinator::SendHandover() {
--- a/fireflycart/core/group_coordinator.cc
+++ b/fireflycart/core/group_coordinator.cc
@@ -223,10 +223,10 @@
     StepDown("handed over", successor_);
     return true;
   }
-  // A lost answer leaves open whether the successor began. If it did, its term
-  // deposes this VM at the next call.
-  phase_ = GroupPhase::kServing;
+  // The offer may still be on its way. A new term makes it stale: the successor
+  // would see that somebody led in between and not trust the sessions in it.
   successor_ = VmId();
+  RenewTerm(primary_);
   Pump();
   return true;
 }
--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -135,6 +135,7 @@
   void OnOvertaken();
   void WatchLeaving();
   void StepPause();
+  void RenewTerm(const UpstreamId& old_primary);
   void SendHandover();
   std::set<UpstreamId> LeavingUpstreams() const;
 
