--- a/fireflycart/standins/testing/random_test.cc
+++ b/fireflycart/standins/testing/random_test.cc
@@ -27,6 +27,7 @@
 ABSL_FLAG(int, runs, 20, "Number of seeds.");
 ABSL_FLAG(double, minutes, 0, "If positive, runs for as long instead.");
 ABSL_FLAG(int, seconds, 20, "Virtual length of the faults in each run.");
+ABSL_FLAG(bool, stop_at_failure, false, "Ends after the first failure.");
 ABSL_FLAG(int, trace, 80, "Events that a report of a failure shows.");
 
 namespace fireflycart {
@@ -400,8 +401,7 @@
         return;
       case 2:
         world_.Stop(node);
-        world_.At(length + Duration::Seconds(11),
-                  [this, node] { world_.Start(node); });
+        RestartAfterStop(node, world_.Life(node), length);
         return;
       case 3:
         world_.Note("cut between vm-" + std::to_string(node) + " and vm-" +
@@ -468,6 +468,17 @@
     });
   }
 
+  // Starts the node once its planned stop is over.
+  void RestartAfterStop(int node, uint64_t life, Duration pause) {
+    world_.At(pause, [this, node, life] {
+      if (world_.Life(node) == life) {
+        RestartAfterStop(node, life, Duration::Seconds(1));
+      } else {
+        world_.Start(node);
+      }
+    });
+  }
+
   // A version must not go back within one life of a node.
   void CheckVersions() {
     for (int n = 0; n < world_.nodes(); n++) {
@@ -571,6 +582,7 @@
       passed++;
     } else {
       failed++;
+      if (absl::GetFlag(FLAGS_stop_at_failure)) break;
     }
   }
   std::cout << "seeds from " << first << ": " << passed << " passed, " << failed
