--- a/fireflycart/standins/testing/failure_test.cc
+++ b/fireflycart/standins/testing/failure_test.cc
@@ -4,8 +4,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "fireflycart/core/term_source.h"
 #include "fireflycart/standins/testing/world.h"
@@ -48,6 +51,10 @@
   CPPUNIT_TEST(VmList_NamesDeadVm_WorkGoesToLiveOnes);
   CPPUNIT_TEST(Primary_Leaving_SwitchedOverWithoutRefusal);
   CPPUNIT_TEST(Vms_AllRestartAtOnce_Recover);
+  CPPUNIT_TEST(Write_OldTailIsLonger_NotAcknowledgedThroughIt);
+  CPPUNIT_TEST(Commit_TailOfEarlierTermMayReturn_NotCalledNotRun);
+  CPPUNIT_TEST(Handover_OfferArrivesLate_ReadsSeeWritesInBetween);
+  CPPUNIT_TEST(Read_ReplicaRebuiltWhileItRuns_AnswerNotTaken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -442,7 +449,94 @@
     CPPUNIT_ASSERT(Has(read.result, "e1"));
   }
 
+  // A replaced primary's tail is longer than the new primary's log.
+  void Write_OldTailIsLonger_NotAcknowledgedThroughIt() {
+    Fault(kA, [](UpstreamFaults* f) { f->replication_cut = true; });
+    std::vector<Answer> open(6);
+    for (size_t i = 0; i < open.size(); i++) {
+      Send(Leader(), MakeWrite("t" + std::to_string(i), Duration::Millis(300)),
+           &open[i]);
+    }
+    world_->RunFor(Duration::Millis(500));
+    Fault(kA, [](UpstreamFaults* f) { f->down = true; });
+    world_->RunFor(Duration::Seconds(2));
+    CPPUNIT_ASSERT(Primary() != kA);
+    UpstreamId third = Primary() == kB ? kC : kB;
+    Fault(third, [](UpstreamFaults* f) { f->down = true; });
+    Fault(kA, [](UpstreamFaults* f) { f->down = false; });
+    world_->RunFor(Duration::Millis(700));
+    Answer answer = Write(Entry(), "e1", Duration::Seconds(1));
+    CPPUNIT_ASSERT(answer.outcome != Outcome::kDone);
+  }
+
+  // The new primary's first entry is on no other upstream, so the old log with
+  // the commit may still come back.
+  void Commit_TailOfEarlierTermMayReturn_NotCalledNotRun() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    Fault(kA, [](UpstreamFaults* f) { f->replication_cut = true; });
+    Answer commit;
+    Send(Leader(), MakeCommit(id), &commit);
+    world_->RunFor(Duration::Millis(500));
+    for (const UpstreamId& upstream : {kB, kC}) {
+      Fault(upstream, [](UpstreamFaults* f) { f->replication_cut = true; });
+    }
+    world_->RunFor(Duration::Seconds(5));
+    CPPUNIT_ASSERT(Primary() != kA);
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kUnknown);
+    Fault(Primary(), [](UpstreamFaults* f) { f->down = true; });
+    Fault(kA, [](UpstreamFaults* f) { *f = UpstreamFaults(); });
+    world_->RunFor(Duration::Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(kA, Primary());
+    CPPUNIT_ASSERT_EQUAL(1L, Count(Value(kA), "e1"));
+  }
+
+  void Handover_OfferArrivesLate_ReadsSeeWritesInBetween() {
+    WorldOptions options;
+    options.nodes = kNodes;
+    options.apply_lag = Duration::Seconds(4);
+    Build(options);
+    int chosen = Leader();
+    world_->Crash(chosen, false);
+    world_->RunFor(Duration::Seconds(3));
+    int old = Leader();
+    world_->Start(chosen);
+    while (Phase(old) == GroupPhase::kServing) {
+      world_->RunFor(Duration::Millis(1));
+    }
+    world_->Pause(chosen, Duration::Millis(2500));
+    world_->RunFor(Duration::Millis(1500));
+    CPPUNIT_ASSERT(Write(old, "e1", kLong).outcome == Outcome::kDone);
+    world_->RunFor(Duration::Millis(1100));
+    Answer read = Ask(chosen, MakeRead(kLong));
+    CPPUNIT_ASSERT(read.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT(Has(read.result, "e1"));
+  }
+
+  void Read_ReplicaRebuiltWhileItRuns_AnswerNotTaken() {
+    CPPUNIT_ASSERT(Write(Entry(), "e1", kLong).outcome == Outcome::kDone);
+    world_->RunFor(Duration::Millis(200));
+    Request slow = MakeRead(kLong);
+    slow.statement = "cost=30 get list";
+    Answer read;
+    Send(Leader(), slow, &read);
+    world_->RunFor(Duration::Millis(12));
+    Answer quick;  // Makes the coordinator look at the upstreams again.
+    Send(Leader(), MakeRead(kLong), &quick);
+    world_->RunFor(Duration::Millis(15));
+    for (const UpstreamId& upstream : {kB, kC}) {
+      world_->group(0).Rebuild(upstream, Position(), Duration::Millis(200));
+    }
+    world_->RunFor(Duration::Seconds(2));
+    CPPUNIT_ASSERT(read.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT(Has(read.result, "e1"));
+  }
+
  private:
+  GroupPhase Phase(int node) const {
+    return world_->reducer(node)->FindGroup(kGroup)->phase();
+  }
+
   void Build(const WorldOptions& options) {
     world_ = std::make_unique<World>(options, 7);
     SubmitReply reply;
--- a/fireflycart/standins/testing/world.cc
+++ b/fireflycart/standins/testing/world.cc
@@ -27,6 +27,7 @@
     model.connections = options.connections;
     model.service_time = options.service_time;
     model.apply_lag = options.apply_lag;
+    model.receive_delay = options.receive_delay;
     groups_.push_back(std::make_unique<UpstreamGroupModel>(model, random_()));
     groups_.back()->SetOnClosed([this](uint64_t n) { OnModelClosed(n); });
   }
--- a/fireflycart/standins/testing/world.h
+++ b/fireflycart/standins/testing/world.h
@@ -34,6 +34,7 @@
   int connections = 16;
   Duration service_time = Duration::Millis(5);
   Duration apply_lag;
+  Duration receive_delay = Duration::Millis(1);
   // Messages between nodes and to upstreams take up to this long.
   Duration longest_delay = Duration::Millis(2);
   // One of so many messages between nodes is lost; 0 for none.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -186,12 +186,21 @@
     configure = ["cmake", "-S", tree, "-B", build, "-G", "Ninja"]
     subprocess.run(configure, check=True, capture_output=True)
     made = subprocess.run(
-        ["cmake", "--build", build, "--target", "fireflycart_random_test", "-j", "2"],
+        ["cmake", "--build", build, "-j", "2", "--target", "fireflycart_random_test",
+         "fireflycart_failure_test", "fireflycart_core_test"],
         capture_output=True,
         check=False,
     )
     if made.returncode != 0:
         return mutant.name, "not built", made.stdout.decode()[-300:]
+    for name in ("core/testing/fireflycart_core_test",
+                 "standins/testing/fireflycart_failure_test"):
+        focused = subprocess.run(
+            [os.path.join(build, "fireflycart", name)], capture_output=True, check=False
+        )
+        if focused.returncode != 0:
+            names = re.findall(r"Test name: \S*::(\w+)", focused.stderr.decode())
+            return mutant.name, "found", "test " + ", ".join(names[:2])
     found = subprocess.run(
         [os.path.join(build, TEST), "--seed=1", f"--runs={seeds}", "--stop_at_failure"],
         capture_output=True,
