Keep slots busy, queues short and floors apart for primary and replicas

Cause 1: with as many calls in flight as slots, slots stood idle over the round trip (2 slots of 5 ms, round trip about 3 ms). The limit now adds what Little's law asks for, from service and round-trip times measured per upstream. Cause 2: the queue filled with work that could only be late. Work whose estimated wait is beyond its rank's target is refused at once. Cause 3: one queue for all: a flood of urgent writes took the places of reads, and a rank's reads on replicas used up its floor on the primary. Places are counted by lane, floors by server. Ruled out: a larger queue, which only lengthens the waits.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD := build
 JOBS := $(shell nproc)
 
-.PHONY: all packages build test demo format lint clean
+.PHONY: all packages build test demo bench mutants format lint clean
 
 all: build
 
@@ -21,6 +21,17 @@
 demo: build
 	python3 tools/demo.py $(BUILD)
 
+bench: build
+	$(BUILD)/fireflycart/bench/fireflycart-bench failover
+	$(BUILD)/fireflycart/bench/fireflycart-bench acknowledgement
+	$(BUILD)/fireflycart/bench/fireflycart-bench configuration
+	$(BUILD)/fireflycart/bench/fireflycart-bench capacity
+	$(BUILD)/fireflycart/bench/fireflycart-bench ranks --json=$(BUILD)/ranks.json
+	python3 tools/plot_ranks.py $(BUILD)/ranks.json $(BUILD)/ranks.svg
+
+mutants: packages
+	python3 tools/mutants.py
+
 format:
 	clang-format -i $$(git ls-files '*.h' '*.cc')
 
--- a/fireflycart/core/admission_queue.cc
+++ b/fireflycart/core/admission_queue.cc
@@ -42,29 +42,28 @@
 
 AdmissionQueue::PushResult AdmissionQueue::Push(const QueuedWork& item) {
   PushResult result;
-  if (size_ >= limit_) {
+  if (LaneSize(item.lane) >= limit_) {
     result.evicted = MakeRoom(item);
     if (!result.evicted) return result;
   }
   KindOf(item).items.push_back(item);
-  RankOf(item.rank).size++;
-  size_++;
+  Added(item, 1);
   result.queued = true;
   return result;
 }
 
 void AdmissionQueue::PushFront(const QueuedWork& item) {
   KindOf(item).items.push_front(item);
-  RankOf(item.rank).size++;
-  size_++;
+  Added(item, 1);
 }
 
-std::optional<QueuedWork> AdmissionQueue::Pop(const WorkFilter& filter) {
-  for (size_t index : ServiceOrder()) {
+std::optional<QueuedWork> AdmissionQueue::Pop(Server server,
+                                              const WorkFilter& filter) {
+  for (size_t index : ServiceOrder(server)) {
     std::optional<QueuedWork> item = PopFrom(&ranks_[index], filter);
     if (!item) continue;
-    size_--;
-    Settle(index);
+    Added(*item, -1);
+    Settle(server, index);
     return item;
   }
   return std::nullopt;
@@ -78,13 +77,11 @@
       auto is_late = [&](const QueuedWork& item) {
         if (item.deadline > now) return false;
         late.push_back(item.work);
+        Added(item, -1);
         return true;
       };
-      size_t before = items.size();
       items.erase(std::remove_if(items.begin(), items.end(), is_late),
                   items.end());
-      rank.size -= before - items.size();
-      size_ -= before - items.size();
     }
   }
   return late;
@@ -98,9 +95,8 @@
           std::find_if(items.begin(), items.end(),
                        [&](const QueuedWork& i) { return i.work == work; });
       if (found == items.end()) continue;
+      Added(*found, -1);
       items.erase(found);
-      rank.size--;
-      size_--;
       return true;
     }
   }
@@ -117,15 +113,18 @@
       entry.second.items.clear();
     }
     rank.size = 0;
+    rank.lane_size = {};
   }
   size_ = 0;
   return all;
 }
 
-size_t AdmissionQueue::CountUpTo(Rank rank) const {
+size_t AdmissionQueue::CountUpTo(Rank rank, Lane lane) const {
   size_t count = 0;
   for (size_t i = 0; i < ranks_.size(); i++) {
-    if (static_cast<int>(i) <= rank.value()) count += ranks_[i].size;
+    if (static_cast<int>(i) <= rank.value()) {
+      count += ranks_[i].lane_size[static_cast<size_t>(lane)];
+    }
   }
   return count;
 }
@@ -150,13 +149,14 @@
   return kind;
 }
 
-std::vector<size_t> AdmissionQueue::ServiceOrder() const {
+std::vector<size_t> AdmissionQueue::ServiceOrder(Server server) const {
+  auto at = static_cast<size_t>(server);
   std::vector<size_t> order;
   for (size_t i = 0; i < ranks_.size(); i++) {
-    if (ranks_[i].size > 0 && ranks_[i].credit >= 1) order.push_back(i);
+    if (ranks_[i].size > 0 && ranks_[i].credit[at] >= 1) order.push_back(i);
   }
   for (size_t i = 0; i < ranks_.size(); i++) {
-    if (ranks_[i].size > 0 && ranks_[i].credit < 1) order.push_back(i);
+    if (ranks_[i].size > 0 && ranks_[i].credit[at] < 1) order.push_back(i);
   }
   return order;
 }
@@ -178,46 +178,83 @@
       kind->items.erase(kind->items.begin() + static_cast<std::ptrdiff_t>(i));
       rank->virtual_time = std::max(rank->virtual_time, kind->virtual_time);
       kind->virtual_time += 1 / kind->weight;
-      rank->size--;
       return item;
     }
   }
   return std::nullopt;
 }
 
-void AdmissionQueue::Settle(size_t served) {
+void AdmissionQueue::Settle(Server server, size_t served) {
+  auto at = static_cast<size_t>(server);
   for (size_t i = 0; i < ranks_.size(); i++) {
     RankQueue& rank = ranks_[i];
     bool waits = rank.size > 0 || i == served;
     if (!waits) {
-      rank.credit = 0;
+      rank.credit[at] = 0;
       continue;
     }
-    rank.credit = std::min(kMaxCredit, rank.credit + rank.floor_share);
+    rank.credit[at] = std::min(kMaxCredit, rank.credit[at] + rank.floor_share);
   }
-  RankQueue& payer = ranks_[served];
-  payer.credit = std::max(0.0, payer.credit - 1);
+  double& payer = ranks_[served].credit[at];
+  payer = std::max(0.0, payer - 1);
+}
+
+// Counts an item in (sign 1) or out (sign -1).
+void AdmissionQueue::Added(const QueuedWork& item, int sign) {
+  RankQueue& rank = RankOf(item.rank);
+  auto change = static_cast<size_t>(sign);  // Wraps around for -1.
+  rank.size += change;
+  rank.lane_size[static_cast<size_t>(item.lane)] += change;
+  size_ += change;
+}
+
+size_t AdmissionQueue::LaneSize(Lane lane) const {
+  size_t size = 0;
+  for (const RankQueue& rank : ranks_) {
+    size += rank.lane_size[static_cast<size_t>(lane)];
+  }
+  return size;
 }
 
 std::optional<WorkId> AdmissionQueue::MakeRoom(const QueuedWork& newcomer) {
-  size_t own = static_cast<size_t>(std::max(0, newcomer.rank.value()));
+  auto lane = static_cast<size_t>(newcomer.lane);
+  auto own = static_cast<size_t>(std::max(0, newcomer.rank.value()));
+  auto kept = [&](const RankQueue& rank) {
+    return rank.floor_share * static_cast<double>(limit_);
+  };
   for (size_t i = ranks_.size(); i > own + 1; i--) {
     RankQueue& rank = ranks_[i - 1];
-    double kept = rank.floor_share * static_cast<double>(limit_);
-    if (static_cast<double>(rank.size) <= kept || rank.size == 0) continue;
-    return EvictLongest(&rank, 1);
+    auto size = static_cast<double>(rank.lane_size[lane]);
+    if (size > kept(rank) && rank.lane_size[lane] > 0) {
+      return EvictLongest(&rank, newcomer.lane, 1);
+    }
   }
   RankQueue& rank = RankOf(newcomer.rank);
+  bool below_floor =
+      static_cast<double>(rank.lane_size[lane]) < kept(rank) && own > 0;
+  if (below_floor) {
+    // The more urgent ranks have taken this rank's places.
+    for (size_t i = own; i > 0; i--) {
+      if (ranks_[i - 1].lane_size[lane] > 0) {
+        return EvictLongest(&ranks_[i - 1], newcomer.lane, 1);
+      }
+    }
+  }
   auto found = rank.kinds.find(newcomer.kind);
   size_t mine = found == rank.kinds.end() ? 0 : found->second.items.size();
-  return EvictLongest(&rank, mine + 2);
+  return EvictLongest(&rank, newcomer.lane, mine + 2);
 }
 
-std::optional<WorkId> AdmissionQueue::EvictLongest(RankQueue* rank,
+// Evicts the newest item of the lane from the longest kind of the rank.
+std::optional<WorkId> AdmissionQueue::EvictLongest(RankQueue* rank, Lane lane,
                                                    size_t at_least) {
   KindQueue* longest = nullptr;
   for (auto& entry : rank->kinds) {
     KindQueue& kind = entry.second;
+    bool has_lane =
+        std::any_of(kind.items.begin(), kind.items.end(),
+                    [&](const QueuedWork& item) { return item.lane == lane; });
+    if (!has_lane) continue;
     bool longer =
         longest == nullptr ||
         static_cast<double>(kind.items.size()) / kind.weight >
@@ -227,10 +264,12 @@
   if (longest == nullptr || longest->items.size() < at_least) {
     return std::nullopt;
   }
-  WorkId evicted = longest->items.back().work;
-  longest->items.pop_back();
-  rank->size--;
-  size_--;
+  auto newest =
+      std::find_if(longest->items.rbegin(), longest->items.rend(),
+                   [&](const QueuedWork& item) { return item.lane == lane; });
+  WorkId evicted = newest->work;
+  Added(*newest, -1);
+  longest->items.erase(std::next(newest).base());
   return evicted;
 }
 
--- a/fireflycart/core/admission_queue.h
+++ b/fireflycart/core/admission_queue.h
@@ -3,16 +3,17 @@
 // the kinds of one rank.
 //
 //   auto evicted = queue.Push(item);           // may evict less urgent work
-//   auto next = queue.Pop(filter);             // first item the filter takes
+//   auto next = queue.Pop(server, filter);     // first item the filter takes
 //   for (WorkId late : queue.Expire(now)) ...
 //
-// Limits: at most `limit` items. When it is full, an item of a lower rank
-// makes room, then one of the longest kind of the same rank; else the new item
-// is refused. A rank keeps its floor share of the places.
+// Limits: at most `limit` items in each lane. When it is full, an item of a
+// lower rank makes room, then one of the longest kind of the same rank; else
+// the new item is refused. A rank keeps its floor share of the places.
 
 #ifndef FIREFLYCART_CORE_ADMISSION_QUEUE_H_
 #define FIREFLYCART_CORE_ADMISSION_QUEUE_H_
 
+#include <array>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -25,10 +26,20 @@
 
 namespace fireflycart {
 
+// Who can serve an item: reads may go to any upstream, the rest to the primary.
+enum class Lane { kPrimary, kRead };
+constexpr size_t kLanes = 2;
+
+// Who asks for the next item. Floors are kept for each server by itself, so
+// that a rank's reads on replicas do not use up its share of the primary.
+enum class Server { kPrimary, kReplica };
+constexpr size_t kServers = 2;
+
 struct QueuedWork {
   WorkId work;
   KindId kind;
   Rank rank;
+  Lane lane = Lane::kRead;
   TimePoint deadline;
 };
 
@@ -55,7 +66,7 @@
   // Puts an item back at the head of its kind, beyond the limit if need be.
   void PushFront(const QueuedWork& item);
 
-  std::optional<QueuedWork> Pop(const WorkFilter& filter);
+  std::optional<QueuedWork> Pop(Server server, const WorkFilter& filter);
 
   // Removes and returns the items whose deadline has passed.
   std::vector<WorkId> Expire(TimePoint now);
@@ -64,8 +75,8 @@
   std::vector<WorkId> Drain();
 
   size_t size() const { return size_; }
-  // Items of this rank and of more urgent ones.
-  size_t CountUpTo(Rank rank) const;
+  // Items of this lane, of this rank and of more urgent ones.
+  size_t CountUpTo(Rank rank, Lane lane) const;
 
  private:
   struct KindQueue {
@@ -76,18 +87,22 @@
   struct RankQueue {
     std::map<KindId, KindQueue> kinds;
     size_t size = 0;
+    std::array<size_t, kLanes> lane_size = {};
     double virtual_time = 0;
     double floor_share = 0;
-    double credit = 0;
+    std::array<double, kServers> credit = {};
   };
 
   RankQueue& RankOf(Rank rank);
   KindQueue& KindOf(const QueuedWork& item);
-  std::vector<size_t> ServiceOrder() const;
+  std::vector<size_t> ServiceOrder(Server server) const;
   std::optional<QueuedWork> PopFrom(RankQueue* rank, const WorkFilter& filter);
-  void Settle(size_t served);
+  void Settle(Server server, size_t served);
+  void Added(const QueuedWork& item, int sign);
   std::optional<WorkId> MakeRoom(const QueuedWork& newcomer);
-  std::optional<WorkId> EvictLongest(RankQueue* rank, size_t at_least);
+  std::optional<WorkId> EvictLongest(RankQueue* rank, Lane lane,
+                                     size_t at_least);
+  size_t LaneSize(Lane lane) const;
 
   std::vector<RankQueue> ranks_;
   std::map<KindId, double> weights_;
--- /dev/null
+++ b/fireflycart/core/concurrency_limit.cc
@@ -0,0 +1,53 @@
+// While all slots are busy, they end slots/service statements in a unit of
+// time, so the service time follows from counting completions. To keep the
+// slots busy over a round trip, slots * round trip / service calls more must be
+// under way (Little's law). With too few in flight the first windows
+// overestimate the service time; each window then allows more until the
+// estimate is right.
+
+#include "fireflycart/core/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fireflycart {
+namespace {
+
+constexpr int kWindowCompletions = 20;
+constexpr double kRoundTripWeight = 0.1;
+constexpr double kServiceWeight = 0.5;
+constexpr double kShortestServiceMs = 0.1;
+
+}  // namespace
+
+void ConcurrencyLimit::OnRoundTrip(Duration took) {
+  auto ms = static_cast<double>(took.millis());
+  bool first = round_trip_ms_ == 0;
+  round_trip_ms_ =
+      first ? ms : round_trip_ms_ + kRoundTripWeight * (ms - round_trip_ms_);
+}
+
+void ConcurrencyLimit::OnCompletion(int in_flight, TimePoint now) {
+  bool busy = in_flight >= slots_;
+  if (busy && was_busy_) {
+    completions_++;
+    busy_time_ = busy_time_ + (now - last_completion_);
+  }
+  was_busy_ = busy;
+  last_completion_ = now;
+  if (completions_ >= kWindowCompletions) EndWindow();
+}
+
+void ConcurrencyLimit::EndWindow() {
+  double each = static_cast<double>(busy_time_.millis()) / completions_;
+  double service = std::max(kShortestServiceMs, slots_ * each);
+  bool first = service_ms_ == 0;
+  service_ms_ =
+      first ? service : service_ms_ + kServiceWeight * (service - service_ms_);
+  double needed = slots_ * round_trip_ms_ / service_ms_;
+  extra_ = std::clamp(static_cast<int>(std::ceil(needed)), 0, slots_);
+  completions_ = 0;
+  busy_time_ = Duration();
+}
+
+}  // namespace fireflycart
--- a/fireflycart/core/group_coordinator.cc
+++ b/fireflycart/core/group_coordinator.cc
@@ -266,9 +266,20 @@
     }
     return;
   }
-  QueuedWork item{work->id, work->request.kind, work->rank,
-                  work->request.deadline};
-  AdmissionQueue::PushResult pushed = queue_.Push(item);
+  std::optional<Duration> wait = EstimateWait(*work);
+  Duration left = work->request.deadline - context_->now();
+  bool in_ranks = work->rank.value() < static_cast<int>(ranks_.size());
+  if (in_ranks) {
+    const RankPolicy& rank = ranks_[static_cast<size_t>(work->rank.value())];
+    left = std::min(left, rank.target);
+  }
+  if (wait && *wait > left && !work->maybe_run) {
+    // It would be late anyway; refused now, it costs nobody's time.
+    work->answer.retry_after = context_->Jitter(*wait - left + kOverloadRetry);
+    Finish(work->id, Outcome::kNotRun, Reason::kOverloaded);
+    return;
+  }
+  AdmissionQueue::PushResult pushed = queue_.Push(ItemOf(*work));
   if (pushed.evicted) {
     Finish(*pushed.evicted, Outcome::kNotRun, Reason::kOverloaded);
   }
@@ -278,6 +289,43 @@
   }
 }
 
+QueuedWork GroupCoordinator::ItemOf(const Work& work) const {
+  QueuedWork item;
+  item.work = work.id;
+  item.kind = work.request.kind;
+  item.rank = work.rank;
+  bool is_read = work.request.type == RequestType::kStatement &&
+                 work.request.access == Access::kRead;
+  item.lane = is_read ? Lane::kRead : Lane::kPrimary;
+  item.deadline = work.request.deadline;
+  return item;
+}
+
+// How long new work waits for a slot at the measured rates, or nothing if they
+// are not known. Steps of a transaction do not wait in line.
+std::optional<Duration> GroupCoordinator::EstimateWait(const Work& work) const {
+  if (work.request.transaction != TransactionId()) return std::nullopt;
+  Lane lane = ItemOf(work).lane;
+  double rate = 0;
+  for (const auto& item : links_.all()) {
+    bool is_primary = item.first == primary_;
+    bool serves = lane == Lane::kPrimary ? is_primary : !is_primary;
+    if (serves && !item.second.leaving) {
+      rate += item.second.concurrency.rate_per_ms();
+    }
+  }
+  if (rate <= 0) return std::nullopt;
+  auto ahead = static_cast<double>(queue_.CountUpTo(work.rank, lane));
+  // Less urgent ranks keep their floors, which slows this one down.
+  double floors = 0;
+  for (size_t i = 0; i < ranks_.size(); i++) {
+    bool below = static_cast<int>(i) > work.rank.value();
+    if (below) floors += ranks_[i].floor_share;
+  }
+  return Duration::Millis(
+      static_cast<int64_t>(ahead / (rate * std::max(0.1, 1 - floors))));
+}
+
 void GroupCoordinator::TrimSessions() {
   if (context_->now() < next_session_trim_) return;
   next_session_trim_ = context_->now() + kSessionTrimPeriod;
--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -178,6 +178,8 @@
   Work* FindWork(WorkId id);
 
   void Enqueue(Work* work);
+  QueuedWork ItemOf(const Work& work) const;
+  std::optional<Duration> EstimateWait(const Work& work) const;
   void TrimSessions();
   void AbandonAll(const VmId& successor);
   void Pump();
--- a/fireflycart/core/group_dispatch.cc
+++ b/fireflycart/core/group_dispatch.cc
@@ -18,7 +18,7 @@
 constexpr Duration kConnectionWait = Duration::Millis(25);
 // Data connections that are kept open beyond the calls in flight.
 constexpr int kSpareConnections = 2;
-// Calls beyond the slots that the most urgent rank may have in flight. They
+// Calls beyond the limit that the most urgent rank may have in flight. They
 // wait at the upstream and begin the moment a slot is free.
 constexpr int kUrgentExtra = 1;
 
@@ -66,7 +66,9 @@
   if (!ready) return false;
   if (link->in_flight >= InFlightLimit(*link, Rank(0))) return false;
   DispatchFilter filter(this, link);
-  std::optional<QueuedWork> item = queue_.Pop(filter);
+  Server server =
+      link->policy.id == primary_ ? Server::kPrimary : Server::kReplica;
+  std::optional<QueuedWork> item = queue_.Pop(server, filter);
   if (!item) return false;
   Work* work = FindWork(item->work);
   CheckInvariant(work != nullptr && work->state == WorkState::kQueued,
@@ -207,7 +209,7 @@
 }
 
 int GroupCoordinator::InFlightLimit(const UpstreamLink& link, Rank rank) const {
-  return link.policy.slots + (rank == Rank(0) ? kUrgentExtra : 0);
+  return link.concurrency.limit() + (rank == Rank(0) ? kUrgentExtra : 0);
 }
 
 // Connections are opened before they are needed: as many as can have a call in
--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -264,8 +264,7 @@
   awaiting_ack_.erase(work->id);
   awaiting_quorum_.erase(work->id);
   work->connection = ConnectionId();
-  queue_.PushFront(QueuedWork{work->id, work->request.kind, work->rank,
-                              work->request.deadline});
+  queue_.PushFront(ItemOf(*work));
 }
 
 // Ends a work that was not answered by an upstream. A request that may have run
--- a/fireflycart/core/upstream_links.cc
+++ b/fireflycart/core/upstream_links.cc
@@ -39,6 +39,7 @@
         found != links_.end() && found->second.policy.address == policy.address;
     if (same_address) kept[policy.id] = std::move(found->second);
     kept[policy.id].policy = policy;
+    kept[policy.id].concurrency.set_slots(policy.slots);
     kept[policy.id].leaving = policy.leaving;
     if (same_address) links_.erase(found);
   }
@@ -165,6 +166,7 @@
   connection->call = CallId();
   connection->work = WorkId();
   UpstreamLink* link = Find(connection->upstream);
+  link->concurrency.OnCompletion(link->in_flight, now);
   link->in_flight--;
   link->last_reply = now;
   CheckInvariant(link->in_flight >= 0, "end upstream call",
@@ -244,6 +246,11 @@
   link->control_call = CallId();
   link->last_reply = context->now();
   link->health.OnReply();
+  const auto* status = std::get_if<StatusCall>(&link->control_body);
+  bool immediate = status != nullptr && status->await_position == Position();
+  if (immediate) {
+    link->concurrency.OnRoundTrip(context->now() - link->control_sent_at.time);
+  }
   return ControlReply{link->policy.id, link->control_body,
                       link->control_sent_at};
 }
--- a/fireflycart/core/upstream_links.h
+++ b/fireflycart/core/upstream_links.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "fireflycart/core/clock.h"
+#include "fireflycart/core/concurrency_limit.h"
 #include "fireflycart/core/configuration.h"
 #include "fireflycart/core/context.h"
 #include "fireflycart/core/event.h"
@@ -54,6 +55,7 @@
 struct UpstreamLink {
   UpstreamPolicy policy;
   UpstreamHealth health;
+  ConcurrencyLimit concurrency;
   bool leaving = false;  // By configuration or by the platform's list.
   ConnectionId control;  // 0 while there is none.
   bool control_ready = false;
