--- a/fireflycart/bench/capacity.cc
+++ b/fireflycart/bench/capacity.cc
@@ -143,6 +143,25 @@
   return sample;
 }
 
+// Processor time to put a change of one value into force.
+void MeasureInstall() {
+  std::printf("%-34s %12s %12s %12s\n", "change of configuration, groups",
+              "bytes", "parse ms", "diff ms");
+  for (int groups : {100, 700, 2800}) {
+    std::string before =
+        ParseConfiguration(DocumentWithGroups(groups)).canonical;
+    Json changed = Json::parse(before);
+    changed["groups"][0]["queue_limit"] = 7;
+    double start = CpuSeconds();
+    std::string after = ParseConfiguration(changed.dump()).canonical;
+    double parsed = CpuSeconds();
+    ConfigurationDifference(before, after);
+    double compared = CpuSeconds();
+    std::printf("%-34d %12zu %12.1f %12.1f\n", groups, after.size(),
+                (parsed - start) * 1000, (compared - parsed) * 1000);
+  }
+}
+
 void MeasureSessions() {
   std::printf("%-34s %12s %14s\n", "sessions of one group", "bytes",
               "bytes each");
@@ -189,6 +208,7 @@
                 sample.cpu_share * 100, sample.bytes_per_second);
   }
   MeasureSessions();
+  MeasureInstall();
   return true;
 }
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -196,7 +196,7 @@
             [os.path.join(build, "fireflycart", name)], capture_output=True, check=False
         )
         if focused.returncode != 0:
-            names = re.findall(r"Test name: \S*::(\w+)", focused.stderr.decode())
+            names = re.findall(r"Test name: .*::(\w+)", focused.stderr.decode())
             return mutant.name, "found", "test " + ", ".join(names[:2])
     found = subprocess.run(
         [os.path.join(build, TEST), "--seed=1", f"--runs={seeds}", "--stop_at_failure"],
