Let a burst after a failover run off, and keep floors on a full primary

Cause 1: after the loss of a coordinator about 39 requests per failover were refused as overloaded, though their deadlines could be met: the estimated wait was compared with the rank's target at once. The target counts now only once the queue has stood above it for 500 ms, with hysteresis; before, the deadline does. Cause 2: trying again after "moved" drew on the retry budget, which ran dry while nobody led. Only attempts that may have cost an upstream work draw on it. Cause 3: the place kept for urgent work meant that a saturated primary never gave a lower rank its floor. What a floor has earned may use that place.

--- a/fireflycart/core/admission_queue.cc
+++ b/fireflycart/core/admission_queue.cc
@@ -60,7 +60,8 @@
 std::optional<QueuedWork> AdmissionQueue::Pop(Server server,
                                               const WorkFilter& filter) {
   for (size_t index : ServiceOrder(server)) {
-    std::optional<QueuedWork> item = PopFrom(&ranks_[index], filter);
+    bool earned = ranks_[index].credit[static_cast<size_t>(server)] >= 1;
+    std::optional<QueuedWork> item = PopFrom(&ranks_[index], earned, filter);
     if (!item) continue;
     Added(*item, -1);
     Settle(server, index);
@@ -161,7 +162,7 @@
   return order;
 }
 
-std::optional<QueuedWork> AdmissionQueue::PopFrom(RankQueue* rank,
+std::optional<QueuedWork> AdmissionQueue::PopFrom(RankQueue* rank, bool earned,
                                                   const WorkFilter& filter) {
   std::vector<KindQueue*> order;
   for (auto& entry : rank->kinds) {
@@ -173,7 +174,7 @@
   for (KindQueue* kind : order) {
     size_t scan = std::min(kScanLimit, kind->items.size());
     for (size_t i = 0; i < scan; i++) {
-      if (!filter.Accepts(kind->items[i])) continue;
+      if (!filter.Accepts(kind->items[i], earned)) continue;
       QueuedWork item = kind->items[i];
       kind->items.erase(kind->items.begin() + static_cast<std::ptrdiff_t>(i));
       rank->virtual_time = std::max(rank->virtual_time, kind->virtual_time);
--- a/fireflycart/core/admission_queue.h
+++ b/fireflycart/core/admission_queue.h
@@ -47,7 +47,8 @@
 class WorkFilter {
  public:
   virtual ~WorkFilter() = default;
-  virtual bool Accepts(const QueuedWork& item) const = 0;
+  // earned: the item's rank is owed this dispatch by its floor.
+  virtual bool Accepts(const QueuedWork& item, bool earned) const = 0;
 };
 
 class AdmissionQueue {
@@ -96,7 +97,8 @@
   RankQueue& RankOf(Rank rank);
   KindQueue& KindOf(const QueuedWork& item);
   std::vector<size_t> ServiceOrder(Server server) const;
-  std::optional<QueuedWork> PopFrom(RankQueue* rank, const WorkFilter& filter);
+  std::optional<QueuedWork> PopFrom(RankQueue* rank, bool earned,
+                                    const WorkFilter& filter);
   void Settle(Server server, size_t served);
   void Added(const QueuedWork& item, int sign);
   std::optional<WorkId> MakeRoom(const QueuedWork& newcomer);
--- a/fireflycart/core/entry_router.cc
+++ b/fireflycart/core/entry_router.cc
@@ -174,6 +174,7 @@
       Answer(entry, reply.answer);
       return;
     case ForwardStatus::kMoved:
+      pending.costly = false;
       table_->OnMoved(request.group, pending.target, reply.coordinator);
       if (IsPinned(request)) {
         Refuse(entry, Reason::kTransactionLost);
@@ -183,6 +184,7 @@
     case ForwardStatus::kMaybeRun:
       table_->OnMoved(request.group, pending.target, reply.coordinator);
       pending.maybe_run = true;
+      pending.costly = true;
       break;
   }
   Wait(&pending);
@@ -192,6 +194,7 @@
   Pending& pending = pending_[entry];
   const Request& request = pending.request;
   table_->OnForwardFailed(request.group, pending.target);
+  pending.costly = sent;
   if (sent && !IsHarmless(request)) pending.maybe_run = true;
   if (IsPinned(request)) {
     Refuse(entry, Reason::kTransactionLost);
@@ -213,7 +216,7 @@
 
 void EntryRouter::RetryDue(HandleId entry) {
   Pending& pending = pending_[entry];
-  if (pending.attempts > 0 && !budget_.TryRetry(context_->now())) {
+  if (pending.costly && !budget_.TryRetry(context_->now())) {
     Wait(&pending);
     return;
   }
--- a/fireflycart/core/entry_router.h
+++ b/fireflycart/core/entry_router.h
@@ -68,6 +68,9 @@
     bool waiting = false;  // Until retry_at; else a reply is awaited.
     TimePoint retry_at;
     int attempts = 0;
+    // The last attempt may have cost an upstream work, so that trying again
+    // draws on the budget. Being told to go elsewhere costs nothing.
+    bool costly = false;
     CallId call;
     VmId target;
   };
--- a/fireflycart/core/group_coordinator.cc
+++ b/fireflycart/core/group_coordinator.cc
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr Duration kSessionTrimPeriod = Duration::Seconds(1);
+// A queue that is above its target for as long is overload, not a burst.
+constexpr Duration kStandingQueue = Duration::Millis(500);
+// The queue is calm again below this part of its target.
+constexpr int64_t kCalmFraction = 4;
 constexpr Duration kOverloadRetry = Duration::Millis(200);
 
 }  // namespace
@@ -266,16 +270,10 @@
     }
     return;
   }
-  std::optional<Duration> wait = EstimateWait(*work);
-  Duration left = work->request.deadline - context_->now();
-  bool in_ranks = work->rank.value() < static_cast<int>(ranks_.size());
-  if (in_ranks) {
-    const RankPolicy& rank = ranks_[static_cast<size_t>(work->rank.value())];
-    left = std::min(left, rank.target);
-  }
-  if (wait && *wait > left && !work->maybe_run) {
+  std::optional<Duration> excess = TooLateBy(*work);
+  if (excess && !work->maybe_run) {
     // It would be late anyway; refused now, it costs nobody's time.
-    work->answer.retry_after = context_->Jitter(*wait - left + kOverloadRetry);
+    work->answer.retry_after = context_->Jitter(*excess + kOverloadRetry);
     Finish(work->id, Outcome::kNotRun, Reason::kOverloaded);
     return;
   }
@@ -326,6 +324,29 @@
       static_cast<int64_t>(ahead / (rate * std::max(0.1, 1 - floors))));
 }
 
+// By how much new work would miss its deadline, or nothing if it would not.
+// Once a queue has stood above its rank's target for a while, the target counts
+// in place of the deadline; a burst, as after a failover, may run off instead.
+std::optional<Duration> GroupCoordinator::TooLateBy(const Work& work) {
+  std::optional<Duration> wait = EstimateWait(work);
+  if (!wait) return std::nullopt;
+  Duration limit = work.request.deadline - context_->now();
+  auto index = static_cast<size_t>(std::max(0, work.rank.value()));
+  if (index < ranks_.size()) {
+    Duration target = ranks_[index].target;
+    TimePoint& since = above_target_since_[{work.rank, ItemOf(work).lane}];
+    // Hysteresis keeps the rule from switching while the queue is held at the
+    // target.
+    if (wait->millis() * kCalmFraction <= target.millis()) since = TimePoint();
+    if (*wait > target && since == TimePoint()) since = context_->now();
+    bool stands =
+        since != TimePoint() && context_->now() - since >= kStandingQueue;
+    if (stands) limit = std::min(limit, target);
+  }
+  if (*wait <= limit) return std::nullopt;
+  return *wait - limit;
+}
+
 void GroupCoordinator::TrimSessions() {
   if (context_->now() < next_session_trim_) return;
   next_session_trim_ = context_->now() + kSessionTrimPeriod;
--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fireflycart/core/admission_queue.h"
@@ -143,7 +144,8 @@
   // From the queue to a connection: group_dispatch.cc.
   void Dispatch();
   bool DispatchOn(UpstreamLink* link);
-  bool CanServe(const UpstreamLink& link, const QueuedWork& item) const;
+  bool CanServe(const UpstreamLink& link, const QueuedWork& item,
+                bool earned) const;
   bool CanRead(const UpstreamLink& link, const Work& work) const;
   bool ReplicaHasData(const UpstreamId& upstream, const Work& work) const;
   bool HasData(const UpstreamStatus& status, const Work& work) const;
@@ -180,6 +182,7 @@
   void Enqueue(Work* work);
   QueuedWork ItemOf(const Work& work) const;
   std::optional<Duration> EstimateWait(const Work& work) const;
+  std::optional<Duration> TooLateBy(const Work& work);
   void TrimSessions();
   void AbandonAll(const VmId& successor);
   void Pump();
@@ -222,6 +225,8 @@
   Position acknowledged_;  // Highest position acknowledged in this term.
   TimePoint ack_progress_;
   TimePoint next_session_trim_;
+  // Since when the estimated wait is above the rank's target.
+  std::map<std::pair<Rank, Lane>, TimePoint> above_target_since_;
   double service_ms_ = 0;  // Moving average over all statements.
   bool in_pump_ = false;
 };
--- a/fireflycart/core/group_dispatch.cc
+++ b/fireflycart/core/group_dispatch.cc
@@ -30,8 +30,8 @@
   DispatchFilter(const GroupCoordinator* group, const UpstreamLink* link)
       : group_(group), link_(link) {}
 
-  bool Accepts(const QueuedWork& item) const override {
-    return group_->CanServe(*link_, item);
+  bool Accepts(const QueuedWork& item, bool earned) const override {
+    return group_->CanServe(*link_, item, earned);
   }
 
  private:
@@ -86,8 +86,11 @@
 }
 
 bool GroupCoordinator::CanServe(const UpstreamLink& link,
-                                const QueuedWork& item) const {
-  if (link.in_flight >= InFlightLimit(link, item.rank)) return false;
+                                const QueuedWork& item, bool earned) const {
+  // What a floor has earned may use the place that is kept for urgent work,
+  // which would starve the floor otherwise.
+  Rank counts_as = earned ? Rank(0) : item.rank;
+  if (link.in_flight >= InFlightLimit(link, counts_as)) return false;
   const Work& work = works_.at(item.work);
   if (work.request.transaction != TransactionId()) {
     const Transaction* transaction =
