--- a/fireflycart/core/testing/config_keeper_test.cc
+++ b/fireflycart/core/testing/config_keeper_test.cc
@@ -56,10 +56,9 @@
     ConfigFetchReply reply;
     reply.version = ConfigVersion(2);
     reply.digest = ConfigurationDigest(Document(2));
-    reply.steps.push_back(
-        ConfigStep{ConfigVersion(2),
-                   ConfigurationDifference(Document(1), Document(2)),
-                   reply.digest});
+    reply.steps.push_back(ConfigStep{
+        ConfigVersion(2), ConfigurationDifference(Document(1), Document(2)),
+        reply.digest});
     Fetch(2, reply);
     CPPUNIT_ASSERT_EQUAL(Document(2), keeper_.document());
     ConfigFetchReply answer =
@@ -106,8 +105,8 @@
     Begin();
     keeper_.OnPeerVersion(VmId("peer"), "address", ConfigVersion(version),
                           &context_);
-    keeper_.OnPeerReplied(
-        PeerReplied{LastCall(), PeerCallError::kNone, reply}, &context_);
+    keeper_.OnPeerReplied(PeerReplied{LastCall(), PeerCallError::kNone, reply},
+                          &context_);
   }
 
   void FetchFromPeer(int version) {
--- a/fireflycart/standins/testing/world.cc
+++ b/fireflycart/standins/testing/world.cc
@@ -32,6 +32,7 @@
     groups_.back()->SetOnClosed([this](uint64_t n) { OnModelClosed(n); });
   }
   std::vector<ListedVm> vms;
+  vms.reserve(Index(options.nodes));
   for (int n = 0; n < options.nodes; n++) {
     vms.push_back(ListedVm{VmId(NodeName(n)), std::to_string(n),
                            DataCentreId("dc"), false});
