--- a/fireflycart/standins/testing/failure_fixture.h
+++ b/fireflycart/standins/testing/failure_fixture.h
@@ -156,6 +156,15 @@
     return answer.transaction;
   }
 
+  // Submits a document on version 1.
+  void SubmitDocument(const std::string& document) {
+    SubmitConfigCall call;
+    call.base = ConfigVersion(1);
+    call.document = document;
+    call.operator_name = "op";
+    world_->CallOperator(Entry(), call, [](const OperatorReplyBody&) {});
+  }
+
   // Submits on version 1, or the first version if the marker is 0.
   void Submit(int node, int marker, SubmitReply* reply) {
     SubmitConfigCall call;
--- a/fireflycart/standins/testing/lifecycle_test.cc
+++ b/fireflycart/standins/testing/lifecycle_test.cc
@@ -25,10 +25,54 @@
   CPPUNIT_TEST(VmList_NamesDeadVm_WorkGoesToLiveOnes);
   CPPUNIT_TEST(Primary_Leaving_SwitchedOverWithoutRefusal);
   CPPUNIT_TEST(Vms_AllRestartAtOnce_Recover);
+  CPPUNIT_TEST(Change_RemovesGroupWithWorkInFlight_EachIsAnswered);
+  CPPUNIT_TEST(Change_ReranksKindWithWorkInFlight_AllIsDone);
   CPPUNIT_TEST(Handover_OfferArrivesLate_ReadsSeeWritesInBetween);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void Change_RemovesGroupWithWorkInFlight_EachIsAnswered() {
+    std::vector<Answer> answers(20);
+    for (size_t i = 0; i < answers.size(); i++) {
+      Send(Entry(), MakeWrite("e" + std::to_string(i), Duration::Seconds(3)),
+           &answers[i]);
+    }
+    world_->RunFor(Duration::Millis(10));
+    SubmitDocument(world_->DocumentWithGroups(1, 2));
+    world_->RunFor(Duration::Seconds(5));
+    for (size_t i = 0; i < answers.size(); i++) {
+      int64_t count = Count(Value(Primary()), "e" + std::to_string(i));
+      CPPUNIT_ASSERT(answers[i].reason != Reason::kNone ||
+                     answers[i].outcome == Outcome::kDone);
+      CPPUNIT_ASSERT(count <= 1);
+      if (answers[i].outcome == Outcome::kDone) {
+        CPPUNIT_ASSERT_EQUAL(int64_t{1}, count);
+      }
+      if (answers[i].outcome == Outcome::kNotRun) {
+        CPPUNIT_ASSERT_EQUAL(int64_t{0}, count);
+      }
+    }
+    Answer later = Write(Entry(), "late", Duration::Seconds(1));
+    CPPUNIT_ASSERT(later.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(later.reason == Reason::kUnknownGroup);
+  }
+
+  void Change_ReranksKindWithWorkInFlight_AllIsDone() {
+    std::vector<Answer> answers(40);
+    for (size_t i = 0; i < answers.size(); i++) {
+      Send(Entry(), MakeWrite("e" + std::to_string(i), kLong), &answers[i]);
+    }
+    world_->RunFor(Duration::Millis(20));
+    std::string document = world_->Document(0);
+    std::string before = R"("rank":"urgent")";
+    document.replace(document.find(before), before.size(), R"("rank":"low")");
+    SubmitDocument(document);
+    world_->RunFor(Duration::Seconds(3));
+    for (const Answer& answer : answers) {
+      CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
+    }
+  }
+
   void TermGrant_AnswersLost_TermsStayUnique() {
     std::set<Ordinal> ordinals;
     for (int round = 0; round < 4; round++) {
--- a/fireflycart/standins/testing/world.cc
+++ b/fireflycart/standins/testing/world.cc
@@ -187,9 +187,13 @@
 }
 
 std::string World::Document(int marker) const {
+  return DocumentWithGroups(0, options_.groups, marker);
+}
+
+std::string World::DocumentWithGroups(int first, int end, int marker) const {
   using Json = nlohmann::json;
   Json groups = Json::array();
-  for (int g = 0; g < options_.groups; g++) {
+  for (int g = first; g < end; g++) {
     Json upstreams = Json::array();
     for (int u = 0; u < 3; u++) {
       upstreams.push_back({{"name", UpstreamName(g, u).value()},
--- a/fireflycart/standins/testing/world.h
+++ b/fireflycart/standins/testing/world.h
@@ -89,6 +89,8 @@
   static UpstreamId UpstreamName(int group, int index);
   // A valid configuration; two of different markers differ.
   std::string Document(int marker) const;
+  // The same with the groups from `first` up to `end` only.
+  std::string DocumentWithGroups(int first, int end, int marker = 0) const;
   // The node that serves the group, or -1.
   int CoordinatorOf(int group) const;
 
--- a/fireflycart/standins/upstream_group_model.cc
+++ b/fireflycart/standins/upstream_group_model.cc
@@ -1,63 +1,19 @@
-// Logs are vectors; position n is entry n-1. A replica copies entries of the
-// primary of its own term once they are old enough, after dropping whatever the
-// primary does not hold. Reads see the values as of the applied position.
+// Connections, slots and calls. Logs and replication are in
+// upstream_replication.cc.
 
 #include "fireflycart/standins/upstream_group_model.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
+#include "fireflycart/standins/statement.h"
+
 namespace fireflycart {
 namespace {
 
 constexpr Duration kControlTime = Duration::Millis(0);
 constexpr Duration kCommitTime = Duration::Millis(1);
 
-struct Parsed {
-  Duration cost;
-  bool has_cost = false;
-  std::string verb;
-  std::string key;
-  std::string value;
-};
-
-Parsed ParseStatement(const std::string& statement) {
-  std::istringstream in(statement);
-  Parsed parsed;
-  in >> parsed.verb;
-  const std::string prefix = "cost=";
-  if (parsed.verb.compare(0, prefix.size(), prefix) == 0) {
-    parsed.cost = Duration::Millis(
-        std::strtoll(parsed.verb.c_str() + prefix.size(), nullptr, 10));
-    parsed.has_cost = true;
-    in >> parsed.verb;
-  }
-  in >> parsed.key >> parsed.value;
-  return parsed;
-}
-
-bool IsWriteVerb(const std::string& verb) {
-  return verb == "put" || verb == "append";
-}
-
-bool IsValid(const Parsed& parsed) {
-  if (parsed.verb == "get") return !parsed.key.empty();
-  return IsWriteVerb(parsed.verb) && !parsed.key.empty() &&
-         !parsed.value.empty();
-}
-
-void ApplyOperation(const std::string& operation,
-                    std::map<std::string, std::string>* values) {
-  Parsed parsed = ParseStatement(operation);
-  std::string& value = (*values)[parsed.key];
-  if (parsed.verb == "put") {
-    value = parsed.value;
-  } else if (parsed.verb == "append") {
-    value += (value.empty() ? "" : ",") + parsed.value;
-  }
-}
-
 }  // namespace
 
 UpstreamGroupModel::UpstreamGroupModel(const UpstreamModelOptions& options,
@@ -390,7 +346,7 @@
     started.started = true;
     const ExecuteCall& call = started.call;
     if (call.key != RequestKey()) upstream.running.insert(call.key);
-    Parsed parsed = ParseStatement(call.statement);
+    ParsedStatement parsed = ParseStatement(call.statement);
     bool is_step = call.step == TransactionStep::kBegin ||
                    call.step == TransactionStep::kCommit ||
                    call.step == TransactionStep::kRollback;
@@ -465,7 +421,7 @@
     case TransactionStep::kNone:
       break;
   }
-  Parsed parsed = ParseStatement(call.statement);
+  ParsedStatement parsed = ParseStatement(call.statement);
   if (!IsValid(parsed)) {
     UpstreamReply reply = MakeReply(*upstream, UpstreamCode::kFailed);
     reply.result = "statement is not understood";
@@ -515,7 +471,7 @@
 std::string UpstreamGroupModel::ReadValue(const Upstream& upstream,
                                           const Connection& connection,
                                           const std::string& statement) const {
-  Parsed parsed = ParseStatement(statement);
+  ParsedStatement parsed = ParseStatement(statement);
   std::map<std::string, std::string> seen;
   auto found = upstream.values.find(parsed.key);
   if (found != upstream.values.end()) seen[parsed.key] = found->second;
@@ -525,124 +481,4 @@
   return seen[parsed.key];
 }
 
-void UpstreamGroupModel::RaiseTerm(Upstream* upstream, Term term,
-                                   const VmId& holder) {
-  upstream->term = term;
-  upstream->holder = holder;
-  upstream->role = UpstreamRole::kReplica;
-  upstream->primary = UpstreamId();
-  std::vector<uint64_t> outdated;
-  for (const auto& item : connections_) {
-    bool ends = item.second.upstream == upstream->id &&
-                item.second.purpose == ConnectionPurpose::kData &&
-                item.second.term < term;
-    if (ends) outdated.push_back(item.first);
-  }
-  for (uint64_t connection : outdated) CloseFrom(connection);
-}
-
-uint64_t UpstreamGroupModel::Append(Upstream* upstream, Entry entry) {
-  entry.written_at = now_;
-  if (entry.key != RequestKey()) {
-    upstream->keys[entry.key] = upstream->log.size() + 1;
-  }
-  upstream->log.push_back(std::move(entry));
-  // A primary's own reads see its writes at once.
-  if (upstream->role == UpstreamRole::kPrimary) {
-    ApplyUpTo(upstream, upstream->log.size());
-  }
-  return upstream->log.size();
-}
-
-void UpstreamGroupModel::Truncate(Upstream* upstream, uint64_t length) {
-  while (upstream->log.size() > length) {
-    upstream->keys.erase(upstream->log.back().key);
-    upstream->log.pop_back();
-  }
-  if (upstream->applied <= length) return;
-  upstream->applied = 0;
-  upstream->values.clear();
-  ApplyUpTo(upstream, length);
-}
-
-void UpstreamGroupModel::ApplyUpTo(Upstream* upstream, uint64_t position) {
-  while (upstream->applied < position) {
-    const Entry& entry = upstream->log[upstream->applied];
-    for (const std::string& operation : entry.operations) {
-      ApplyOperation(operation, &upstream->values);
-    }
-    upstream->applied++;
-  }
-}
-
-void UpstreamGroupModel::Replicate(Upstream* replica) {
-  if (replica->role == UpstreamRole::kPrimary) return;
-  if (replica->faults.down || replica->faults.frozen) return;
-  Duration lag = replica->faults.apply_lag > Duration()
-                     ? replica->faults.apply_lag
-                     : options_.apply_lag;
-  auto source = upstreams_.find(replica->primary);
-  bool linked =
-      source != upstreams_.end() && !replica->faults.replication_cut &&
-      !source->second.faults.replication_cut && !source->second.faults.down &&
-      !source->second.faults.frozen && source->second.term == replica->term &&
-      source->second.role == UpstreamRole::kPrimary;
-  if (linked) {
-    const std::vector<Entry>& log = source->second.log;
-    uint64_t common = std::min(replica->log.size(), log.size());
-    while (common > 0 &&
-           log[common - 1].term != replica->log[common - 1].term) {
-      common--;
-    }
-    if (replica->log.size() > common) Truncate(replica, common);
-    while (replica->log.size() < log.size()) {
-      const Entry& next = log[replica->log.size()];
-      if (next.written_at + options_.receive_delay > now_) break;
-      if (next.key != RequestKey()) {
-        replica->keys[next.key] = replica->log.size() + 1;
-      }
-      replica->log.push_back(next);
-    }
-  }
-  if (now_ < replica->rebuilt_at) return;
-  uint64_t visible = replica->applied;
-  while (visible < replica->log.size() &&
-         replica->log[visible].written_at + options_.receive_delay + lag <=
-             now_) {
-    visible++;
-  }
-  ApplyUpTo(replica, visible);
-}
-
-void UpstreamGroupModel::EndSilentConnections() {
-  for (auto it = connections_.begin(); it != connections_.end();) {
-    bool over = it->second.silent &&
-                now_ - it->second.silent_since > options_.keep_alive;
-    it = over ? connections_.erase(it) : std::next(it);
-  }
-}
-
-void UpstreamGroupModel::CheckAwaits() {
-  std::vector<Await> kept;
-  std::vector<Await> awaits = std::exchange(awaits_, {});
-  for (Await& await : awaits) {
-    const Upstream& upstream = At(await.upstream);
-    bool holds = upstream.log.size() >= await.position.value();
-    if (!holds && now_ < await.until) {
-      kept.push_back(std::move(await));
-      continue;
-    }
-    Reply(await.connection, MakeReply(upstream, UpstreamCode::kOk), now_,
-          await.on_reply);
-  }
-  for (Await& await : kept) awaits_.push_back(std::move(await));
-}
-
-void UpstreamGroupModel::CloseFrom(uint64_t connection) {
-  auto found = connections_.find(connection);
-  bool silent = found != connections_.end() && found->second.silent;
-  connections_.erase(connection);
-  if (on_closed_ && !silent) on_closed_(connection);
-}
-
 }  // namespace fireflycart
