--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -151,7 +151,7 @@
   bool HasData(const UpstreamStatus& status, const Work& work) const;
   bool ShouldReadAtPrimary(const UpstreamLink& link, const Work& work) const;
   void Send(Work* work, DataConnection* connection);
-  ExecuteCall MakeCall(Work* work, const DataConnection& connection);
+  ExecuteCall MakeCall(const Work& work) const;
   int InFlightLimit(const UpstreamLink& link, Rank rank) const;
   void PlanConnections();
   Position NeededBy(const Work& work) const;
--- a/fireflycart/core/group_dispatch.cc
+++ b/fireflycart/core/group_dispatch.cc
@@ -177,21 +177,20 @@
   work->sent_at = context_->now();
   work->next_check = TimePoint();
   work->attempt = AttemptId(context_->NextNumber());
-  ExecuteCall call = MakeCall(work, *connection);
+  ExecuteCall call = MakeCall(*work);
   links_.CallData(connection, work->id, call, context_);
 }
 
-ExecuteCall GroupCoordinator::MakeCall(Work* work,
-                                       const DataConnection& connection) {
+ExecuteCall GroupCoordinator::MakeCall(const Work& work) const {
   ExecuteCall call;
   call.term = term_;
-  call.access = work->request.access;
-  call.attempt = work->attempt;
-  call.statement = work->request.statement;
-  bool is_write = work->request.access == Access::kWrite;
-  switch (work->request.type) {
+  call.access = work.request.access;
+  call.attempt = work.attempt;
+  call.statement = work.request.statement;
+  bool is_write = work.request.access == Access::kWrite;
+  switch (work.request.type) {
     case RequestType::kStatement:
-      if (is_write) call.key = work->request.key;
+      if (is_write) call.key = work.request.key;
       break;
     case RequestType::kBegin:
       call.step = TransactionStep::kBegin;
@@ -201,13 +200,12 @@
       break;
     case RequestType::kCommit:
       call.step = TransactionStep::kCommit;
-      call.key = work->request.key;
+      call.key = work.request.key;
       break;
     case RequestType::kRollback:
       call.step = TransactionStep::kRollback;
       break;
   }
-  (void)connection;
   return call;
 }
 
--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -46,8 +46,6 @@
   std::vector<MemberUpdate> members;
   std::vector<LeaderUpdate> leaders;
   ConfigVersion config_version;
-  // Time since the platform was last read, by the freshest VM known.
-  Duration platform_age;
 };
 
 struct PingCall {
--- a/fireflycart/core/reducer_peers.cc
+++ b/fireflycart/core/reducer_peers.cc
@@ -94,7 +94,6 @@
   gossip.members = membership_.TakeUpdates(peer);
   gossip.leaders = placement_.TakeUpdates(gossip.members.size());
   gossip.config_version = config_.version();
-  gossip.platform_age = now_ - config_.platform_heard();
   return gossip;
 }
 
--- a/fireflycart/net/peer_codec.cc
+++ b/fireflycart/net/peer_codec.cc
@@ -84,8 +84,7 @@
   return {{"f", g.sender},
           {"m", ListToJson(g.members)},
           {"l", ListToJson(g.leaders)},
-          {"c", g.config_version},
-          {"p", g.platform_age}};
+          {"c", g.config_version}};
 }
 
 void FromJson(const Json& json, Gossip* g) {
@@ -93,7 +92,6 @@
   ReadList(json, "m", &g->members);
   ReadList(json, "l", &g->leaders);
   Read(json, "c", &g->config_version);
-  Read(json, "p", &g->platform_age);
 }
 
 Json ToJson(const Request& r) {
