--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -152,6 +152,24 @@
         "bool led = !predecessor_ && holder",
         "bool led = false && holder",
     ),
+    Mutant(
+        "connection with an unanswered call reused",
+        "group_replies.cc",
+        "if (serves) links_.Close(work.connection, context_);",
+        "if (serves) links_.EndCall(connection, context_->now());",
+    ),
+    Mutant(
+        "leaving primary is not switched",
+        "group_control.cc",
+        "if (link == nullptr || !link->leaving) return;",
+        "return;",
+    ),
+    Mutant(
+        "planned stop gives groups up at once",
+        "reducer.cc",
+        "group.HandOverTo(successor, AddressOf(successor));",
+        'group.StepDown("stopping", successor);',
+    ),
     Mutant(
         "no backoff after being overtaken",
         "group_control.cc",
