--- a/fireflycart/net/json_types.h
+++ b/fireflycart/net/json_types.h
@@ -38,6 +38,11 @@
   duration = Duration::Millis(json.get<int64_t>());
 }
 
+// One line of text; bytes that are not UTF-8 are replaced.
+inline std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 // Reads a field into *value.
 template <typename T>
 void Read(const Json& json, const char* field, T* value) {
--- a/fireflycart/net/platform_codec.cc
+++ b/fireflycart/net/platform_codec.cc
@@ -87,10 +87,6 @@
               "call \"" + name + "\" is not known");
 }
 
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 }  // namespace
 
 std::string EncodePlatformCall(const PlatformCallBody& body) {
--- a/fireflycart/net/upstream_codec.cc
+++ b/fireflycart/net/upstream_codec.cc
@@ -123,10 +123,6 @@
   Read(json, "holder_active", &s->holder_active);
 }
 
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 }  // namespace
 
 std::string EncodeOpen(const OpenMessage& open) {
