--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -15,6 +15,7 @@
 
 #include "fireflycart/core/clock.h"
 #include "fireflycart/core/ids.h"
+#include "fireflycart/core/proxy/peer_calls.h"
 #include "fireflycart/core/request.h"
 
 namespace fireflycart {
@@ -157,12 +158,16 @@
 using PeerCallBody =
     std::variant<PingCall, IndirectPingCall, ForwardCall, CancelCall,
                  ConfigFetchCall, ConfigAnnounceCall, OrdinalLoanCall,
-                 HandoverCall, HandoverRequestCall>;
+                 HandoverCall, HandoverRequestCall, proxy::StatementCall,
+                 proxy::EndTransactionCall, proxy::WithdrawCall,
+                 proxy::FreshnessCall, proxy::SnapshotCall>;
 
 using PeerReplyBody =
     std::variant<PingReply, IndirectPingReply, ForwardReply, CancelReply,
                  ConfigFetchReply, ConfigAnnounceReply, OrdinalLoanReply,
-                 HandoverReply, HandoverRequestReply>;
+                 HandoverReply, HandoverRequestReply, proxy::StatementReply,
+                 proxy::EndTransactionReply, proxy::WithdrawReply,
+                 proxy::FreshnessReply, proxy::SnapshotReply>;
 
 enum class PeerCallError {
   kNone,
--- /dev/null
+++ b/fireflycart/core/proxy/evidence.cc
@@ -0,0 +1,50 @@
+// A position taken from the primary says nothing by itself: the primary may
+// have been replaced unnoticed. It counts once a proof was sent no earlier,
+// since no other upstream had acknowledged anything by then.
+
+#include "fireflycart/core/proxy/evidence.h"
+
+namespace fireflycart::proxy {
+
+void Evidence::OnPrimaryPosition(Instant sent, LogPosition position) {
+  if (!position.known()) return;
+  if (!marks_.empty()) {
+    const Mark& last = marks_.back();
+    if (sent.time - last.sent.time < kStep) return;
+    if (position < last.position) return;
+  }
+  marks_.push_back(Mark{sent, position});
+  while (sent.time - marks_.front().sent.time > kHistory) marks_.pop_front();
+}
+
+void Evidence::OnProof(Instant sent) {
+  if (has_proof_ && sent.sequence <= proven_.sequence) return;
+  proven_ = sent;
+  has_proof_ = true;
+}
+
+void Evidence::Forget() {
+  marks_.clear();
+  has_proof_ = false;
+}
+
+LogPosition Evidence::FloorFor(TimePoint time) const {
+  if (!has_proof_) return LogPosition();
+  for (const Mark& mark : marks_) {
+    if (mark.sent.sequence > proven_.sequence) break;
+    if (mark.sent.time >= time) return mark.position;
+  }
+  return LogPosition();
+}
+
+TimePoint Evidence::covered_until() const {
+  TimePoint covered;
+  if (!has_proof_) return covered;
+  for (const Mark& mark : marks_) {
+    if (mark.sent.sequence > proven_.sequence) break;
+    covered = mark.sent.time;
+  }
+  return covered;
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/fleet.cc
@@ -0,0 +1,265 @@
+// Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): a VM's score
+// for a group is -weight / ln(hash), and the highest score wins. A VM takes at
+// most its share of the groups, rounded up, so that few groups on many VMs do
+// not meet on one.
+
+#include "fireflycart/core/proxy/fleet.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace fireflycart::proxy {
+namespace {
+
+constexpr char kPart[] = "fleet";
+
+double Score(const GroupId& group, const VmRecord& vm) {
+  uint64_t seed = XXH3_64bits(group.value().data(), group.value().size());
+  uint64_t hash =
+      XXH3_64bits_withSeed(vm.vm.value().data(), vm.vm.value().size(), seed);
+  constexpr double kSteps = 9007199254740992.0;  // 2^53, exact in a double.
+  double uniform = (static_cast<double>(hash >> 11) + 0.5) / kSteps;
+  return -static_cast<double>(std::max(vm.cpu_permille, 1)) / std::log(uniform);
+}
+
+}  // namespace
+
+std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
+                                    const std::vector<VmRecord>& vms) {
+  double total = 0;
+  for (const VmRecord& vm : vms) total += std::max(vm.cpu_permille, 1);
+  std::map<VmId, int> room;
+  for (const VmRecord& vm : vms) {
+    double share = std::max(vm.cpu_permille, 1) / total;
+    room[vm.vm] =
+        static_cast<int>(std::ceil(share * static_cast<double>(groups.size())));
+  }
+  std::map<GroupId, VmId> owners;
+  for (const GroupId& group : groups) {
+    const VmRecord* best = nullptr;
+    double best_score = 0;
+    for (const VmRecord& vm : vms) {
+      if (room[vm.vm] <= 0) continue;
+      double score = Score(group, vm);
+      if (best != nullptr && score <= best_score) continue;
+      best = &vm;
+      best_score = score;
+    }
+    if (best == nullptr) continue;
+    room[best->vm]--;
+    owners[group] = best->vm;
+  }
+  return owners;
+}
+
+Fleet::Fleet(VmRecord self, KnowledgeSource* knowledge)
+    : self_(std::move(self)), knowledge_(knowledge) {}
+
+void Fleet::SetVms(const std::vector<VmRecord>& records,
+                   ProxyContext* context) {
+  std::set<VmId> listed;
+  for (const VmRecord& record : records) {
+    listed.insert(record.vm);
+    AddVm(record, context);
+  }
+  for (auto it = vms_.begin(); it != vms_.end();) {
+    bool keep = listed.count(it->first) != 0;
+    it = keep ? std::next(it) : vms_.erase(it);
+  }
+  Recompute();
+}
+
+void Fleet::AddVm(const VmRecord& record, ProxyContext* context) {
+  if (record.vm == self_.vm) return;
+  auto found = vms_.find(record.vm);
+  bool is_new = found == vms_.end();
+  if (!is_new && record.incarnation <= found->second.record.incarnation) return;
+  Vm& vm = vms_[record.vm];
+  vm.record = record;
+  vm.is_down = false;
+  vm.is_leaving = false;
+  vm.open_calls = 0;
+  context->Log(LogLevel::kInfo, kPart, is_new ? "vm_known" : "vm_restarted",
+               {{"peer", record.vm.value()}, {"address", record.address}});
+  Recompute();
+}
+
+void Fleet::SetGroups(const std::vector<GroupId>& groups) {
+  groups_ = groups;
+  std::sort(groups_.begin(), groups_.end());
+  Recompute();
+}
+
+void Fleet::Recompute() {
+  std::vector<VmRecord> usable;
+  if (!is_leaving_) usable.push_back(self_);
+  for (const auto& item : vms_) {
+    if (IsUsable(item.first)) usable.push_back(item.second.record);
+  }
+  owners_ = PlaceGroups(groups_, usable);
+  version_++;
+}
+
+VmId Fleet::OwnerOf(const GroupId& group) const {
+  auto found = owners_.find(group);
+  return found == owners_.end() ? self_.vm : found->second;
+}
+
+std::string Fleet::AddressOf(const VmId& vm) const {
+  auto found = vms_.find(vm);
+  return found == vms_.end() ? "" : found->second.record.address;
+}
+
+bool Fleet::IsUsable(const VmId& vm) const {
+  if (vm == self_.vm) return true;
+  auto found = vms_.find(vm);
+  return found != vms_.end() && !found->second.is_down &&
+         !found->second.is_leaving;
+}
+
+std::vector<VmRecord> Fleet::Records() const {
+  std::vector<VmRecord> records = {self_};
+  for (const auto& item : vms_) records.push_back(item.second.record);
+  return records;
+}
+
+size_t Fleet::down_count() const {
+  size_t count = 0;
+  for (const auto& item : vms_) {
+    if (item.second.is_down) count++;
+  }
+  return count;
+}
+
+void Fleet::Leave() {
+  is_leaving_ = true;
+  Recompute();
+}
+
+void Fleet::SetDown(Vm* vm, bool is_down, const char* cause,
+                    ProxyContext* context) {
+  if (vm->is_down == is_down) return;
+  vm->is_down = is_down;
+  context->Log(LogLevel::kWarning, kPart, is_down ? "vm_lost" : "vm_regained",
+               {{"peer", vm->record.vm.value()}, {"cause", cause}});
+  Recompute();
+}
+
+void Fleet::OnCallSent(const VmId& id, ProxyContext* context) {
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  Vm& vm = found->second;
+  if (vm.open_calls++ == 0) {
+    vm.waits_since = context->now();
+    context->WakeAt(context->now() + kSilentAfter);
+  }
+}
+
+void Fleet::OnCallAnswered(const VmId& id, ProxyContext* context) {
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  Vm& vm = found->second;
+  if (vm.open_calls > 0) vm.open_calls--;
+  vm.waits_since = context->now();
+  SetDown(&vm, false, "answered", context);
+}
+
+void Fleet::OnCallFailed(const VmId& id, ProxyContext* context) {
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  Vm& vm = found->second;
+  if (vm.open_calls > 0) vm.open_calls--;
+  vm.next_probe = context->now() + kFirstReprobe;
+  context->WakeAt(vm.next_probe);
+  SetDown(&vm, true, "call_failed", context);
+}
+
+void Fleet::OnLeaving(const VmId& id, ProxyContext* context) {
+  auto found = vms_.find(id);
+  if (found == vms_.end() || found->second.is_leaving) return;
+  found->second.is_leaving = true;
+  context->Log(LogLevel::kInfo, kPart, "vm_leaving", {{"peer", id.value()}});
+  Recompute();
+}
+
+void Fleet::OnHeard(const VmId& id, const FreshnessCall& call,
+                    ProxyContext* context) {
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  if (call.is_leaving) OnLeaving(id, context);
+  OnKnowledge(id, call.route_version, call.upstream_version);
+}
+
+void Fleet::OnKnowledge(const VmId& vm, uint64_t routes, uint64_t upstreams) {
+  FreshnessCall own = knowledge_->Knowledge();
+  bool is_ahead =
+      routes > own.route_version || upstreams > own.upstream_version;
+  if (is_ahead) knowledge_->OnPeerAhead(vm);
+}
+
+void Fleet::Probe(Vm* vm, ProxyContext* context) {
+  if (vm->is_probed) return;
+  vm->is_probed = true;
+  CallId call = context->NextCall();
+  probes_[call] = vm->record.vm;
+  context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
+                         knowledge_->Knowledge()});
+}
+
+bool Fleet::OnReply(const PeerReplied& reply, ProxyContext* context) {
+  auto probe = probes_.find(reply.call);
+  if (probe == probes_.end()) return false;
+  VmId id = probe->second;
+  probes_.erase(probe);
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return true;
+  Vm& vm = found->second;
+  vm.is_probed = false;
+  const auto* body = std::get_if<FreshnessReply>(&reply.body);
+  if (reply.error != PeerCallError::kNone || body == nullptr) {
+    vm.next_probe = context->now() + kDownProbePeriod;
+    context->WakeAt(vm.next_probe);
+    SetDown(&vm, true, "probe_failed", context);
+    return true;
+  }
+  vm.waits_since = context->now();
+  SetDown(&vm, false, "probe_answered", context);
+  if (body->is_leaving) OnLeaving(id, context);
+  OnKnowledge(id, body->route_version, body->upstream_version);
+  return true;
+}
+
+void Fleet::OnWake(ProxyContext* context) {
+  for (auto& item : vms_) {
+    Vm& vm = item.second;
+    if (vm.is_down) {
+      if (context->now() >= vm.next_probe) {
+        Probe(&vm, context);
+      } else {
+        context->WakeAt(vm.next_probe);
+      }
+      continue;
+    }
+    if (vm.open_calls == 0) continue;
+    TimePoint due = vm.waits_since + kSilentAfter;
+    if (context->now() >= due) {
+      Probe(&vm, context);
+      vm.waits_since = context->now();
+    }
+    context->WakeAt(vm.waits_since + kSilentAfter);
+  }
+  if (context->now() < next_probe_) return;
+  next_probe_ = context->now() + kProbePeriod;
+  context->WakeAt(next_probe_);
+  if (vms_.empty()) return;
+  auto chosen = vms_.begin();
+  std::advance(chosen,
+               static_cast<std::ptrdiff_t>(context->Random(vms_.size())));
+  if (!chosen->second.is_down) Probe(&chosen->second, context);
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/fleet.h
@@ -0,0 +1,115 @@
+// The VMs that serve sessions, as one of them sees them: who is reachable, and
+// who should own each group.
+//
+//   fleet.SetVms(records, &context);
+//   VmId owner = fleet.OwnerOf(group);
+//   fleet.OnCallFailed(owner, &context);
+//
+// Each VM judges by its own calls: a VM that holds calls unanswered is probed,
+// and one that misses the probe is passed over until it answers again. Views
+// may differ between VMs, which costs performance only.
+//
+// Cost: one probe per period to a random VM, and one to each VM that is silent
+// while calls to it are open, whatever the size of the fleet.
+
+#ifndef FIREFLYCART_CORE_PROXY_FLEET_H_
+#define FIREFLYCART_CORE_PROXY_FLEET_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/proxy/proxy_context.h"
+#include "fireflycart/core/proxy/route.h"
+
+namespace fireflycart::proxy {
+
+// What a VM knows, told with every probe.
+class KnowledgeSource {
+ public:
+  virtual ~KnowledgeSource() = default;
+  virtual FreshnessCall Knowledge() const = 0;
+  // A peer knows of newer routes or upstreams.
+  virtual void OnPeerAhead(const VmId& vm) = 0;
+};
+
+class Fleet {
+ public:
+  // Period of the probe of one random VM.
+  static constexpr Duration kProbePeriod = Duration::Millis(400);
+  // Longest wait for a probe: a round trip takes some milliseconds.
+  static constexpr Duration kProbeTimeout = Duration::Millis(200);
+  // A VM that answers nothing for so long while calls are open is probed.
+  static constexpr Duration kSilentAfter = Duration::Millis(100);
+  // Pause before a VM that failed is probed, first and later on.
+  static constexpr Duration kFirstReprobe = Duration::Millis(100);
+  static constexpr Duration kDownProbePeriod = Duration::Millis(400);
+
+  Fleet(VmRecord self, KnowledgeSource* knowledge);
+
+  // Takes in the registry; VMs that are not in it are dropped.
+  void SetVms(const std::vector<VmRecord>& records, ProxyContext* context);
+  // Adds VMs that a peer or their own call told of.
+  void AddVm(const VmRecord& record, ProxyContext* context);
+  void SetGroups(const std::vector<GroupId>& groups);
+
+  // The VM that should own the group, this one if nobody else can.
+  VmId OwnerOf(const GroupId& group) const;
+  std::string AddressOf(const VmId& vm) const;
+  bool IsUsable(const VmId& vm) const;
+  std::vector<VmRecord> Records() const;
+  // Grows with every change of owners.
+  uint64_t version() const { return version_; }
+  size_t size() const { return vms_.size(); }
+  size_t down_count() const;
+
+  void Leave();
+
+  void OnCallSent(const VmId& vm, ProxyContext* context);
+  void OnCallAnswered(const VmId& vm, ProxyContext* context);
+  // The call was certainly not sent, or its answer was lost.
+  void OnCallFailed(const VmId& vm, ProxyContext* context);
+  void OnLeaving(const VmId& vm, ProxyContext* context);
+  // The VM itself called.
+  void OnHeard(const VmId& vm, const FreshnessCall& call,
+               ProxyContext* context);
+
+  // Handles the reply to a probe; false if the call is not one.
+  bool OnReply(const PeerReplied& reply, ProxyContext* context);
+  void OnWake(ProxyContext* context);
+
+ private:
+  struct Vm {
+    VmRecord record;
+    bool is_down = false;
+    bool is_leaving = false;
+    int open_calls = 0;
+    TimePoint waits_since;  // Since when calls are open without an answer.
+    bool is_probed = false;
+    TimePoint next_probe;
+  };
+
+  void Probe(Vm* vm, ProxyContext* context);
+  void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
+  void OnKnowledge(const VmId& vm, uint64_t routes, uint64_t upstreams);
+  void Recompute();
+
+  VmRecord self_;
+  KnowledgeSource* knowledge_;
+  bool is_leaving_ = false;
+  std::map<VmId, Vm> vms_;  // Without this one.
+  std::map<CallId, VmId> probes_;
+  std::vector<GroupId> groups_;
+  std::map<GroupId, VmId> owners_;
+  uint64_t version_ = 1;
+  TimePoint next_probe_;
+};
+
+// Places groups on VMs by weighted rendezvous hashing with bounded loads: each
+// group goes to its best VM that has room for one more by its processor share.
+std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
+                                    const std::vector<VmRecord>& vms);
+
+}  // namespace fireflycart::proxy
+
+#endif  // FIREFLYCART_CORE_PROXY_FLEET_H_
--- /dev/null
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -0,0 +1,346 @@
+// What an answer means for the statement it belongs to. A statement runs again
+// only if the upstream says that it did not run, or if it only reads. A write
+// or a commit whose answer is missing has an unknown outcome. Any failure
+// inside a transaction ends it: the upstream rolls back, so nothing is kept.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "fireflycart/core/proxy/group_owner.h"
+
+namespace fireflycart::proxy {
+namespace {
+
+constexpr char kPart[] = "statement";
+// Sendings of one statement, hedged ones included.
+constexpr int kMaxAttempts = 4;
+// Pause after an upstream said that its queue is full.
+constexpr Duration kBusyPause = Duration::Millis(8);
+// Pause after an upstream said that it does not lead.
+constexpr Duration kNotLeadingPause = Duration::Millis(20);
+
+bool IsOnlyReading(const Work& work, bool has_written) {
+  return work.call.access == Access::kRead ||
+         (work.call.access == Access::kCommit && !has_written);
+}
+
+}  // namespace
+
+void GroupOwner::OnStatementAnswer(Work* work, const SentCommand& command,
+                                   const UpstreamAnswer& answer,
+                                   ProxyContext* context) {
+  switch (command.kind) {
+    case CommandKind::kBegin:
+    case CommandKind::kBeginReadOnly:
+      OnBeginAnswer(work, answer, context);
+      return;
+    case CommandKind::kVerbatim:
+    case CommandKind::kExecute:
+      break;
+    default:
+      if (answer.outcome == Outcome::kDone) return;
+      // The connection does not hold what the statement needs.
+      context->Log(LogLevel::kError, kPart, "setup_failed",
+                   {{"group", spec_.id.value()},
+                    {"id", work->call.id.value()},
+                    {"outcome", OutcomeName(answer.outcome)},
+                    {"detail", answer.detail}});
+      OnLost(pool_.Close(work->connection, context), context);
+      return;
+  }
+  PooledConnection* connection = pool_.Find(work->connection);
+  if (connection == nullptr) return;
+  UpstreamId upstream = connection->upstream;
+  work->reply.position = answer.position;
+  work->reply.rows = answer.rows;
+  work->reply.signature = answer.signature;
+  work->reply.detail = answer.detail;
+  work->reply.outcome = answer.outcome;
+  bool ok = answer.outcome == Outcome::kDone;
+  if (!work->in_transaction()) {
+    if (!ok) {
+      OnSingleFailed(work, upstream, answer, context);
+      return;
+    }
+    if (work->call.access == Access::kWrite && spec_.sync_replicas > 0) {
+      evidence_.OnProof(command.at);
+      failover_.OnAcknowledged(answer.position);
+    }
+    AwaitProofOrFinish(work, context);
+    return;
+  }
+  Transaction& transaction = transactions_[work->transaction()];
+  if (!ok) {
+    OnInTransactionFailed(work, answer, context);
+    return;
+  }
+  transaction.running = StatementNumber();
+  transaction.idle_since = context->now();
+  if (work->call.access == Access::kWrite) transaction.has_written = true;
+  if (work->call.access == Access::kCommit) {
+    if (transaction.has_written && spec_.sync_replicas > 0) {
+      evidence_.OnProof(command.at);
+      failover_.OnAcknowledged(answer.position);
+    }
+    if (!transaction.has_written) work->reply.position = LogPosition();
+    connection->is_pinned = false;
+    transactions_.erase(work->transaction());
+    Finish(work, context);
+    return;
+  }
+  AwaitProofOrFinish(work, context);
+}
+
+void GroupOwner::OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
+                               ProxyContext* context) {
+  PooledConnection* connection = pool_.Find(work->connection);
+  if (connection == nullptr) return;
+  if (answer.outcome == Outcome::kDone) {
+    work->stage = WorkStage::kRunning;
+    SendStatement(work, connection, {}, context);
+    return;
+  }
+  UpstreamId upstream = connection->upstream;
+  connection->is_pinned = false;
+  transactions_.erase(work->transaction());
+  if (answer.state != TransactionState::kNone) {
+    pool_.Close(connection->id, context);
+  }
+  OnSingleFailed(work, upstream, answer, context);
+}
+
+// The statement, or the beginning of its transaction, did not succeed.
+void GroupOwner::OnSingleFailed(Work* work, const UpstreamId& upstream,
+                                const UpstreamAnswer& answer,
+                                ProxyContext* context) {
+  bool may_retry =
+      work->attempts < kMaxAttempts && context->now() < work->give_up;
+  Duration pause;
+  switch (answer.outcome) {
+    case Outcome::kBehind:
+      if (upstream != primary_) {
+        work->avoid.insert(upstream);
+        // Every replica may be behind for a moment; the primary is not.
+        break;
+      }
+      // The primary lacks what the session has seen: it was replaced.
+      next_status_ = context->now();
+      pause = kNotLeadingPause;
+      break;
+    case Outcome::kReadOnly:
+      next_status_ = context->now();
+      pause = kNotLeadingPause;
+      break;
+    case Outcome::kBusy:
+      pause = kBusyPause;
+      break;
+    case Outcome::kNoStatement:
+      pool_.Close(work->connection, context);
+      break;
+    default:
+      may_retry = false;
+  }
+  if (may_retry) {
+    Requeue(work, pause, context);
+    return;
+  }
+  bool ran = answer.outcome == Outcome::kFailed ||
+             answer.outcome == Outcome::kTimeout ||
+             answer.outcome == Outcome::kUnknown;
+  Outcome outcome = answer.outcome;
+  // Reported as a refusal: the caller did not prepare under that name.
+  if (outcome == Outcome::kNoStatement) outcome = Outcome::kBusy;
+  Fail(work, outcome, ran ? "upstream_failed" : "upstream_refused", context);
+}
+
+void GroupOwner::OnInTransactionFailed(Work* work, const UpstreamAnswer& answer,
+                                       ProxyContext* context) {
+  TransactionKey key = work->transaction();
+  Outcome outcome = answer.outcome;
+  bool says_nothing =
+      outcome == Outcome::kTimeout || outcome == Outcome::kUnknown;
+  bool is_commit = work->call.access == Access::kCommit;
+  bool has_written = transactions_[key].has_written;
+  if (is_commit && says_nothing && has_written) {
+    outcome = Outcome::kUnknown;
+  } else if (outcome != Outcome::kFailed) {
+    outcome = Outcome::kAborted;
+  }
+  if (answer.outcome == Outcome::kReadOnly) next_status_ = context->now();
+  transactions_[key].running = StatementNumber();
+  DropTransaction(key, is_commit, context);
+  Fail(work, outcome, "failed_in_transaction", context);
+}
+
+void GroupOwner::DropTransaction(const TransactionKey& key, bool close,
+                                 ProxyContext* context) {
+  auto found = transactions_.find(key);
+  if (found == transactions_.end()) return;
+  Transaction transaction = found->second;
+  transactions_.erase(found);
+  if (Work* running = FindWork(transaction.running)) {
+    Fail(running, Outcome::kAborted, "transaction_ended", context);
+  }
+  PooledConnection* connection = pool_.Find(transaction.connection);
+  if (connection == nullptr) return;
+  if (close || !connection->sent.empty()) {
+    pool_.Close(connection->id, context);
+    return;
+  }
+  connection->is_pinned = false;
+  connection->is_ending = true;
+  UpstreamCommand rollback;
+  rollback.kind = CommandKind::kRollback;
+  pool_.Send(connection, {rollback}, StatementNumber(), context);
+}
+
+void GroupOwner::OnLost(const PooledConnection& lost, ProxyContext* context) {
+  std::map<StatementNumber, bool> was_sent;
+  for (const SentCommand& command : lost.sent) {
+    if (command.work == StatementNumber()) continue;
+    bool is_statement = command.kind == CommandKind::kVerbatim ||
+                        command.kind == CommandKind::kExecute;
+    was_sent[command.work] = was_sent[command.work] || is_statement;
+  }
+  for (const auto& item : was_sent) {
+    Work* work = FindWork(item.first);
+    if (work != nullptr) OnWorkLost(work, item.second, context);
+  }
+  if (!lost.is_pinned) return;
+  for (auto it = transactions_.begin(); it != transactions_.end(); ++it) {
+    if (it->second.connection != lost.id) continue;
+    context->Log(
+        LogLevel::kWarning, kPart, "idle_transaction_lost",
+        {{"group", spec_.id.value()},
+         {"upstream", lost.upstream.value()},
+         {"session", std::to_string(it->first.session.session.value())}});
+    transactions_.erase(it);
+    return;
+  }
+}
+
+void GroupOwner::OnWorkLost(Work* work, bool was_sent, ProxyContext* context) {
+  if (work->in_transaction()) {
+    bool has_written = false;
+    auto found = transactions_.find(work->transaction());
+    if (found != transactions_.end()) {
+      has_written = found->second.has_written;
+      transactions_.erase(found);
+    }
+    bool may_start_over = !was_sent && work->call.opens_transaction &&
+                          work->attempts < kMaxAttempts;
+    if (may_start_over) {
+      Requeue(work, Duration(), context);
+      return;
+    }
+    bool is_open = work->call.access == Access::kCommit && was_sent &&
+                   !IsOnlyReading(*work, has_written);
+    Fail(work, is_open ? Outcome::kUnknown : Outcome::kAborted,
+         "connection_lost", context);
+    return;
+  }
+  bool may_repeat = !was_sent || work->call.access == Access::kRead;
+  if (!may_repeat) {
+    Fail(work, Outcome::kUnknown, "connection_lost", context);
+  } else if (work->attempts < kMaxAttempts && context->now() < work->timeout) {
+    Requeue(work, Duration(), context);
+  } else {
+    Fail(work, Outcome::kBusy, "connection_lost", context);
+  }
+}
+
+bool GroupOwner::IsProven(const Work& work) const {
+  if (work.call.access != Access::kRead || !work.needs_proof) return true;
+  Instant since = work.arrived;
+  if (work.in_transaction()) {
+    auto found = transactions_.find(work.transaction());
+    if (found == transactions_.end()) return false;
+    since = found->second.began;
+  }
+  if (work.call.rule == ReadRule::kNewest) {
+    return evidence_.IsProvenSince(since.sequence);
+  }
+  return evidence_.IsProvenSince(since.time - work.call.max_age);
+}
+
+// The primary changed: what was read at the old one cannot be proven any more.
+void GroupOwner::RepeatUnproven(ProxyContext* context) {
+  std::set<StatementNumber> unproven;
+  unproven.swap(awaiting_proof_);
+  for (StatementNumber number : unproven) {
+    Work* work = FindWork(number);
+    if (work == nullptr) continue;
+    if (!work->in_transaction() && work->attempts < kMaxAttempts) {
+      Requeue(work, Duration(), context);
+      continue;
+    }
+    TransactionKey key = work->transaction();
+    Fail(work, Outcome::kAborted, "primary_changed", context);
+    DropTransaction(key, true, context);
+  }
+}
+
+void GroupOwner::AwaitProofOrFinish(Work* work, ProxyContext* context) {
+  if (IsProven(*work)) {
+    Finish(work, context);
+    return;
+  }
+  work->stage = WorkStage::kAwaitingProof;
+  awaiting_proof_.insert(work->number);
+  RequestProof(context);
+}
+
+void GroupOwner::ReleaseProven(ProxyContext* context) {
+  std::vector<StatementNumber> proven;
+  for (StatementNumber number : awaiting_proof_) {
+    const Work* work = FindWork(number);
+    if (work == nullptr || IsProven(*work)) proven.push_back(number);
+  }
+  for (StatementNumber number : proven) {
+    awaiting_proof_.erase(number);
+    if (Work* work = FindWork(number)) Finish(work, context);
+  }
+}
+
+void GroupOwner::Finish(Work* work, ProxyContext* context) {
+  StatementNumber number = work->number;
+  WorkOrigin origin = work->origin;
+  StatementReply reply = std::move(work->reply);
+  context->Emit(CountStatement{spec_.id, work->call.priority, reply.outcome, "",
+                               context->now() - work->arrived.time});
+  work_.erase(number);
+  results_->OnStatementDone(origin, std::move(reply));
+}
+
+void GroupOwner::Fail(Work* work, Outcome outcome, const char* cause,
+                      ProxyContext* context) {
+  if (work->is_queued()) queue_.Remove(work);
+  awaiting_proof_.erase(work->number);
+  context->Log(
+      LogLevel::kInfo, kPart, "not_served",
+      {{"group", spec_.id.value()},
+       {"id", work->call.id.value()},
+       {"session", work->call.session.vm.value() + "/" +
+                       std::to_string(work->call.session.session.value())},
+       {"outcome", OutcomeName(outcome)},
+       {"cause", cause},
+       {"detail", work->reply.detail},
+       {"priority", std::to_string(work->call.priority)},
+       {"waited_ms",
+        std::to_string((context->now() - work->arrived.time).millis())},
+       {"attempts", std::to_string(work->attempts)},
+       {"queued", std::to_string(queue_.size())},
+       {"primary", primary_.value()}});
+  context->Emit(CountStatement{spec_.id, work->call.priority, outcome, cause,
+                               context->now() - work->arrived.time});
+  StatementNumber number = work->number;
+  WorkOrigin origin = work->origin;
+  StatementReply reply;
+  reply.outcome = outcome;
+  reply.detail = work->reply.detail.empty() ? cause : work->reply.detail;
+  work_.erase(number);
+  results_->OnStatementDone(origin, std::move(reply));
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/statement.cc
@@ -0,0 +1,39 @@
+// Names are part of logs and metrics; keep them stable.
+
+#include "fireflycart/core/proxy/statement.h"
+
+namespace fireflycart::proxy {
+
+const char* OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kDone:
+      return "done";
+    case Outcome::kBusy:
+      return "busy";
+    case Outcome::kAborted:
+      return "aborted";
+    case Outcome::kBehind:
+      return "behind";
+    case Outcome::kReadOnly:
+      return "read_only";
+    case Outcome::kWrongInstance:
+      return "wrong_instance";
+    case Outcome::kTooManyConnections:
+      return "too_many_connections";
+    case Outcome::kNoStatement:
+      return "no_statement";
+    case Outcome::kNoDatabase:
+      return "no_database";
+    case Outcome::kBadRequest:
+      return "bad_request";
+    case Outcome::kFailed:
+      return "failed";
+    case Outcome::kTimeout:
+      return "timeout";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -0,0 +1,242 @@
+// Each table is a small state machine: read whole, then follow from the version
+// read; a lost history or a failed read starts over. A failed follow keeps the
+// version and asks again, since changes are kept for a while.
+
+#include "fireflycart/core/proxy/store_follower.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fireflycart::proxy {
+namespace {
+
+constexpr char kPart[] = "store";
+constexpr Duration kWriteTimeout = Duration::Millis(1000);
+
+}  // namespace
+
+std::string StoreFollower::EncodeVm(const VmRecord& record) {
+  nlohmann::json json = {{"address", record.address},
+                         {"data_centre", record.data_centre.value()},
+                         {"incarnation", record.incarnation},
+                         {"cpu_permille", record.cpu_permille}};
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool StoreFollower::DecodeVm(const std::string& value, VmRecord* record) {
+  nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+  if (!json.is_object()) return false;
+  try {
+    record->address = json.at("address").get<std::string>();
+    record->data_centre =
+        DataCentreId(json.at("data_centre").get<std::string>());
+    record->incarnation = json.at("incarnation").get<uint64_t>();
+    record->cpu_permille = json.at("cpu_permille").get<int>();
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+  return true;
+}
+
+void StoreFollower::Start(const VmRecord& self, ProxyContext* context) {
+  self_ = self;
+  Announce(context);
+  for (Table& table : tables_) Step(&table, context);
+}
+
+void StoreFollower::Announce(ProxyContext* context) {
+  if (is_announced_ || announcement_ != CallId()) return;
+  if (context->now() < next_announcement_) {
+    context->WakeAt(next_announcement_);
+    return;
+  }
+  announcement_ = context->NextCall();
+  WriteRow row;
+  row.table = StoreTable::kVms;
+  row.key = self_.vm.value();
+  row.value = EncodeVm(self_);
+  context->Emit(StoreCall{announcement_, kWriteTimeout, row});
+}
+
+void StoreFollower::Step(Table* table, ProxyContext* context) {
+  if (table->call != CallId()) return;
+  if (context->now() < table->next) {
+    context->WakeAt(table->next);
+    return;
+  }
+  table->call = context->NextCall();
+  table->is_reading = !table->is_current;
+  if (table->is_reading) {
+    context->Emit(
+        StoreCall{table->call, kReadTimeout, ReadTable{table->table, ""}});
+    return;
+  }
+  context->Emit(
+      StoreCall{table->call, kFollowWait + kFollowSlack,
+                FollowTable{table->table, table->version, kFollowWait}});
+}
+
+void StoreFollower::OnWake(ProxyContext* context) {
+  Announce(context);
+  for (Table& table : tables_) Step(&table, context);
+}
+
+bool StoreFollower::OnStore(const StoreAnswered& answer,
+                            ProxyContext* context) {
+  if (announcement_ != CallId() && answer.call == announcement_) {
+    announcement_ = CallId();
+    is_announced_ = answer.status == StoreStatus::kOk;
+    if (!is_announced_) {
+      next_announcement_ = context->now() + kRetry * 2;
+      context->Log(LogLevel::kWarning, kPart, "announcement_failed",
+                   {{"status", StoreStatusName(answer.status)}});
+    }
+    Announce(context);
+    return true;
+  }
+  for (Table& table : tables_) {
+    if (table.call == CallId() || table.call != answer.call) continue;
+    table.call = CallId();
+    if (answer.status == StoreStatus::kOk) {
+      if (table.failures > 0) {
+        context->Log(LogLevel::kInfo, kPart, "store_regained",
+                     {{"table", StoreTableName(table.table)},
+                      {"failures", std::to_string(table.failures)}});
+      }
+      table.failures = 0;
+      Apply(table, answer, table.is_reading, context);
+      table.version = answer.version;
+      table.is_current = true;
+    } else if (answer.status == StoreStatus::kHistoryLost) {
+      context->Log(LogLevel::kWarning, kPart, "history_lost",
+                   {{"table", StoreTableName(table.table)},
+                    {"after", std::to_string(table.version)}});
+      table.is_current = false;
+    } else {
+      OnFailed(&table, answer.status, context);
+    }
+    Step(&table, context);
+    return true;
+  }
+  return false;
+}
+
+void StoreFollower::OnFailed(Table* table, StoreStatus status,
+                             ProxyContext* context) {
+  Duration pause = kRetry * (int64_t{1} << std::min(table->failures, 3));
+  pause = std::min(pause, kRetryMax);
+  // Spread over the VMs, which all lose the store at the same moment.
+  int64_t jitter = static_cast<int64_t>(context->Random(
+      static_cast<uint64_t>(std::max<int64_t>(pause.millis() / 2, 1))));
+  table->next = context->now() + pause + Duration::Millis(jitter);
+  table->failures++;
+  if (table->failures == 1) {
+    context->Log(LogLevel::kWarning, kPart, "store_lost",
+                 {{"table", StoreTableName(table->table)},
+                  {"status", StoreStatusName(status)},
+                  {"version", std::to_string(table->version)}});
+  }
+}
+
+void StoreFollower::Apply(const Table& table, const StoreAnswered& answer,
+                          bool is_whole, ProxyContext* context) {
+  for (const std::string& problem : answer.problems) {
+    context->Log(
+        LogLevel::kWarning, kPart, "row_skipped",
+        {{"table", StoreTableName(table.table)}, {"problem", problem}});
+  }
+  switch (table.table) {
+    case StoreTable::kRoutes:
+      if (!answer.routes.empty()) {
+        ApplyRoutes(answer.routes.back(), "store", context);
+      }
+      break;
+    case StoreTable::kUpstreams:
+      ApplyUpstreams(answer, is_whole, context);
+      break;
+    case StoreTable::kVms:
+      ApplyVms(answer, is_whole);
+      break;
+    case StoreTable::kDuties:
+      break;
+  }
+}
+
+void StoreFollower::ApplyRoutes(const RouteTable& routes, const char* source,
+                                ProxyContext* context) {
+  if (routes.version <= routes_.version) return;
+  context->Log(LogLevel::kInfo, kPart, "routes_in_force",
+               {{"version", std::to_string(routes.version)},
+                {"before", std::to_string(routes_.version)},
+                {"routes", std::to_string(routes.routes.size())},
+                {"source", source}});
+  routes_ = routes;
+  changes_++;
+}
+
+void StoreFollower::ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
+                                   ProxyContext* context) {
+  if (answer.version < upstreams_.version) return;
+  if (is_whole) upstreams_.records.clear();
+  for (const UpstreamChange& change : answer.upstreams) {
+    if (!change.is_present) {
+      upstreams_.records.erase(change.id);
+      continue;
+    }
+    upstreams_.records[change.id] = change.record;
+    if (!change.record.leaving) continue;
+    context->Log(LogLevel::kInfo, kPart, "upstream_leaving",
+                 {{"group", change.record.group.value()},
+                  {"upstream", change.id.value()},
+                  {"version", std::to_string(answer.version)}});
+  }
+  upstreams_.version = answer.version;
+  changes_++;
+}
+
+void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole) {
+  if (is_whole) vms_.clear();
+  for (const StoreRow& row : answer.rows) {
+    VmRecord record;
+    record.vm = VmId(row.key);
+    if (row.is_deleted || !DecodeVm(row.value, &record)) {
+      vms_.erase(row.key);
+    } else {
+      vms_[row.key] = record;
+    }
+  }
+  has_vms_ = true;
+  vm_changes_++;
+}
+
+void StoreFollower::OnSnapshot(const SnapshotReply& reply,
+                               ProxyContext* context) {
+  ApplyRoutes(reply.routes, "peer", context);
+  if (reply.upstreams.version > upstreams_.version) {
+    context->Log(LogLevel::kInfo, kPart, "upstreams_from_peer",
+                 {{"version", std::to_string(reply.upstreams.version)},
+                  {"before", std::to_string(upstreams_.version)}});
+    upstreams_ = reply.upstreams;
+    changes_++;
+    // The store's own changes are taken from the peer's version on.
+    Table& table = tables_[1];
+    if (table.version < upstreams_.version) {
+      table.version = upstreams_.version;
+      table.is_current = true;
+    }
+  }
+  for (const VmRecord& record : reply.vms) {
+    VmRecord& known = vms_[record.vm.value()];
+    if (known.incarnation >= record.incarnation) continue;
+    known = record;
+    vm_changes_++;
+  }
+}
+
+std::vector<VmRecord> StoreFollower::vms() const {
+  std::vector<VmRecord> records;
+  for (const auto& item : vms_) records.push_back(item.second);
+  return records;
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/store_follower.h
@@ -0,0 +1,100 @@
+// Keeps routes, upstreams and the list of VMs current: reads each table of the
+// store once, then follows its changes.
+//
+//   follower.Start(self_record, &context);
+//   if (follower.OnStore(answer, &context)) Use(follower.routes());
+//   follower.OnSnapshot(reply, &context);        // what a peer knew
+//
+// What is known stays in force while the store is away. Nothing goes back:
+// routes and upstreams are replaced only by a newer version.
+//
+// Limits: three open calls, one for each table.
+
+#ifndef FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
+#define FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/proxy/proxy_context.h"
+#include "fireflycart/core/proxy/route.h"
+
+namespace fireflycart::proxy {
+
+class StoreFollower {
+ public:
+  // A follower asks again after this, so a connection that went silent costs
+  // no more than the wait and the slack. Below the 7 s in which a leaving
+  // upstream must be known.
+  static constexpr Duration kFollowWait = Duration::Millis(4000);
+  static constexpr Duration kFollowSlack = Duration::Millis(1000);
+  static constexpr Duration kReadTimeout = Duration::Millis(1000);
+  // Pause after a failed call, doubled up to the longest.
+  static constexpr Duration kRetry = Duration::Millis(200);
+  static constexpr Duration kRetryMax = Duration::Millis(1600);
+
+  // Serializes and parses the record of a VM.
+  static std::string EncodeVm(const VmRecord& record);
+  static bool DecodeVm(const std::string& value, VmRecord* record);
+
+  void Start(const VmRecord& self, ProxyContext* context);
+  // Handles the answer to a call of this part; false if it is not.
+  bool OnStore(const StoreAnswered& answer, ProxyContext* context);
+  void OnSnapshot(const SnapshotReply& reply, ProxyContext* context);
+  void OnWake(ProxyContext* context);
+
+  const RouteTable& routes() const { return routes_; }
+  const UpstreamList& upstreams() const { return upstreams_; }
+  std::vector<VmRecord> vms() const;
+  bool has_upstreams() const { return upstreams_.version != 0; }
+  bool has_vms() const { return has_vms_; }
+  // Grow with each change.
+  uint64_t changes() const { return changes_; }
+  uint64_t vm_changes() const { return vm_changes_; }
+
+ private:
+  static constexpr size_t kFollowed = 3;
+
+  // How far one table is followed.
+  struct Table {
+    explicit Table(StoreTable t) : table(t) {}
+    StoreTable table;
+    CallId call;
+    bool is_reading = false;
+    bool is_current = false;  // Read once; later changes are followed.
+    uint64_t version = 0;
+    int failures = 0;
+    TimePoint next;
+  };
+
+  void Step(Table* table, ProxyContext* context);
+  void Announce(ProxyContext* context);
+  void Apply(const Table& table, const StoreAnswered& answer, bool is_whole,
+             ProxyContext* context);
+  void ApplyRoutes(const RouteTable& routes, const char* source,
+                   ProxyContext* context);
+  void ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
+                      ProxyContext* context);
+  void ApplyVms(const StoreAnswered& answer, bool is_whole);
+  void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
+
+  VmRecord self_;
+  std::array<Table, kFollowed> tables_ = {Table{StoreTable::kRoutes},
+                                          Table{StoreTable::kUpstreams},
+                                          Table{StoreTable::kVms}};
+  CallId announcement_;
+  bool is_announced_ = false;
+  TimePoint next_announcement_;
+  RouteTable routes_;
+  UpstreamList upstreams_;
+  std::map<std::string, VmRecord> vms_;
+  bool has_vms_ = false;
+  uint64_t changes_ = 0;
+  uint64_t vm_changes_ = 0;
+};
+
+}  // namespace fireflycart::proxy
+
+#endif  // FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
--- /dev/null
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -0,0 +1,333 @@
+// A connection is used only if what it holds is known exactly: session values
+// are compared with those of the statement and replaced by a reset where they
+// differ; prepared statements are named by their shape, so that callers share
+// them. A connection in doubt is closed.
+
+#include "fireflycart/core/proxy/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflycart::proxy {
+namespace {
+
+constexpr char kPart[] = "pool";
+// Share of an upstream's connections that one owner may use. The rest is for
+// connections that a dead owner leaves behind.
+constexpr int kBudgetNumerator = 3;
+constexpr int kBudgetDenominator = 5;
+// Connections that transactions leave to single statements.
+constexpr int kUnpinned = 2;
+
+std::string ConnectionName(const PreparedShape& shape) {
+  return (shape.writes ? "w_" : "r_") + shape.shape;
+}
+
+}  // namespace
+
+void UpstreamPool::SetRecords(const std::vector<UpstreamRecord>& records,
+                              ProxyContext* context) {
+  std::set<UpstreamId> registered;
+  for (const UpstreamRecord& record : records) {
+    registered.insert(record.id);
+    PooledUpstream& upstream = upstreams_[record.id];
+    bool is_new = upstream.record.id == UpstreamId();
+    bool restarted = !is_new && upstream.record.started_ms != record.started_ms;
+    if (is_new || restarted) {
+      context->Log(LogLevel::kInfo, kPart,
+                   is_new ? "upstream_known" : "upstream_restarted",
+                   {{"group", group_.value()},
+                    {"upstream", record.id.value()},
+                    {"address", record.address}});
+    }
+    if (restarted) upstream.has_status = false;
+    bool moved = !is_new && upstream.record.address != record.address;
+    if (moved) upstream.failed_opens = 0;
+    upstream.record = record;
+    upstream.is_registered = true;
+  }
+  for (auto& item : upstreams_) {
+    PooledUpstream& upstream = item.second;
+    if (registered.count(item.first) != 0 || !upstream.is_registered) continue;
+    upstream.is_registered = false;
+    upstream.unregistered_at = context->now();
+    context->Log(LogLevel::kInfo, kPart, "upstream_unregistered",
+                 {{"group", group_.value()}, {"upstream", item.first.value()}});
+  }
+}
+
+int UpstreamPool::DataBudget() const {
+  int budget = max_connections_ * kBudgetNumerator / kBudgetDenominator - 1;
+  return std::max(budget, 1);
+}
+
+bool UpstreamPool::HasSlot(const PooledUpstream& upstream) const {
+  return upstream.running < upstream.record.slots + kAhead;
+}
+
+void UpstreamPool::Open(PooledUpstream* upstream, bool is_control,
+                        ProxyContext* context) {
+  PooledConnection connection;
+  connection.id = context->NextConnection();
+  connection.upstream = upstream->record.id;
+  connection.is_control = is_control;
+  connection.opened_at = context->instant();
+  if (is_control) {
+    upstream->control = connection.id;
+  } else {
+    upstream->connections++;
+  }
+  context->Emit(OpenUpstream{connection.id, upstream->record.address, group_,
+                             upstream->record.id, kOpenTimeout});
+  connections_[connection.id] = std::move(connection);
+}
+
+void UpstreamPool::OpenControls(ProxyContext* context) {
+  for (auto& item : upstreams_) {
+    PooledUpstream& upstream = item.second;
+    if (upstream.control != ConnectionId()) continue;
+    if (context->now() < upstream.next_open) {
+      context->WakeAt(upstream.next_open);
+      continue;
+    }
+    Open(&upstream, true, context);
+  }
+}
+
+PooledConnection* UpstreamPool::Take(
+    const UpstreamId& id, const std::map<std::string, std::string>& values,
+    ProxyContext* context) {
+  PooledConnection* best = nullptr;
+  bool is_opening = false;
+  for (auto& item : connections_) {
+    PooledConnection& connection = item.second;
+    if (connection.upstream != id) continue;
+    if (!connection.is_open && !connection.is_control) is_opening = true;
+    if (!connection.is_idle()) continue;
+    if (connection.values == values) return &connection;
+    if (best == nullptr || best->values.size() > connection.values.size()) {
+      best = &connection;
+    }
+  }
+  if (best != nullptr) return best;
+  PooledUpstream* upstream = FindUpstream(id);
+  bool may_open = upstream != nullptr && !is_opening && !upstream->is_down &&
+                  upstream->connections < DataBudget() &&
+                  context->now() >= upstream->next_open;
+  if (may_open) Open(upstream, false, context);
+  return nullptr;
+}
+
+bool UpstreamPool::MayPin(const UpstreamId& id) const {
+  int pinned = 0;
+  for (const auto& item : connections_) {
+    const PooledConnection& c = item.second;
+    if (c.upstream == id && (c.is_pinned || c.is_ending)) pinned++;
+  }
+  return pinned < std::max(DataBudget() - kUnpinned, 1);
+}
+
+std::vector<UpstreamCommand> UpstreamPool::SetUp(PooledConnection* connection,
+                                                 const StatementCall& call) {
+  std::vector<UpstreamCommand> commands;
+  bool has_surplus = false;
+  for (const auto& value : connection->values) {
+    if (call.values.count(value.first) == 0) has_surplus = true;
+  }
+  if (has_surplus) {
+    UpstreamCommand reset;
+    reset.kind = CommandKind::kReset;
+    commands.push_back(reset);
+    connection->values.clear();
+    connection->prepared.clear();
+  }
+  for (const auto& value : call.values) {
+    auto found = connection->values.find(value.first);
+    bool holds =
+        found != connection->values.end() && found->second == value.second;
+    if (holds) continue;
+    UpstreamCommand set;
+    set.kind = CommandKind::kSetValue;
+    set.name = value.first;
+    set.arguments = value.second;
+    commands.push_back(set);
+    connection->values[value.first] = value.second;
+  }
+  if (call.is_prepared && connection->prepared.insert(call.prepared).second) {
+    UpstreamCommand prepare;
+    prepare.kind = CommandKind::kPrepare;
+    prepare.name = ConnectionName(call.prepared);
+    prepare.prepared = call.prepared;
+    commands.push_back(prepare);
+  }
+  return commands;
+}
+
+void UpstreamPool::Send(PooledConnection* connection,
+                        std::vector<UpstreamCommand> commands,
+                        StatementNumber work, ProxyContext* context) {
+  for (UpstreamCommand& command : commands) {
+    bool is_statement = command.kind == CommandKind::kVerbatim ||
+                        command.kind == CommandKind::kExecute;
+    if (command.kind == CommandKind::kExecute) {
+      command.name = ConnectionName(command.prepared);
+    }
+    if (is_statement) upstreams_[connection->upstream].running++;
+    connection->sent.push_back(
+        SentCommand{command.kind, work, context->instant()});
+  }
+  context->Emit(SendUpstream{connection->id, std::move(commands)});
+}
+
+bool UpstreamPool::SendControl(const UpstreamId& id,
+                               const UpstreamCommand& command,
+                               ProxyContext* context) {
+  PooledUpstream* upstream = FindUpstream(id);
+  if (upstream == nullptr) return false;
+  PooledConnection* control = Find(upstream->control);
+  if (control == nullptr || !control->is_open) return false;
+  Send(control, {command}, StatementNumber(), context);
+  return true;
+}
+
+void UpstreamPool::OnOpened(ConnectionId id, LogPosition position,
+                            ProxyContext* context) {
+  PooledConnection* connection = Find(id);
+  if (connection == nullptr) return;
+  connection->is_open = true;
+  PooledUpstream& upstream = upstreams_[connection->upstream];
+  upstream.failed_opens = 0;
+  upstream.last_answer = context->now();
+  upstream.applied = position;
+  upstream.applied_at = context->now();
+  if (!upstream.is_down) return;
+  upstream.is_down = false;
+  context->Log(
+      LogLevel::kInfo, kPart, "upstream_regained",
+      {{"group", group_.value()}, {"upstream", connection->upstream.value()}});
+}
+
+SentCommand UpstreamPool::OnAnswered(ConnectionId id,
+                                     const UpstreamAnswer& answer,
+                                     ProxyContext* context) {
+  PooledConnection* connection = Find(id);
+  if (connection == nullptr || connection->sent.empty()) return SentCommand();
+  SentCommand command = connection->sent.front();
+  connection->sent.pop_front();
+  PooledUpstream& upstream = upstreams_[connection->upstream];
+  bool is_statement = command.kind == CommandKind::kVerbatim ||
+                      command.kind == CommandKind::kExecute;
+  if (is_statement) upstream.running--;
+  upstream.last_answer = context->now();
+  if (answer.position.known()) {
+    upstream.applied = answer.position;
+    upstream.applied_at = context->now();
+  }
+  if (answer.has_status) {
+    upstream.status = answer.status;
+    upstream.has_status = true;
+    upstream.status_sent = command.at;
+  }
+  return command;
+}
+
+PooledConnection UpstreamPool::Remove(ConnectionId id) {
+  auto found = connections_.find(id);
+  if (found == connections_.end()) return PooledConnection();
+  PooledConnection removed = std::move(found->second);
+  connections_.erase(found);
+  PooledUpstream& upstream = upstreams_[removed.upstream];
+  if (removed.is_control) {
+    if (upstream.control == id) upstream.control = ConnectionId();
+  } else {
+    upstream.connections--;
+  }
+  for (const SentCommand& command : removed.sent) {
+    bool is_statement = command.kind == CommandKind::kVerbatim ||
+                        command.kind == CommandKind::kExecute;
+    if (is_statement) upstream.running--;
+  }
+  return removed;
+}
+
+PooledConnection UpstreamPool::OnClosed(const UpstreamClosed& closed,
+                                        ProxyContext* context) {
+  PooledConnection removed = Remove(closed.connection);
+  if (removed.id == ConnectionId()) return removed;
+  PooledUpstream& upstream = upstreams_[removed.upstream];
+  if (!removed.is_open) {
+    OnOpenFailed(&upstream, closed.reason, context);
+  } else if (removed.is_control) {
+    upstream.next_open = context->now();
+  }
+  return removed;
+}
+
+void UpstreamPool::OnOpenFailed(PooledUpstream* upstream,
+                                const std::string& reason,
+                                ProxyContext* context) {
+  upstream->failed_opens++;
+  Duration pause =
+      kOpenRetry * (int64_t{1} << std::min(upstream->failed_opens, 4));
+  pause = std::min(pause, kOpenRetryMax);
+  upstream->next_open = context->now() + pause;
+  context->WakeAt(upstream->next_open);
+  context->Log(LogLevel::kWarning, kPart, "upstream_open_failed",
+               {{"group", group_.value()},
+                {"upstream", upstream->record.id.value()},
+                {"failures", std::to_string(upstream->failed_opens)},
+                {"reason", reason}});
+}
+
+PooledConnection UpstreamPool::Close(ConnectionId id, ProxyContext* context) {
+  context->Emit(CloseUpstream{id});
+  return Remove(id);
+}
+
+void UpstreamPool::CloseAll(ProxyContext* context) {
+  std::vector<ConnectionId> ids;
+  for (const auto& item : connections_) ids.push_back(item.first);
+  for (ConnectionId id : ids) Close(id, context);
+}
+
+std::vector<PooledConnection> UpstreamPool::MarkDown(const UpstreamId& id,
+                                                     const char* cause,
+                                                     ProxyContext* context) {
+  PooledUpstream& upstream = upstreams_[id];
+  std::vector<PooledConnection> closed;
+  if (!upstream.is_down) {
+    context->Log(
+        LogLevel::kWarning, kPart, "upstream_lost",
+        {{"group", group_.value()},
+         {"upstream", id.value()},
+         {"cause", cause},
+         {"silent_ms",
+          std::to_string((context->now() - upstream.last_answer).millis())}});
+  }
+  upstream.is_down = true;
+  for (ConnectionId connection : ConnectionsOf(id)) {
+    closed.push_back(Close(connection, context));
+  }
+  return closed;
+}
+
+PooledConnection* UpstreamPool::Find(ConnectionId id) {
+  auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : &found->second;
+}
+
+PooledUpstream* UpstreamPool::FindUpstream(const UpstreamId& id) {
+  auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+std::vector<ConnectionId> UpstreamPool::ConnectionsOf(
+    const UpstreamId& id) const {
+  std::vector<ConnectionId> ids;
+  for (const auto& item : connections_) {
+    if (item.second.upstream == id) ids.push_back(item.first);
+  }
+  return ids;
+}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/core/proxy/work_queue.h
@@ -0,0 +1,61 @@
+// Statements that wait at a group's owner, in the order in which they are to
+// be served: in time before late, then by priority, then first come.
+//
+//   queue.Add(work);
+//   Work* next = queue.First(Lane::kPrimary, now, may_start);
+//
+// Work past its target goes behind all that can still meet it, yet keeps its
+// place among its kind: it is served when nothing better waits.
+
+#ifndef FIREFLYCART_CORE_PROXY_WORK_QUEUE_H_
+#define FIREFLYCART_CORE_PROXY_WORK_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "fireflycart/core/proxy/work.h"
+
+namespace fireflycart::proxy {
+
+// Where queued work may run.
+enum class Lane { kPrimary, kAny };
+constexpr size_t kLanes = 2;
+
+class WorkQueue {
+ public:
+  void Add(Work* work);
+  void Remove(Work* work);
+
+  // The first of the lane that the predicate accepts; null if there is none.
+  // Work that turned late is moved back.
+  Work* First(Lane lane, TimePoint now,
+              const std::function<bool(const Work&)>& accepts);
+
+  size_t size() const { return lanes_[0].size() + lanes_[1].size(); }
+  bool IsEmpty(Lane lane) const {
+    return lanes_[static_cast<size_t>(lane)].empty();
+  }
+  // All queued work, for time limits.
+  std::vector<Work*> All() const;
+
+ private:
+  using Key = std::tuple<bool, int, uint64_t>;  // Late, priority, arrival.
+
+  static Key KeyOf(const Work& work) {
+    return Key(work.is_late, work.call.priority, work.arrived.sequence);
+  }
+  std::map<Key, Work*>& LaneOf(const Work& work);
+
+  std::array<std::map<Key, Work*>, kLanes> lanes_;
+};
+
+// The lane that a statement belongs to.
+Lane LaneFor(const StatementCall& call);
+
+}  // namespace fireflycart::proxy
+
+#endif  // FIREFLYCART_CORE_PROXY_WORK_QUEUE_H_
--- a/fireflycart/core/reducer.h
+++ b/fireflycart/core/reducer.h
@@ -103,6 +103,14 @@
   void OnPeerCall(HandleId handle, const VmId& from, const HandoverCall& call);
   void OnPeerCall(HandleId handle, const VmId& from,
                   const HandoverRequestCall& call);
+  // Calls between VMs that serve sessions end here without an answer.
+  template <typename T>
+  void OnPeerCall(HandleId handle, const VmId& from, const T& call) {
+    (void)handle;
+    (void)call;
+    context_.Log(LogLevel::kWarning, "peer",
+                 "Call of another kind of VM ignored: " + from.value() + ".");
+  }
 
   // RoutingTable.
   VmId CoordinatorOf(const GroupId& group) const override;
--- a/fireflycart/daemon/logging.h
+++ b/fireflycart/daemon/logging.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "fireflycart/core/effect.h"
+#include "fireflycart/core/proxy/proxy_event.h"
 
 namespace fireflycart {
 
@@ -22,6 +23,20 @@
 void LogRecord(LogLevel level, const std::string& part,
                const std::string& text);
 
+// Structured records of daemons that serve sessions: JSON lines on standard
+// output. At most kRecordsPerSecond lines of each event are written; the next
+// one tells how many were left out. A reader that is slow loses lines, and a
+// later line tells how many; the daemon never waits for it.
+constexpr int kRecordsPerSecond = 25;
+
+void StartStructuredLogging(const std::string& lowest_level, const VmId& vm);
+
+// From one thread only.
+void LogStructured(const proxy::WriteRecord& record, TimePoint now);
+
+// Hands written records to standard output as far as it takes them.
+void FlushStructuredLog();
+
 }  // namespace fireflycart
 
 #endif  // FIREFLYCART_DAEMON_LOGGING_H_
--- a/fireflycart/daemon/main.cc
+++ b/fireflycart/daemon/main.cc
@@ -6,6 +6,7 @@
 #include "fireflycart/core/error.h"
 #include "fireflycart/daemon/daemon.h"
 #include "fireflycart/daemon/logging.h"
+#include "fireflycart/daemon/session_daemon.h"
 #include "fireflycart/daemon/settings.h"
 #include "fireflycart/net/stop_signal.h"
 
@@ -13,10 +14,23 @@
 
 constexpr int kExitFailure = 1;
 
+int ServeSessions(const fireflycart::Settings& settings) {
+  fireflycart::StartStructuredLogging(settings.log_level, settings.identity.vm);
+  try {
+    fireflycart::SessionDaemon(settings).Run();
+    return 0;
+  } catch (const std::exception& e) {
+    fireflycart::FlushStructuredLog();
+    std::cerr << "fireflycartd: " << e.what() << "\n";
+    return kExitFailure;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   fireflycart::Settings settings = fireflycart::ReadSettings(argc, argv);
+  if (settings.sessions) return ServeSessions(settings);
   fireflycart::BlockStopSignals();
   fireflycart::StartLogging(settings.log_level, settings.log_format,
                             settings.identity.vm);
--- /dev/null
+++ b/fireflycart/daemon/session_daemon.cc
@@ -0,0 +1,193 @@
+// Ports may report an event while an effect is carried out; it waits in a
+// queue, so that the effects of two events never mix.
+
+#include "fireflycart/daemon/session_daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+#include "fireflycart/core/error.h"
+#include "fireflycart/daemon/logging.h"
+
+namespace fireflycart {
+namespace {
+
+constexpr char kPart[] = "daemon";
+constexpr char kMetricsPath[] = "/metrics";
+constexpr int kNotReady = 503;
+constexpr int kNotFound = 404;
+// Answers of the last step are still being written when the daemon exits.
+constexpr std::chrono::milliseconds kExitDelay{50};
+
+proxy::VmRecord RecordOf(const Settings& settings) {
+  proxy::VmRecord record;
+  record.vm = settings.identity.vm;
+  record.address = settings.identity.address;
+  record.data_centre = settings.identity.data_centre;
+  record.incarnation = settings.identity.incarnation;
+  record.cpu_permille = settings.sessions->cpu_permille;
+  return record;
+}
+
+proxy::ProxyOptions OptionsOf(const Settings& settings) {
+  proxy::ProxyOptions options;
+  options.set_stop_limit(settings.sessions->stop_limit);
+  return options;
+}
+
+HttpServerOptions ServerOptions(const IpAddress& address) {
+  HttpServerOptions options;
+  options.ip = address.ip;
+  options.port = address.port;
+  options.max_body = 0;
+  options.max_connections = 64;
+  return options;
+}
+
+}  // namespace
+
+SessionDaemon::SessionDaemon(Settings settings)
+    : settings_(std::move(settings)),
+      io_(1),
+      timer_(io_),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      reducer_(RecordOf(settings_), OptionsOf(settings_), settings_.seed) {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+SessionDaemon::~SessionDaemon() {
+  if (ready_server_) ready_server_->Stop();
+  if (metrics_server_) metrics_server_->Stop();
+}
+
+void SessionDaemon::Run() {
+  const SessionSettings& sessions = *settings_.sessions;
+  PeerHandler* handler = this;
+  peers_ =
+      std::make_unique<Http2Transport>(&io_, settings_.identity.vm, handler);
+  peers_->Listen(settings_.peer_address.ip, settings_.peer_address.port);
+  platform::PlatformAddresses addresses{sessions.session_address,
+                                        sessions.store_address,
+                                        sessions.promotion_address};
+  platform::CallerLimits limits;
+  limits.sessions = sessions.max_sessions;
+  ports_ = platform::OpenPlatform(&io_, addresses, settings_.identity.vm,
+                                  limits, this);
+  ready_server_ = StartHttpServer(ServerOptions(sessions.ready_address), this);
+  metrics_server_ =
+      StartHttpServer(ServerOptions(sessions.metrics_address), this);
+  WaitForSignal();
+  is_draining_ = true;
+  Perform(reducer_.Start(clock_.Now()));
+  is_draining_ = false;
+  Drain();
+  io_.run();
+  FlushStructuredLog();
+}
+
+void SessionDaemon::OnEvent(proxy::ProxyEventBody event) {
+  events_.push_back(std::move(event));
+  if (!is_draining_) Drain();
+}
+
+void SessionDaemon::Drain() {
+  is_draining_ = true;
+  while (!events_.empty()) {
+    proxy::ProxyEvent event{clock_.Now(), std::move(events_.front())};
+    events_.pop_front();
+    Perform(reducer_.Reduce(event));
+  }
+  is_draining_ = false;
+  is_ready_ = reducer_.is_ready();
+  SetTimer();
+  FlushStructuredLog();
+}
+
+void SessionDaemon::Perform(proxy::ProxyEffects effects) {
+  for (const proxy::ProxyEffect& effect : effects) {
+    std::visit([this](const auto& e) { PerformOne(e); }, effect);
+  }
+}
+
+void SessionDaemon::SetTimer() {
+  if (!reducer_.has_wake()) return;
+  TimePoint next = reducer_.next_wake();
+  if (has_timer_ && timer_at_ <= next) return;
+  has_timer_ = true;
+  timer_at_ = next;
+  Duration wait = next - clock_.Now();
+  timer_.expires_after(std::chrono::milliseconds(wait.millis()));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    has_timer_ = false;
+    OnEvent(proxy::WakeUp{});
+  });
+}
+
+void SessionDaemon::PerformOne(const proxy::StoreCall& e) {
+  metrics_.CountStoreCall();
+  ports_.store->Call(e);
+}
+
+void SessionDaemon::PerformOne(const proxy::WriteRecord& e) {
+  metrics_.CountRecord(e);
+  LogStructured(e, clock_.Now());
+}
+
+void SessionDaemon::PerformOne(const Exit& e) {
+  (void)e;
+  auto delay = std::make_shared<boost::asio::steady_timer>(io_);
+  delay->expires_after(kExitDelay);
+  delay->async_wait([this, delay](boost::system::error_code) { io_.stop(); });
+}
+
+void SessionDaemon::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      Reload();
+    } else {
+      OnEvent(StopRequested{});
+    }
+    WaitForSignal();
+  });
+}
+
+void SessionDaemon::Reload() {
+  proxy::WriteRecord record;
+  record.part = kPart;
+  record.event = "reload";
+  std::string changes = "no settings file";
+  if (!settings_.settings_file.empty()) {
+    changes.clear();
+    for (const std::string& change : ChangedSettings(settings_.settings_file)) {
+      changes += (changes.empty() ? "" : "; ") + change;
+    }
+    if (changes.empty()) changes = "none";
+  }
+  record.fields = {{"changes", changes}, {"in_force", "after a restart"}};
+  PerformOne(record);
+  FlushStructuredLog();
+}
+
+void SessionDaemon::OnHttpRequest(HttpRequest request,
+                                  std::shared_ptr<HttpResponder> responder) {
+  if (request.path == platform::kReadyPath) {
+    bool is_ready = is_ready_;
+    responder->Respond(PlainResponse(is_ready ? 200 : kNotReady, "text/plain",
+                                     is_ready ? "ready\n" : "not ready\n"));
+    return;
+  }
+  if (request.path != kMetricsPath) {
+    responder->Respond(PlainResponse(kNotFound, "text/plain", "not found\n"));
+    return;
+  }
+  boost::asio::post(io_, [this, responder] {
+    responder->Respond(PlainResponse(200, "text/plain; version=0.0.4",
+                                     metrics_.Render(reducer_.gauges())));
+  });
+}
+
+}  // namespace fireflycart
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -1,15 +1,18 @@
-// Environment variables are given to the flags first, then the command line
-// overrides them. Checks collect their faults.
+// The settings file is given to the flags first, then environment variables and
+// the command line override it. Checks collect their faults.
 
 #include "fireflycart/daemon/settings.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <random>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
+#include "absl/flags/reflection.h"
 #include "absl/flags/usage.h"
 #include "absl/flags/usage_config.h"
 #include "absl/strings/ascii.h"
@@ -44,9 +47,33 @@
 ABSL_FLAG(int, caller_budget, 20000,
           "Callers' requests held at a time: 10 to 1000000.");
 
+ABSL_FLAG(std::string, settings, "",
+          "Path of a settings file with lines NAME=VALUE.");
+ABSL_FLAG(
+    std::string, session_address, "",
+    "IP:PORT for callers' sessions. If set, the daemon serves sessions on "
+    "the prepared platform.");
+ABSL_FLAG(std::string, ready_address, "",
+          "IP:PORT at which the platform asks whether this VM is ready.");
+ABSL_FLAG(std::string, metrics_address, "", "IP:PORT of the metrics page.");
+ABSL_FLAG(std::string, store_address, "",
+          "IP:PORT of the platform's metadata store.");
+ABSL_FLAG(std::string, promotion_address, "",
+          "IP:PORT at which the platform takes orders to promote.");
+ABSL_FLAG(double, cpu_share, 1, "Share of a core: 0.01 to 1.");
+ABSL_FLAG(int, cores, 1, "Cores that the share is of: 1 to 1024.");
+ABSL_FLAG(int, max_descriptors, 4096,
+          "Descriptors that this process may open: 256 to 1000000.");
+ABSL_FLAG(
+    double, grace_s, 6,
+    "Time from the signal to stop until the process is killed: 1 to 600.");
+
 namespace fireflycart {
 namespace {
 
+// Descriptors that are not for callers: files, upstreams, peers, the platform.
+constexpr int kOwnDescriptors = 600;
+constexpr char kSettingsVariable[] = "FIREFLYCART_SETTINGS";
 constexpr char kVersion[] = "fireflycartd 0.1.0\n";
 
 class Checker {
@@ -113,8 +140,90 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+std::string Trimmed(const std::string& text) {
+  return std::string(absl::StripAsciiWhitespace(text));
+}
+
+// Calls the function with name and value of each line.
+template <typename Function>
+void ForEachLine(const std::string& path, std::vector<std::string>* faults,
+                 Function function) {
+  std::ifstream file(path);
+  if (!file) {
+    faults->push_back("settings file \"" + path + "\" cannot be read");
+    return;
+  }
+  std::string line;
+  while (std::getline(file, line)) {
+    line = Trimmed(line);
+    if (line.empty() || line.front() == '#') continue;
+    size_t equals = line.find('=');
+    if (equals == std::string::npos) {
+      faults->push_back("settings file, line \"" + line +
+                        "\" is not allowed; allowed is NAME=VALUE");
+      continue;
+    }
+    function(Trimmed(line.substr(0, equals)), Trimmed(line.substr(equals + 1)));
+  }
+}
+
+// Unknown names are ignored, since the platform may add some.
+std::vector<std::string> SetFlagsFromFile(const std::string& path) {
+  std::vector<std::string> faults;
+  ForEachLine(path, &faults,
+              [&](const std::string& name, const std::string& value) {
+                absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+                std::string problem;
+                if (flag == nullptr || flag->ParseFrom(value, &problem)) return;
+                faults.push_back("settings file, " + name + ": \"" + value +
+                                 "\" is not allowed; " + problem);
+              });
+  return faults;
+}
+
+SessionSettings ReadSessionSettings(Checker* check) {
+  SessionSettings settings;
+  settings.session_address =
+      check->Address("session_address", absl::GetFlag(FLAGS_session_address));
+  settings.ready_address =
+      check->Address("ready_address", absl::GetFlag(FLAGS_ready_address));
+  settings.metrics_address =
+      check->Address("metrics_address", absl::GetFlag(FLAGS_metrics_address));
+  settings.store_address = absl::GetFlag(FLAGS_store_address);
+  check->Address("store_address", settings.store_address);
+  settings.promotion_address = absl::GetFlag(FLAGS_promotion_address);
+  check->Address("promotion_address", settings.promotion_address);
+  constexpr double kPermille = 1000;
+  int share = check->Range(
+      "cpu_share (in thousandths)",
+      static_cast<int>(absl::GetFlag(FLAGS_cpu_share) * kPermille), 10, 1000);
+  int cores = check->Range("cores", absl::GetFlag(FLAGS_cores), 1, 1024);
+  settings.cpu_permille = share * cores;
+  int descriptors = check->Range(
+      "max_descriptors", absl::GetFlag(FLAGS_max_descriptors), 256, 1000000);
+  settings.max_sessions =
+      static_cast<size_t>(std::max(descriptors - kOwnDescriptors, 64));
+  constexpr double kMillisPerSecond = 1000;
+  settings.stop_limit = Duration::Millis(check->Range(
+      "grace_s (in milliseconds)",
+      static_cast<int>(absl::GetFlag(FLAGS_grace_s) * kMillisPerSecond), 1000,
+      600000));
+  return settings;
+}
+
 }  // namespace
 
+std::vector<std::string> ChangedSettings(const std::string& path) {
+  std::vector<std::string> changes;
+  ForEachLine(
+      path, &changes, [&](const std::string& name, const std::string& value) {
+        absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+        if (flag == nullptr || flag->CurrentValue() == value) return;
+        changes.push_back(name + ": " + flag->CurrentValue() + " to " + value);
+      });
+  return changes;
+}
+
 Settings ReadSettings(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "Daemon of fireflycart, one on each entry VM.\n"
@@ -129,8 +238,13 @@
   };
   usage.contains_help_flags = usage.contains_helpshort_flags;
   absl::SetFlagsUsageConfig(usage);
-  std::vector<std::string> faults =
-      SetFlagsFromEnvironment(UnknownVariables::kReport);
+  std::vector<std::string> faults;
+  const char* file = std::getenv(kSettingsVariable);
+  if (file != nullptr) faults = SetFlagsFromFile(file);
+  for (std::string& fault :
+       SetFlagsFromEnvironment(UnknownVariables::kReport)) {
+    faults.push_back(std::move(fault));
+  }
   std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
   Checker check;
   for (size_t i = 1; i < rest.size(); i++) {
@@ -145,10 +259,15 @@
   identity.address = absl::GetFlag(FLAGS_peer_address);
   identity.incarnation = DrawIncarnation();
   settings.peer_address = check.Address("peer_address", identity.address);
-  settings.http_address =
-      check.Address("http_address", absl::GetFlag(FLAGS_http_address));
-  settings.platform_address = absl::GetFlag(FLAGS_platform_address);
-  check.Address("platform_address", settings.platform_address);
+  settings.settings_file = absl::GetFlag(FLAGS_settings);
+  if (!absl::GetFlag(FLAGS_session_address).empty()) {
+    settings.sessions = ReadSessionSettings(&check);
+  } else {
+    settings.http_address =
+        check.Address("http_address", absl::GetFlag(FLAGS_http_address));
+    settings.platform_address = absl::GetFlag(FLAGS_platform_address);
+    check.Address("platform_address", settings.platform_address);
+  }
   settings.caller_token = absl::GetFlag(FLAGS_caller_token);
   settings.operator_token = absl::GetFlag(FLAGS_operator_token);
   settings.log_level = check.OneOf("log_level", absl::GetFlag(FLAGS_log_level),
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -1,6 +1,7 @@
-// Settings of the daemon, from flags and environment variables. A flag goes
-// before the variable of the same name (FIREFLYCART_ and the flag in capitals),
-// which goes before the default.
+// Settings of the daemon, from flags, environment variables and a settings
+// file. A flag goes before the variable of the same name (FIREFLYCART_ and the
+// flag in capitals), which goes before the line NAME=VALUE of the file, which
+// goes before the default.
 //
 //   Settings settings = ReadSettings(argc, argv);   // may end the process
 //
@@ -11,6 +12,7 @@
 #define FIREFLYCART_DAEMON_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +24,22 @@
 
 constexpr int kExitUsage = 2;
 
+// Of a daemon that serves sessions on the prepared platform.
+struct SessionSettings {
+  IpAddress session_address;
+  IpAddress ready_address;
+  IpAddress metrics_address;
+  std::string store_address;
+  std::string promotion_address;
+  int cpu_permille = 1000;
+  size_t max_sessions = 1;
+  Duration stop_limit;
+};
+
 struct Settings {
+  std::string settings_file;  // Empty: none.
+  // Set if --session_address is given; the daemon then serves sessions.
+  std::optional<SessionSettings> sessions;
   NodeIdentity identity;
   IpAddress peer_address;
   IpAddress http_address;
@@ -39,6 +56,10 @@
 // Reads and checks the settings. Prints all faults and exits if there are any.
 Settings ReadSettings(int argc, char** argv);
 
+// Reads the settings file again and returns what would change, as "NAME: OLD to
+// NEW". Changes are in force after a restart.
+std::vector<std::string> ChangedSettings(const std::string& path);
+
 }  // namespace fireflycart
 
 #endif  // FIREFLYCART_DAEMON_SETTINGS_H_
--- a/fireflycart/net/http_client.cc
+++ b/fireflycart/net/http_client.cc
@@ -74,7 +74,16 @@
 
   void Post(const std::string& path, const std::string& body, Duration limit,
             std::function<void(HttpReply)> on_reply) override {
-    request_ = MakeRequest(http::verb::post, address_, path, body, token_);
+    Send(HttpCall{"POST", path, body, {}}, limit, std::move(on_reply));
+  }
+
+  void Send(const HttpCall& call, Duration limit,
+            std::function<void(HttpReply)> on_reply) override {
+    request_ = MakeRequest(http::string_to_verb(call.method), address_,
+                           call.target, call.body, token_);
+    for (const HttpField& field : call.fields) {
+      request_.set(field.name, field.value);
+    }
     if (limit > Duration()) {
       LimitTo(limit);
     } else {
@@ -154,6 +163,15 @@
   return connection;
 }
 
+std::shared_ptr<HttpConnection> OpenHttpConnection(
+    boost::asio::io_context* io, const std::string& address, Duration limit,
+    std::function<void(bool)> on_open) {
+  auto connection = std::make_shared<BeastConnection>(io, address);
+  connection->LimitTo(limit);
+  connection->Open(std::move(on_open));
+  return connection;
+}
+
 void PostOnce(boost::asio::io_context* io, const std::string& address,
               const std::string& path, const std::string& body, Duration limit,
               std::function<void(HttpReply)> on_reply) {
--- a/fireflycart/net/http_client.h
+++ b/fireflycart/net/http_client.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fireflycart/core/clock.h"
 
@@ -34,9 +35,25 @@
   std::string body;
 };
 
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+
+// A request other than a POST of JSON.
+struct HttpCall {
+  std::string method;  // Any registered one, such as GET.
+  std::string target;  // Path and query, escaped.
+  std::string body;
+  std::vector<HttpField> fields;
+};
+
 class HttpConnection {
  public:
   virtual ~HttpConnection() = default;
+  // Like Post, for any method.
+  virtual void Send(const HttpCall& call, Duration limit,
+                    std::function<void(HttpReply)> on_reply) = 0;
   // Sent with each later request, if not empty.
   virtual void SetToken(const std::string& token) = 0;
   // One request at a time; the callback is not called after Close. A limit of 0
@@ -52,6 +69,10 @@
 std::shared_ptr<HttpConnection> OpenHttpConnection(
     boost::asio::io_context* io, const std::string& address,
     std::function<void(bool)> on_open);
+// The same, given up after the limit.
+std::shared_ptr<HttpConnection> OpenHttpConnection(
+    boost::asio::io_context* io, const std::string& address, Duration limit,
+    std::function<void(bool)> on_open);
 
 // Requests on a connection of their own. The callback is called once.
 void PostOnce(boost::asio::io_context* io, const std::string& address,
--- a/fireflycart/net/peer_codec.cc
+++ b/fireflycart/net/peer_codec.cc
@@ -8,6 +8,7 @@
 
 #include "fireflycart/core/error.h"
 #include "fireflycart/net/json_types.h"
+#include "fireflycart/net/proxy_codec.h"
 
 namespace fireflycart {
 namespace {
--- /dev/null
+++ b/fireflycart/net/proxy_codec.cc
@@ -0,0 +1,265 @@
+// One pair of functions for each type. Put appends fields in a fixed order and
+// Take reads them back in the same order.
+
+#include "fireflycart/net/proxy_codec.h"
+
+#include <utility>
+
+namespace fireflycart::proxy {
+namespace {
+
+// Appends the fields of a message.
+template <typename... Fields>
+Json Pack(const Fields&... fields) {
+  return Json::array({Json(fields)...});
+}
+
+// Reads the fields of a message in order.
+class Unpacker {
+ public:
+  explicit Unpacker(const Json& json) : json_(json) {}
+
+  template <typename T>
+  Unpacker& Take(T* value) {
+    *value = json_.at(next_++).get<T>();
+    return *this;
+  }
+
+  template <typename Enum>
+  Unpacker& TakeEnum(int count, Enum* value) {
+    int number = json_.at(next_++).get<int>();
+    if (number < 0 || number >= count) {
+      throw Error(
+          ErrorCode::kProtocol, "decode enumerator", "",
+          std::to_string(number) + " is not below " + std::to_string(count));
+    }
+    *value = static_cast<Enum>(number);
+    return *this;
+  }
+
+  const Json& Next() { return json_.at(next_++); }
+
+ private:
+  const Json& json_;
+  size_t next_ = 0;
+};
+
+Json ToJson(const LogPosition& p) { return Pack(p.term, p.number); }
+void FromJson(const Json& json, LogPosition* p) {
+  Unpacker(json).Take(&p->term).Take(&p->number);
+}
+
+Json ToJson(const SessionKey& k) {
+  return Pack(k.vm, k.incarnation, k.session);
+}
+void FromJson(const Json& json, SessionKey* k) {
+  Unpacker(json).Take(&k->vm).Take(&k->incarnation).Take(&k->session);
+}
+
+Json ToJson(const Route& r) {
+  return Pack(r.database, r.group, EnumNumber(r.rule), r.max_age, r.timeout,
+              r.target, r.priority);
+}
+void FromJson(const Json& json, Route* r) {
+  Unpacker(json)
+      .Take(&r->database)
+      .Take(&r->group)
+      .TakeEnum(kReadRules, &r->rule)
+      .Take(&r->max_age)
+      .Take(&r->timeout)
+      .Take(&r->target)
+      .Take(&r->priority);
+}
+
+Json ToJson(const GroupSpec& g) {
+  return Pack(g.id, g.max_connections, g.sync_replicas);
+}
+void FromJson(const Json& json, GroupSpec* g) {
+  Unpacker(json).Take(&g->id).Take(&g->max_connections).Take(&g->sync_replicas);
+}
+
+Json ToJson(const UpstreamRecord& u) {
+  return Pack(u.id, u.group, u.address, u.data_centre, u.slots, u.leaving,
+              u.is_primary, u.started_ms);
+}
+void FromJson(const Json& json, UpstreamRecord* u) {
+  Unpacker(json)
+      .Take(&u->id)
+      .Take(&u->group)
+      .Take(&u->address)
+      .Take(&u->data_centre)
+      .Take(&u->slots)
+      .Take(&u->leaving)
+      .Take(&u->is_primary)
+      .Take(&u->started_ms);
+}
+
+Json ToJson(const VmRecord& v) {
+  return Pack(v.vm, v.address, v.data_centre, v.incarnation, v.cpu_permille);
+}
+void FromJson(const Json& json, VmRecord* v) {
+  Unpacker(json)
+      .Take(&v->vm)
+      .Take(&v->address)
+      .Take(&v->data_centre)
+      .Take(&v->incarnation)
+      .Take(&v->cpu_permille);
+}
+
+template <typename Map>
+Json ValuesToJson(const Map& map) {
+  Json list = Json::array();
+  for (const auto& item : map) list.push_back(ToJson(item.second));
+  return list;
+}
+
+Json ToJson(const RouteTable& t) {
+  return Json::array({t.version, ValuesToJson(t.routes), ValuesToJson(t.groups),
+                      t.transaction_idle});
+}
+void FromJson(const Json& json, RouteTable* t) {
+  Unpacker fields(json);
+  fields.Take(&t->version);
+  for (const Json& item : fields.Next()) {
+    Route route;
+    FromJson(item, &route);
+    t->routes[route.database] = route;
+  }
+  for (const Json& item : fields.Next()) {
+    GroupSpec group;
+    FromJson(item, &group);
+    t->groups[group.id] = group;
+  }
+  fields.Take(&t->transaction_idle);
+}
+
+Json ToJson(const UpstreamList& l) {
+  return Json::array({l.version, ValuesToJson(l.records)});
+}
+void FromJson(const Json& json, UpstreamList* l) {
+  Unpacker fields(json);
+  fields.Take(&l->version);
+  for (const Json& item : fields.Next()) {
+    UpstreamRecord record;
+    FromJson(item, &record);
+    l->records[record.id] = record;
+  }
+}
+
+}  // namespace
+
+Json ToJson(const StatementCall& c) {
+  return Json::array(
+      {c.group.value(), ToJson(c.session), EnumNumber(c.transaction),
+       c.transaction_number, c.opens_transaction, EnumNumber(c.access),
+       c.id.value(), c.text, c.is_prepared, c.prepared.writes, c.prepared.shape,
+       c.values, EnumNumber(c.rule), c.max_age.millis(), ToJson(c.own_position),
+       c.priority, c.target_left.millis(), c.time_left.millis()});
+}
+
+void FromJson(const Json& json, StatementCall* c) {
+  Unpacker fields(json);
+  fields.Take(&c->group);
+  FromJson(fields.Next(), &c->session);
+  fields.TakeEnum(kTransactionKinds, &c->transaction)
+      .Take(&c->transaction_number)
+      .Take(&c->opens_transaction)
+      .TakeEnum(kAccesses, &c->access)
+      .Take(&c->id)
+      .Take(&c->text)
+      .Take(&c->is_prepared)
+      .Take(&c->prepared.writes)
+      .Take(&c->prepared.shape)
+      .Take(&c->values)
+      .TakeEnum(kReadRules, &c->rule)
+      .Take(&c->max_age);
+  FromJson(fields.Next(), &c->own_position);
+  fields.Take(&c->priority).Take(&c->target_left).Take(&c->time_left);
+}
+
+Json ToJson(const StatementReply& r) {
+  return Json::array({EnumNumber(r.outcome), r.rows, r.signature, r.detail,
+                      ToJson(r.position), r.is_moved, r.is_leaving});
+}
+
+void FromJson(const Json& json, StatementReply* r) {
+  Unpacker fields(json);
+  fields.TakeEnum(kOutcomes, &r->outcome)
+      .Take(&r->rows)
+      .Take(&r->signature)
+      .Take(&r->detail);
+  FromJson(fields.Next(), &r->position);
+  fields.Take(&r->is_moved).Take(&r->is_leaving);
+}
+
+Json ToJson(const EndTransactionCall& c) {
+  return Json::array(
+      {c.group.value(), ToJson(c.session), c.transaction_number});
+}
+void FromJson(const Json& json, EndTransactionCall* c) {
+  Unpacker fields(json);
+  fields.Take(&c->group);
+  FromJson(fields.Next(), &c->session);
+  fields.Take(&c->transaction_number);
+}
+
+Json ToJson(const WithdrawCall& c) {
+  return Json::array({c.group.value(), ToJson(c.session), c.id.value()});
+}
+void FromJson(const Json& json, WithdrawCall* c) {
+  Unpacker fields(json);
+  fields.Take(&c->group);
+  FromJson(fields.Next(), &c->session);
+  fields.Take(&c->id);
+}
+
+Json ToJson(const FreshnessCall& c) {
+  return Pack(c.route_version, c.upstream_version, c.is_leaving);
+}
+void FromJson(const Json& json, FreshnessCall* c) {
+  Unpacker(json)
+      .Take(&c->route_version)
+      .Take(&c->upstream_version)
+      .Take(&c->is_leaving);
+}
+
+Json ToJson(const FreshnessReply& r) {
+  return Pack(r.route_version, r.upstream_version, r.is_leaving);
+}
+void FromJson(const Json& json, FreshnessReply* r) {
+  Unpacker(json)
+      .Take(&r->route_version)
+      .Take(&r->upstream_version)
+      .Take(&r->is_leaving);
+}
+
+Json ToJson(const SnapshotCall& c) {
+  return Pack(c.route_version, c.upstream_version);
+}
+void FromJson(const Json& json, SnapshotCall* c) {
+  Unpacker(json).Take(&c->route_version).Take(&c->upstream_version);
+}
+
+Json ToJson(const SnapshotReply& r) {
+  Json vms = Json::array();
+  for (const VmRecord& vm : r.vms) vms.push_back(ToJson(vm));
+  return Json::array({ToJson(r.routes), ToJson(r.upstreams), std::move(vms)});
+}
+void FromJson(const Json& json, SnapshotReply* r) {
+  Unpacker fields(json);
+  FromJson(fields.Next(), &r->routes);
+  FromJson(fields.Next(), &r->upstreams);
+  for (const Json& item : fields.Next()) {
+    VmRecord vm;
+    FromJson(item, &vm);
+    r->vms.push_back(std::move(vm));
+  }
+}
+
+// Messages without fields.
+Json ToJson(const EndTransactionReply&) { return Json::array(); }
+void FromJson(const Json&, EndTransactionReply*) {}
+Json ToJson(const WithdrawReply&) { return Json::array(); }
+void FromJson(const Json&, WithdrawReply*) {}
+
+}  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/net/proxy_codec.h
@@ -0,0 +1,41 @@
+// JSON form of the messages between VMs that serve sessions, for peer_codec.
+//
+//   Json json = ToJson(call);
+//   FromJson(json, &call);
+//
+// Limits: messages are arrays without names, since one is sent for each
+// statement. All VMs of a fleet must run versions that agree on them.
+
+#ifndef FIREFLYCART_NET_PROXY_CODEC_H_
+#define FIREFLYCART_NET_PROXY_CODEC_H_
+
+#include "fireflycart/core/proxy/peer_calls.h"
+#include "fireflycart/net/json_types.h"
+
+namespace fireflycart::proxy {
+
+// Each FromJson throws Json::exception or Error if the message does not fit.
+Json ToJson(const StatementCall& call);
+void FromJson(const Json& json, StatementCall* call);
+Json ToJson(const StatementReply& reply);
+void FromJson(const Json& json, StatementReply* reply);
+Json ToJson(const EndTransactionCall& call);
+void FromJson(const Json& json, EndTransactionCall* call);
+Json ToJson(const EndTransactionReply& reply);
+void FromJson(const Json& json, EndTransactionReply* reply);
+Json ToJson(const WithdrawCall& call);
+void FromJson(const Json& json, WithdrawCall* call);
+Json ToJson(const WithdrawReply& reply);
+void FromJson(const Json& json, WithdrawReply* reply);
+Json ToJson(const FreshnessCall& call);
+void FromJson(const Json& json, FreshnessCall* call);
+Json ToJson(const FreshnessReply& reply);
+void FromJson(const Json& json, FreshnessReply* reply);
+Json ToJson(const SnapshotCall& call);
+void FromJson(const Json& json, SnapshotCall* call);
+Json ToJson(const SnapshotReply& reply);
+void FromJson(const Json& json, SnapshotReply* reply);
+
+}  // namespace fireflycart::proxy
+
+#endif  // FIREFLYCART_NET_PROXY_CODEC_H_
--- /dev/null
+++ b/fireflycart/net/stream_socket.cc
@@ -0,0 +1,136 @@
+// The socket is non-blocking and waited on for readiness, so that an idle
+// connection holds no buffer.
+
+#include "fireflycart/net/stream_socket.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace fireflycart {
+namespace {
+
+constexpr size_t kReadBuffer = 65536;
+
+// Shared by all connections of the thread; emptied before the next read.
+std::array<char, kReadBuffer>& SharedBuffer() {
+  static std::array<char, kReadBuffer> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+StreamSocket::StreamSocket(boost::asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)) {}
+
+void StreamSocket::Start(Duration unacknowledged_limit) {
+  boost::system::error_code error;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), error);
+  int limit = static_cast<int>(unacknowledged_limit.millis());
+  // Best effort: without it a dead peer is found by the caller's own limits.
+  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+             sizeof(limit));
+  socket_.non_blocking(true, error);
+  if (error) {
+    Fail(error.message());
+    return;
+  }
+  WaitForBytes();
+}
+
+void StreamSocket::WaitForBytes() {
+  auto self = shared_from_this();
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [this, self](boost::system::error_code error) {
+                       if (closed_) return;
+                       if (error) {
+                         Fail(error.message());
+                         return;
+                       }
+                       ReadAll();
+                     });
+}
+
+void StreamSocket::ReadAll() {
+  std::array<char, kReadBuffer>& buffer = SharedBuffer();
+  boost::system::error_code error;
+  size_t size = socket_.read_some(boost::asio::buffer(buffer), error);
+  if (error == boost::asio::error::would_block) {
+    WaitForBytes();
+    return;
+  }
+  if (error) {
+    Fail(error.message());
+    return;
+  }
+  OnBytes(buffer.data(), size);
+  if (!closed_) WaitForBytes();
+}
+
+void StreamSocket::Write(const std::string& bytes) {
+  if (closed_ || closes_after_writes_) return;
+  unsent_ += bytes;
+  if (unsent_.size() > kMaxUnsent) {
+    Fail("peer does not read");
+    return;
+  }
+  if (!is_waiting_for_room_) WriteSome();
+}
+
+void StreamSocket::WriteSome() {
+  boost::system::error_code error;
+  size_t size = socket_.write_some(boost::asio::buffer(unsent_), error);
+  if (error && error != boost::asio::error::would_block) {
+    Fail(error.message());
+    return;
+  }
+  unsent_.erase(0, size);
+  if (!unsent_.empty()) {
+    WaitForRoom();
+  } else {
+    unsent_.shrink_to_fit();
+    if (closes_after_writes_) Close();
+  }
+}
+
+void StreamSocket::WaitForRoom() {
+  is_waiting_for_room_ = true;
+  auto self = shared_from_this();
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_write,
+                     [this, self](boost::system::error_code error) {
+                       is_waiting_for_room_ = false;
+                       if (closed_) return;
+                       if (error) {
+                         Fail(error.message());
+                         return;
+                       }
+                       WriteSome();
+                     });
+}
+
+void StreamSocket::CloseAfterWrites() {
+  if (closed_) return;
+  closes_after_writes_ = true;
+  if (unsent_.empty()) Close();
+}
+
+void StreamSocket::Close() {
+  if (closed_) return;
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+}
+
+void StreamSocket::Fail(const std::string& reason) {
+  if (closed_) return;
+  Close();
+  // Not from within a call of the owner, which may be iterating.
+  auto self = shared_from_this();
+  boost::asio::post(socket_.get_executor(),
+                    [this, self, reason] { OnClosed(reason); });
+}
+
+}  // namespace fireflycart
