Prove the primary current before a read is sent; end attempts to replace it

A read, or the begin of a transaction, now needs a proof no older than 100 ms when it arrives, less than a promotion takes. Writes need one of 600 ms, so that commits do not wait for a replica in vain. It now treats the registered primary as lost, yields to the owner and gives up when the primary answers. Control connections refused as too many no longer count against the upstream, and idle connections are closed when another VM owns the group.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -112,17 +112,28 @@
   return false;
 }
 
-bool Failover::OldPrimaryReturned(UpstreamPool* pool) const {
-  if (cause_ != FailoverCause::kLost) return false;
-  PooledUpstream* old = pool->FindUpstream(old_primary_);
-  return old != nullptr && !old->is_down && old->has_status &&
-         old->status.is_primary &&
-         old->status_sent.sequence > started_.sequence;
+// A primary that was lost, or that nobody knew of, answers.
+bool Failover::PrimaryReturned(UpstreamPool* pool) const {
+  bool may_return =
+      cause_ == FailoverCause::kLost || cause_ == FailoverCause::kNone;
+  if (!may_return) return false;
+  for (const auto& item : pool->upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool leads = !upstream.is_down && upstream.has_status &&
+                 upstream.status.is_primary && upstream.status.term == term_ &&
+                 upstream.status_sent.sequence > started_.sequence;
+    if (leads) return true;
+  }
+  return false;
 }
 
 void Failover::StepHolding(UpstreamPool* pool, ProxyContext* context) {
-  if (OldPrimaryReturned(pool)) {
-    GiveUp("old primary is back", pool, context);
+  if (PrimaryReturned(pool)) {
+    GiveUp("the primary answers", pool, context);
+    return;
+  }
+  if (context->now() - started_.time > kHoldLimit) {
+    GiveUp("not every replica could be held", pool, context);
     return;
   }
   if (cause_ == FailoverCause::kLeaving) {
@@ -292,10 +303,15 @@
                {{"group", group_.value()}, {"reason", reason}});
   Resume(pool, context);
   stage_ = FailoverStage::kIdle;
-  retry_at_ = context->now() + kAskPeriod;
+  retry_at_ = context->now() + kRetryAfter;
   lease_.Release(term_, context);
 }
 
+void Failover::Yield(UpstreamPool* pool, ProxyContext* context) {
+  if (stage_ != FailoverStage::kHolding) return;
+  GiveUp("another VM owns the group", pool, context);
+}
+
 void Failover::Finish(UpstreamPool* pool, ProxyContext* context) {
   context->Log(
       LogLevel::kWarning, kPart, "finished",
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -38,6 +38,11 @@
   // An entry that is missing from the registry for so long belongs to an
   // upstream that is gone; the platform restores entries within 2 s.
   static constexpr Duration kGoneAfter = Duration::Millis(2300);
+  // An attempt that cannot make every replica hold is given up after it, so that
+  // a primary which only this VM cannot reach goes on.
+  static constexpr Duration kHoldLimit = Duration::Seconds(5);
+  // Pause before the next attempt.
+  static constexpr Duration kRetryAfter = Duration::Millis(500);
   // Pause between two orders to hold, or two questions, to one upstream.
   static constexpr Duration kAskPeriod = Duration::Millis(60);
   // Time that a promotion has to take effect: three times the longest one.
@@ -66,6 +71,10 @@
     if (stage_ == FailoverStage::kIdle) lease_.Acquire(false, term, context);
   }
 
+  // This VM is no longer to own the group: an attempt that has not ordered a
+  // promotion yet is left to the next owner.
+  void Yield(UpstreamPool* pool, ProxyContext* context);
+
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
   FailoverStage stage() const { return stage_; }
   FailoverCause cause() const { return cause_; }
@@ -91,7 +100,7 @@
   void Order(ProxyContext* context);
   void Ask(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
            ProxyContext* context);
-  bool OldPrimaryReturned(UpstreamPool* pool) const;
+  bool PrimaryReturned(UpstreamPool* pool) const;
   bool OtherLeads(UpstreamPool* pool) const;
   void GiveUp(const char* reason, UpstreamPool* pool, ProxyContext* context);
   void Finish(UpstreamPool* pool, ProxyContext* context);
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -67,7 +67,7 @@
       evidence_.OnProof(command.at);
       failover_.OnAcknowledged(answer.position);
     }
-    AwaitProofOrFinish(work, context);
+    Finish(work, context);
     return;
   }
   Transaction& transaction = transactions_[work->transaction()];
@@ -89,7 +89,7 @@
     Finish(work, context);
     return;
   }
-  AwaitProofOrFinish(work, context);
+  Finish(work, context);
 }
 
 void GroupOwner::OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
@@ -250,59 +250,6 @@
   }
 }
 
-bool GroupOwner::IsProven(const Work& work) const {
-  if (work.call.access != Access::kRead || !work.needs_proof) return true;
-  Instant since = work.arrived;
-  if (work.in_transaction()) {
-    auto found = transactions_.find(work.transaction());
-    if (found == transactions_.end()) return false;
-    since = found->second.began;
-  }
-  if (work.call.rule == ReadRule::kNewest) {
-    return evidence_.IsProvenSince(since.sequence);
-  }
-  return evidence_.IsProvenSince(since.time - work.call.max_age);
-}
-
-// The primary changed: what was read at the old one cannot be proven any more.
-void GroupOwner::RepeatUnproven(ProxyContext* context) {
-  std::set<StatementNumber> unproven;
-  unproven.swap(awaiting_proof_);
-  for (StatementNumber number : unproven) {
-    Work* work = FindWork(number);
-    if (work == nullptr) continue;
-    if (!work->in_transaction() && work->attempts < kMaxAttempts) {
-      Requeue(work, Duration(), context);
-      continue;
-    }
-    TransactionKey key = work->transaction();
-    Fail(work, Outcome::kAborted, "primary_changed", context);
-    DropTransaction(key, true, context);
-  }
-}
-
-void GroupOwner::AwaitProofOrFinish(Work* work, ProxyContext* context) {
-  if (IsProven(*work)) {
-    Finish(work, context);
-    return;
-  }
-  work->stage = WorkStage::kAwaitingProof;
-  awaiting_proof_.insert(work->number);
-  RequestProof(context);
-}
-
-void GroupOwner::ReleaseProven(ProxyContext* context) {
-  std::vector<StatementNumber> proven;
-  for (StatementNumber number : awaiting_proof_) {
-    const Work* work = FindWork(number);
-    if (work == nullptr || IsProven(*work)) proven.push_back(number);
-  }
-  for (StatementNumber number : proven) {
-    awaiting_proof_.erase(number);
-    if (Work* work = FindWork(number)) Finish(work, context);
-  }
-}
-
 void GroupOwner::Finish(Work* work, ProxyContext* context) {
   StatementNumber number = work->number;
   WorkOrigin origin = work->origin;
@@ -316,7 +263,6 @@
 void GroupOwner::Fail(Work* work, Outcome outcome, const char* cause,
                       ProxyContext* context) {
   if (work->is_queued()) queue_.Remove(work);
-  awaiting_proof_.erase(work->number);
   context->Log(
       LogLevel::kInfo, kPart, "not_served",
       {{"group", spec_.id.value()},
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -2,9 +2,14 @@
 // take the replica with the least load that is known to hold what they need,
 // and the primary only when it has a free slot that nothing else waits for.
 //
-// Where a read must contain all commits up to some time, it asks the upstream
-// to hold a position that was the primary's at such a time. Which positions
-// count is decided by Evidence.
+// Where a read must contain all commits up to some time, it asks a replica to
+// hold a position that was the primary's at such a time. Which positions count
+// is decided by Evidence.
+//
+// At the primary a read runs only if the primary was proven current a moment
+// ago. A promotion that was ordered after the proof takes effect later than
+// that moment, so no other upstream had acknowledged anything when the read
+// arrived.
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +22,12 @@
 
 // A position that a replica showed this long ago says little of now.
 constexpr Duration kAppliedFresh = Duration::Millis(20);
+// The platform promotes some hundred milliseconds after the order. Within this
+// time after a proof no other upstream leads.
+constexpr Duration kPromotionLead = Duration::Millis(100);
+// A write needs no proof to be correct. Without a recent one its commit would
+// probably wait for a replica in vain.
+constexpr Duration kWriteProofAge = Duration::Millis(600);
 // Pause of work that no upstream can serve yet.
 constexpr Duration kRecheck = Duration::Millis(10);
 // Part of a read's age that is left for the time its statement travels.
@@ -50,8 +61,20 @@
   }
 }
 
+// How old the proof may be that the primary was current.
+Duration GroupOwner::ProofAge(const Work& work) const {
+  bool only_writes = !work.in_transaction() && work.call.access != Access::kRead;
+  if (only_writes) return kWriteProofAge;
+  if (work.call.rule == ReadRule::kNewest) return kPromotionLead;
+  return std::min(work.call.max_age, kWriteProofAge);
+}
+
+bool GroupOwner::IsProven(const Work& work) const {
+  return evidence_.IsProvenSince(work.arrived.time - ProofAge(work));
+}
+
 bool GroupOwner::MayStartAtPrimary(const Work& work, ProxyContext* context) {
-  if (context->now() < work.not_before) return false;
+  if (context->now() < work.not_before || !IsProven(work)) return false;
   return !work.in_transaction() || pool_.MayPin(primary_);
 }
 
@@ -150,7 +173,6 @@
   if (work->first_sent == TimePoint()) work->first_sent = context->now();
   context->WakeAround(work->timeout);
   bool is_primary = upstream->record.id == primary_;
-  work->needs_proof = is_primary;
   LogPosition after = is_primary ? AfterAtPrimary(*work) : FloorFor(*work);
   std::vector<UpstreamCommand> commands =
       UpstreamPool::SetUp(connection, work->call);
@@ -170,7 +192,6 @@
   transaction.kind = work->call.transaction;
   transaction.began = work->arrived;
   transaction.running = work->number;
-  transaction.needs_proof = is_primary;
   transactions_[work->transaction()] = transaction;
   UpstreamCommand begin;
   begin.kind = work->call.transaction == TransactionKind::kReadOnly
@@ -192,7 +213,6 @@
   CheckInvariant(connection != nullptr && connection->is_pinned,
                  "continue transaction", spec_.id.value());
   found->second.running = work->number;
-  work->needs_proof = found->second.needs_proof;
   work->stage = WorkStage::kRunning;
   work->connection = connection->id;
   work->sent = context->instant();
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -17,6 +17,8 @@
 constexpr Duration kStuckHold = Duration::Seconds(5);
 // Time without a leader after which one is chosen; covers the start.
 constexpr Duration kLeaderless = Duration::Millis(500);
+// An upstream drops the connections of a dead VM after 3 s.
+constexpr Duration kAloneAfter = Duration::Seconds(4);
 // Time after which the owner takes the duty ahead of need.
 constexpr Duration kDutyAfter = Duration::Millis(700);
 // An answer that is missing for so long is not awaited on its connection.
@@ -68,22 +70,29 @@
                   status.term == primary->status.term;
   if (!receives) return;
   evidence_.OnProof(command.at);
-  if (command.at.sequence >= proof_asked_.sequence) {
-    proof_pending_ = false;
-    if (proof_wanted_) RequestProof(context);
+  if (command.at.sequence >= proof_asked_.sequence) proof_pending_ = false;
+}
+
+// Asks for a proof ahead of need while work that needs one waits or comes.
+void GroupOwner::KeepProven(ProxyContext* context) {
+  if (primary_ == UpstreamId() || failover_.is_active()) return;
+  Work* work = queue_.First(Lane::kPrimary, context->now(),
+                            [](const Work&) { return true; });
+  if (work == nullptr) {
+    work = queue_.First(Lane::kAny, context->now(),
+                        [](const Work&) { return true; });
   }
+  if (work == nullptr) return;
+  Duration age = Duration::Millis(ProofAge(*work).millis() / 2);
+  if (!evidence_.IsProvenSince(context->now() - age)) RequestProof(context);
 }
 
 void GroupOwner::RequestProof(ProxyContext* context) {
-  // One question at a time: those that come meanwhile share the next one.
+  // One question at a time; all replicas are asked if one does not answer.
   constexpr Duration kLost = Duration::Millis(30);
   bool is_pending =
       proof_pending_ && context->now() - proof_asked_.time < kLost;
-  if (is_pending) {
-    proof_wanted_ = true;
-    return;
-  }
-  proof_wanted_ = false;
+  if (is_pending) return;
   UpstreamCommand status;
   bool ask_all = proof_pending_;  // The last one was not answered in time.
   bool asked = false;
@@ -128,7 +137,6 @@
   proof_pending_ = false;
   next_status_ = context->now();
   context->WakeAt(context->now());
-  RepeatUnproven(context);
   if (old == UpstreamId()) return;
   // What still runs at the old primary cannot be acknowledged any more. Reads
   // run again; the outcome of a write that was sent is unknown.
@@ -237,6 +245,8 @@
   next_tidy_ = context->now() + kTidyPeriod;
   context->WakeAt(next_tidy_);
   DropGone(context);
+  pool_.SetAlone(is_chosen_ && context->now() - chosen_since_ > kAloneAfter);
+  if (!is_chosen_) pool_.CloseIdle(context);
   PooledUpstream* primary = Primary();
   if (primary == nullptr || failover_.is_active() || !is_chosen_) return;
   uint64_t term = primary->status.term;
@@ -284,21 +294,37 @@
   }
 }
 
+// No upstream has said that it leads. The registry may name one that does not
+// answer; otherwise all of them must have been asked.
+void GroupOwner::CheckLeaderless(ProxyContext* context) {
+  bool may_be_starting =
+      context->now() - without_primary_since_ < kLeaderless ||
+      context->now() - chosen_since_ < kLeaderless;
+  if (may_be_starting) return;
+  uint64_t term = 0;
+  UpstreamId registered;
+  bool all_replicas = true;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool is_fresh = upstream.has_status && !upstream.is_down;
+    if (is_fresh) term = std::max(term, upstream.status.term);
+    bool claims = upstream.record.is_primary && upstream.is_registered;
+    if (claims && upstream.is_down) registered = item.first;
+    all_replicas = all_replicas && is_fresh;
+  }
+  if (term == 0) return;
+  if (registered != UpstreamId()) {
+    failover_.Start(FailoverCause::kLost, registered, term, context);
+  } else if (all_replicas) {
+    failover_.Start(FailoverCause::kNone, UpstreamId(), term, context);
+  }
+}
+
 void GroupOwner::CheckFailover(ProxyContext* context) {
   if (!is_chosen_ || failover_.is_active()) return;
   PooledUpstream* known = pool_.FindUpstream(primary_);
   if (known == nullptr || !known->has_status) {
-    bool is_leaderless =
-        context->now() - without_primary_since_ > kLeaderless &&
-        context->now() - chosen_since_ > kLeaderless &&
-        pool_.upstreams().size() > 1;
-    if (is_leaderless) {
-      uint64_t term = 0;
-      for (const auto& item : pool_.upstreams()) {
-        term = std::max(term, item.second.status.term);
-      }
-      failover_.Start(FailoverCause::kNone, UpstreamId(), term, context);
-    }
+    CheckLeaderless(context);
     return;
   }
   uint64_t term = known->status.term;
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -1,6 +1,6 @@
-// Each entry point changes what is known and then settles the group: proven
-// answers are released, the failover takes its next step, and waiting work is
-// dispatched. Dispatch, answers and health are in files of their own.
+// Each entry point changes what is known and then settles the group: the
+// failover takes its next step, proofs are asked for that waiting work needs,
+// and work is dispatched. Dispatch, answers and health are in files of their own.
 
 #include "fireflycart/core/proxy/group_owner.h"
 
@@ -58,7 +58,12 @@
   context->Log(LogLevel::kInfo, kPart, is_chosen ? "owned" : "not_owned",
                {{"group", spec_.id.value()},
                 {"transactions", std::to_string(transactions_.size())}});
-  if (is_chosen) Activate(context);
+  if (is_chosen) {
+    Activate(context);
+  } else {
+    failover_.Yield(&pool_, context);
+    pool_.CloseIdle(context);
+  }
   Settle(context);
 }
 
@@ -142,8 +147,7 @@
   if (lost.id == ConnectionId()) return;
   OnLost(lost, context);
   PooledUpstream* upstream = pool_.FindUpstream(lost.upstream);
-  bool gives_up = upstream->failed_opens >= UpstreamPool::kFailuresUntilDown &&
-                  event.outcome != Outcome::kTooManyConnections;
+  bool gives_up = upstream->failed_opens >= UpstreamPool::kFailuresUntilDown;
   if (gives_up && !upstream->is_down) {
     MarkDown(lost.upstream, event.reason.c_str(), context);
   }
@@ -200,7 +204,7 @@
   UpdatePrimary(context);
   CheckFailover(context);
   failover_.Step(&pool_, context);
-  ReleaseProven(context);
+  KeepProven(context);
   Dispatch(context);
   Deactivate(context);
 }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -82,7 +82,6 @@
     TransactionKind kind = TransactionKind::kReadWrite;
     Instant began;
     bool has_written = false;
-    bool needs_proof = false;  // It runs at the primary.
     StatementNumber running;   // 0: none.
     TimePoint idle_since;
   };
@@ -102,6 +101,10 @@
   LogPosition AfterAtPrimary(const Work& work) const;
   bool MayStartAtPrimary(const Work& work, ProxyContext* context);
   void Requeue(Work* work, Duration pause, ProxyContext* context);
+  Duration ProofAge(const Work& work) const;
+  bool IsProven(const Work& work) const;
+  void KeepProven(ProxyContext* context);
+  void RequestProof(ProxyContext* context);
 
   // group_answers
   void OnStatementAnswer(Work* work, const SentCommand& command,
@@ -114,11 +117,6 @@
                              ProxyContext* context);
   void OnLost(const PooledConnection& lost, ProxyContext* context);
   void OnWorkLost(Work* work, bool was_sent, ProxyContext* context);
-  void AwaitProofOrFinish(Work* work, ProxyContext* context);
-  bool IsProven(const Work& work) const;
-  void ReleaseProven(ProxyContext* context);
-  void RepeatUnproven(ProxyContext* context);
-  void RequestProof(ProxyContext* context);
   void OnControlAnswer(const UpstreamId& upstream, const SentCommand& command,
                        const UpstreamAnswer& answer, ProxyContext* context);
   void DropTransaction(const TransactionKey& key, bool close,
@@ -136,6 +134,7 @@
   void CheckSilence(ProxyContext* context);
   void CheckTimeouts(ProxyContext* context);
   void CheckFailover(ProxyContext* context);
+  void CheckLeaderless(ProxyContext* context);
   void AskStatus(ProxyContext* context);
   void Tidy(ProxyContext* context);
   void DropGone(ProxyContext* context);
@@ -150,7 +149,6 @@
   WorkQueue queue_;
   std::map<StatementNumber, std::unique_ptr<Work>> work_;
   std::map<TransactionKey, Transaction> transactions_;
-  std::set<StatementNumber> awaiting_proof_;
   Duration transaction_idle_;
   bool is_chosen_ = false;
   bool is_active_ = false;
@@ -163,7 +161,6 @@
   TimePoint without_primary_since_;
   Instant proof_asked_;
   bool proof_pending_ = false;
-  bool proof_wanted_ = false;
   bool holds_duty_ = false;
 };
 
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -12,10 +12,10 @@
 namespace {
 
 constexpr char kPart[] = "pool";
-// Share of an upstream's connections that one owner may use. The rest is for
-// connections that a dead owner leaves behind.
-constexpr int kBudgetNumerator = 3;
-constexpr int kBudgetDenominator = 5;
+// Share of an upstream's connections that an owner may use once it is alone.
+// The rest is for the next owner.
+constexpr int kAloneNumerator = 2;
+constexpr int kAloneDenominator = 3;
 // Connections that transactions leave to single statements.
 constexpr int kUnpinned = 2;
 
@@ -57,8 +57,10 @@
 }
 
 int UpstreamPool::DataBudget() const {
-  int budget = max_connections_ * kBudgetNumerator / kBudgetDenominator - 1;
-  return std::max(budget, 1);
+  int half = (max_connections_ - 1) / 2;
+  int alone = max_connections_ * kAloneNumerator / kAloneDenominator;
+  // One of them is the control connection.
+  return std::max((is_alone_ ? alone : half) - 1, 1);
 }
 
 bool UpstreamPool::HasSlot(const PooledUpstream& upstream) const {
@@ -255,7 +257,11 @@
   PooledConnection removed = Remove(closed.connection);
   if (removed.id == ConnectionId()) return removed;
   PooledUpstream& upstream = upstreams_[removed.upstream];
-  if (!removed.is_open) {
+  if (!removed.is_open && closed.outcome == Outcome::kTooManyConnections) {
+    // It lives; connections of an earlier owner are still counted.
+    upstream.next_open = context->now() + kOpenRetry;
+    context->WakeAt(upstream.next_open);
+  } else if (!removed.is_open) {
     OnOpenFailed(&upstream, closed.reason, context);
   } else if (removed.is_control) {
     upstream.next_open = context->now();
@@ -284,6 +290,14 @@
   return Remove(id);
 }
 
+void UpstreamPool::CloseIdle(ProxyContext* context) {
+  std::vector<ConnectionId> idle;
+  for (const auto& item : connections_) {
+    if (item.second.is_idle()) idle.push_back(item.first);
+  }
+  for (ConnectionId id : idle) Close(id, context);
+}
+
 void UpstreamPool::CloseAll(ProxyContext* context) {
   std::vector<ConnectionId> ids;
   for (const auto& item : connections_) ids.push_back(item.first);
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -6,8 +6,9 @@
 //   pool.Send(c, commands, work, &context);
 //
 // Each upstream has one control connection, for status and orders, and data
-// connections up to its budget. The budget leaves room for the connections of
-// an owner that died, which the upstream keeps for some seconds.
+// connections up to its budget. At first the budget is less than half of what
+// the upstream accepts, since it keeps the connections of an owner that died
+// for some seconds; an owner that has been alone for longer may use more.
 //
 // Limits: one statement at a time on a data connection.
 
@@ -88,6 +89,10 @@
   void SetMaxConnections(int max_connections) {
     max_connections_ = max_connections;
   }
+  // Whether this VM has owned the group long enough to be alone.
+  void SetAlone(bool is_alone) { is_alone_ = is_alone; }
+  // Closes idle data connections: another VM owns the group.
+  void CloseIdle(ProxyContext* context);
 
   // Opens control connections that are missing.
   void OpenControls(ProxyContext* context);
@@ -147,6 +152,7 @@
 
   GroupId group_;
   int max_connections_ = 1;
+  bool is_alone_ = false;
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
 };
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -33,10 +33,9 @@
 };
 
 enum class WorkStage {
-  kQueued,         // Waits for a slot and a connection.
-  kBeginning,      // Its transaction is being begun.
-  kRunning,        // Sent; its answer is awaited.
-  kAwaitingProof,  // Answered; its primary is not yet proven current.
+  kQueued,     // Waits for a slot, a connection or a proof.
+  kBeginning,  // Its transaction is being begun.
+  kRunning,    // Sent; its answer is awaited.
 };
 
 struct Work {
@@ -49,14 +48,13 @@
   TimePoint timeout;
   WorkStage stage = WorkStage::kQueued;
   bool is_late = false;
-  bool needs_proof = false;  // It ran at the primary, without a floor.
   int attempts = 0;
   TimePoint not_before;        // Pause after a refusal.
   std::set<UpstreamId> avoid;  // Refused it, or are behind what it needs.
   ConnectionId connection;     // While it is sent.
   Instant sent;
   TimePoint first_sent;
-  StatementReply reply;  // While it awaits proof.
+  StatementReply reply;
 
   TransactionKey transaction() const {
     return TransactionKey{call.session, call.transaction_number};
