Test sessions in virtual time: focused failures, random series, mutants

Which mechanisms the tests notice is for the mutants to show. Stopping: sessions are closed between operations only, once the balancer has turned away; idle transactions end.

--- a/fireflycart/core/proxy/entry.cc
+++ b/fireflycart/core/proxy/entry.cc
@@ -75,10 +75,18 @@
 void Entry::Answer(SessionNumber number, Session* session, CallerAnswer answer,
                    ProxyContext* context) {
   answer.state = session->state;
-  bool closes = is_leaving_ && session->state == TransactionState::kNone;
   context->Emit(AnswerStatement{number, std::move(answer)});
-  if (!closes) return;
-  sessions_.erase(number);
+}
+
+// An operation of the caller is over. A stopping VM closes the session now, and
+// not between the statements that prepare an operation.
+void Entry::OnOperationEnded(SessionNumber number, ProxyContext* context) {
+  if (!is_leaving_) return;
+  auto found = sessions_.find(number);
+  bool rests = found != sessions_.end() &&
+               found->second.state == TransactionState::kNone;
+  if (!rests) return;
+  sessions_.erase(found);
   context->Emit(CloseCaller{number});
 }
 
@@ -207,6 +215,7 @@
   session->state = TransactionState::kNone;
   session->kind = TransactionKind::kNone;
   Answer(number, session, CallerAnswer(), context);
+  OnOperationEnded(number, context);
 }
 
 void Entry::Forward(SessionNumber number, Session* session,
@@ -286,6 +295,7 @@
   answer.signature = std::move(reply.signature);
   answer.detail = std::move(reply.detail);
   Answer(number, session, std::move(answer), context);
+  OnOperationEnded(number, context);
 }
 
 void Entry::OnEnded(SessionNumber number, ProxyContext* context) {
@@ -307,11 +317,8 @@
 
 void Entry::Leave(ProxyContext* context) {
   is_leaving_ = true;
-  context->Log(LogLevel::kInfo, kPart, "leaving",
+  context->Log(LogLevel::kInfo, kPart, "closing_sessions",
                {{"sessions", std::to_string(sessions_.size())}});
-}
-
-void Entry::CloseIdle(ProxyContext* context) {
   for (auto it = sessions_.begin(); it != sessions_.end();) {
     const Session& session = it->second;
     bool is_idle = !session.is_waiting &&
--- a/fireflycart/core/proxy/entry.h
+++ b/fireflycart/core/proxy/entry.h
@@ -52,12 +52,11 @@
   void OnRoutes(ProxyContext* context);
   void OnWake(ProxyContext* context);
 
-  // Planned stop: sessions are closed when they rest outside a transaction,
-  // those that rest already once the callers had time to go elsewhere.
+  // Planned stop: closes the sessions that rest outside a transaction, and the
+  // others as soon as their statement or transaction ends.
   void Leave(ProxyContext* context);
   // Ends the transactions that are still open.
   void AbortTransactions(ProxyContext* context);
-  void CloseIdle(ProxyContext* context);
 
   size_t size() const { return sessions_.size(); }
   size_t open_statements() const;
@@ -82,6 +81,7 @@
 
   void Answer(SessionNumber number, Session* session, CallerAnswer answer,
               ProxyContext* context);
+  void OnOperationEnded(SessionNumber number, ProxyContext* context);
   void Refuse(SessionNumber number, Session* session, Outcome outcome,
               const std::string& detail, ProxyContext* context);
   bool AnswersLocally(SessionNumber number, Session* session,
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -58,8 +58,7 @@
 
 void GroupOwner::OnControlAnswer(const UpstreamId& upstream,
                                  const SentCommand& command,
-                                 const UpstreamAnswer& answer,
-                                 ProxyContext* context) {
+                                 const UpstreamAnswer& answer) {
   if (!answer.has_status) return;  // Busy: it lives, and says nothing else.
   const PooledUpstream* primary = Primary();
   if (primary == nullptr || upstream == primary_ || !primary->has_status) {
@@ -178,6 +177,30 @@
   }
 }
 
+// Callers that rest inside a transaction hold a connection that others need.
+void GroupOwner::EndIdleTransactions(ProxyContext* context) {
+  if (transaction_idle_ == Duration()) return;
+  std::vector<TransactionKey> idle;
+  for (const auto& item : transactions_) {
+    const Transaction& transaction = item.second;
+    if (transaction.running != StatementNumber()) continue;
+    TimePoint limit = transaction.idle_since + transaction_idle_;
+    if (context->now() >= limit) {
+      idle.push_back(item.first);
+    } else {
+      context->WakeAround(limit);
+    }
+  }
+  for (const TransactionKey& key : idle) {
+    context->Log(LogLevel::kInfo, kPart, "idle_transaction_ended",
+                 {{"group", spec_.id.value()},
+                  {"session", key.session.vm.value() + "/" +
+                                  std::to_string(key.session.session.value())},
+                  {"limit_ms", std::to_string(transaction_idle_.millis())}});
+    DropTransaction(key, false, context);
+  }
+}
+
 void GroupOwner::MarkDown(const UpstreamId& id, const char* cause,
                           ProxyContext* context) {
   for (const PooledConnection& lost : pool_.MarkDown(id, cause, context)) {
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -1,6 +1,7 @@
 // Each entry point changes what is known and then settles the group: the
 // failover takes its next step, proofs are asked for that waiting work needs,
-// and work is dispatched. Dispatch, answers and health are in files of their own.
+// and work is dispatched. Dispatch, answers and health are in files of their
+// own.
 
 #include "fireflycart/core/proxy/group_owner.h"
 
@@ -166,7 +167,7 @@
     evidence_.OnPrimaryPosition(command.at, event.answer.position);
   }
   if (is_control) {
-    OnControlAnswer(upstream, command, event.answer, context);
+    OnControlAnswer(upstream, command, event.answer);
   } else if (command.kind == CommandKind::kRollback) {
     connection->is_ending = false;
   } else if (Work* work = FindWork(command.work)) {
@@ -191,6 +192,7 @@
 void GroupOwner::OnWake(ProxyContext* context) {
   if (!is_active_) return;
   CheckTimeouts(context);
+  EndIdleTransactions(context);
   CheckSilence(context);
   AskStatus(context);
   Tidy(context);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -69,6 +69,7 @@
 
   const GroupId& id() const { return spec_.id; }
   bool is_active() const { return is_active_; }
+  bool is_chosen() const { return is_chosen_; }
   size_t open_transactions() const { return transactions_.size(); }
   size_t work_count() const { return work_.size(); }
   bool is_replacing_primary() const { return failover_.is_active(); }
@@ -82,7 +83,7 @@
     TransactionKind kind = TransactionKind::kReadWrite;
     Instant began;
     bool has_written = false;
-    StatementNumber running;   // 0: none.
+    StatementNumber running;  // 0: none.
     TimePoint idle_since;
   };
 
@@ -118,7 +119,7 @@
   void OnLost(const PooledConnection& lost, ProxyContext* context);
   void OnWorkLost(Work* work, bool was_sent, ProxyContext* context);
   void OnControlAnswer(const UpstreamId& upstream, const SentCommand& command,
-                       const UpstreamAnswer& answer, ProxyContext* context);
+                       const UpstreamAnswer& answer);
   void DropTransaction(const TransactionKey& key, bool close,
                        ProxyContext* context);
   void Finish(Work* work, ProxyContext* context);
@@ -133,6 +134,7 @@
   void UpdatePrimary(ProxyContext* context);
   void CheckSilence(ProxyContext* context);
   void CheckTimeouts(ProxyContext* context);
+  void EndIdleTransactions(ProxyContext* context);
   void CheckFailover(ProxyContext* context);
   void CheckLeaderless(ProxyContext* context);
   void AskStatus(ProxyContext* context);
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -256,7 +256,6 @@
   stop_started_ = context_.now();
   context_.Log(LogLevel::kInfo, kPart, "stopping",
                {{"sessions", std::to_string(entry_.size())}});
-  entry_.Leave(&context_);
   fleet_.Leave();
   size_t told = 0;
   for (const VmRecord& vm : fleet_.Records()) {
@@ -273,16 +272,21 @@
   context_.WakeAt(context_.now() + kStopStep);
   Duration passed = context_.now() - stop_started_;
   Duration half = Duration::Millis(options_.stop_limit().millis() / 2);
-  if (passed >= kTurnAway) entry_.CloseIdle(&context_);
+  if (passed >= kTurnAway && !has_left_) {
+    has_left_ = true;
+    entry_.Leave(&context_);
+  }
   if (passed >= half && !has_aborted_) {
     has_aborted_ = true;
     entry_.AbortTransactions(&context_);
   }
   bool is_busy = entry_.size() != 0;
+  std::string busy_groups;
   for (const auto& item : owners_) {
     const GroupOwner& owner = *item.second;
     bool has_work = owner.work_count() != 0 || owner.open_transactions() != 0 ||
                     owner.is_replacing_primary();
+    if (has_work) busy_groups += item.first.value() + " ";
     is_busy = is_busy || has_work;
   }
   bool is_over = passed >= options_.stop_limit() - kStopMargin;
@@ -291,7 +295,8 @@
   has_exited_ = true;
   context_.Log(LogLevel::kInfo, kPart, "stopped",
                {{"took_ms", std::to_string(passed.millis())},
-                {"sessions", std::to_string(entry_.size())}});
+                {"sessions", std::to_string(entry_.size())},
+                {"busy_groups", busy_groups}});
   context_.Emit(Exit{});
 }
 
--- /dev/null
+++ b/fireflycart/standins/database_model.cc
@@ -0,0 +1,457 @@
+// Replication copies the log of the highest primary that a replica can reach,
+// cutting off what that primary does not have. A commit is answered once some
+// replica has it.
+
+#include "fireflycart/standins/database_model.h"
+
+#include <algorithm>
+
+namespace fireflycart::standins {
+namespace {
+
+using proxy::CommandKind;
+using proxy::LogPosition;
+using proxy::Outcome;
+using proxy::TransactionState;
+using proxy::UpstreamAnswer;
+using proxy::UpstreamCommand;
+
+bool IsStatement(const UpstreamCommand& command) {
+  return command.kind == CommandKind::kVerbatim ||
+         command.kind == CommandKind::kExecute;
+}
+
+UpstreamAnswer Failed(Outcome outcome, TransactionState state) {
+  UpstreamAnswer answer;
+  answer.outcome = outcome;
+  answer.state = state;
+  return answer;
+}
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+DatabaseModel::DatabaseModel(DatabaseOptions options,
+                             const std::vector<UpstreamId>& ids,
+                             DatabaseObserver* observer)
+    : options_(options), observer_(observer) {
+  for (const UpstreamId& id : ids) upstreams_[id];
+  upstreams_[ids.front()].is_primary = true;
+}
+
+bool DatabaseModel::Open(const UpstreamId& upstream, ConnectionId connection) {
+  auto found = upstreams_.find(upstream);
+  if (found == upstreams_.end() || !found->second.is_running) return false;
+  connections_[connection].upstream = upstream;
+  DatabaseOutput output;
+  output.connection = connection;
+  output.is_open = true;
+  if (!found->second.log.empty()) {
+    output.answer.position = found->second.log.back().position;
+  }
+  opened_.push_back(output);
+  return true;
+}
+
+void DatabaseModel::Execute(ConnectionId connection,
+                            const UpstreamCommand& command) {
+  auto found = connections_.find(connection);
+  if (found != connections_.end()) found->second.commands.push_back(command);
+}
+
+void DatabaseModel::Close(ConnectionId connection) {
+  connections_.erase(connection);
+}
+
+std::vector<DatabaseOutput> DatabaseModel::Advance(TimePoint now) {
+  std::vector<DatabaseOutput> outputs;
+  outputs.swap(opened_);
+  ApplyPromotions(now);
+  StepDown(now);
+  Replicate(now);
+  for (auto& item : connections_) {
+    Connection& connection = item.second;
+    // Short commands of one write run at once; bounded by the queue.
+    while (!connection.commands.empty()) {
+      size_t before = connection.commands.size();
+      RunFirst(item.first, &connection, now, &outputs);
+      if (connection.commands.size() == before) break;
+    }
+  }
+  return outputs;
+}
+
+void DatabaseModel::RunFirst(ConnectionId id, Connection* connection,
+                             TimePoint now,
+                             std::vector<DatabaseOutput>* outputs) {
+  const UpstreamCommand command = connection->commands.front();
+  UpstreamAnswer answer;
+  if (connection->awaits_replica) {
+    Upstream& upstream = upstreams_[connection->upstream];
+    bool is_done = upstream.is_primary &&
+                   IsReplicated(connection->upstream, connection->awaited);
+    if (!is_done) return;
+    connection->awaits_replica = false;
+    answer.signature = "sig";
+    answer.position = upstream.log.back().position;
+  } else {
+    if (!connection->is_started) {
+      connection->is_started = true;
+      connection->ready_at =
+          IsStatement(command) ? now + options_.statement_time : now;
+    }
+    if (now < connection->ready_at) return;
+    answer = IsStatement(command) ? RunStatement(connection, command, now)
+                                  : RunOwn(connection, command, now);
+    if (connection->awaits_replica) return;
+  }
+  connection->is_started = false;
+  connection->commands.pop_front();
+  if (IsStatement(command) && answers_to_lose_ > 0) {
+    answers_to_lose_--;
+    return;
+  }
+  if (!answer.has_status) answer.state = connection->state;
+  outputs->push_back(DatabaseOutput{id, false, false, answer});
+}
+
+UpstreamAnswer DatabaseModel::RunStatement(Connection* connection,
+                                           const UpstreamCommand& command,
+                                           TimePoint now) {
+  Upstream& upstream = upstreams_[connection->upstream];
+  bool in_transaction = connection->state != TransactionState::kNone;
+  if (connection->state == TransactionState::kFailed) {
+    return Failed(Outcome::kBadRequest, TransactionState::kFailed);
+  }
+  auto fail = [&](Outcome outcome) {
+    if (in_transaction) connection->state = TransactionState::kFailed;
+    return Failed(outcome, connection->state);
+  };
+  size_t applied = AppliedOf(upstream, now);
+  LogPosition position =
+      applied == 0 ? LogPosition() : upstream.log[applied - 1].position;
+  if (position < command.after) return fail(Outcome::kBehind);
+  std::string text = command.text;
+  if (command.kind == CommandKind::kExecute) {
+    auto found = connection->prepared.find(command.name);
+    if (found == connection->prepared.end()) {
+      return fail(Outcome::kNoStatement);
+    }
+    text = (found->second.writes ? "WRITE " : "READ ") + command.arguments;
+  }
+  observer_->OnRun(command.id, text, connection->values);
+  bool lost_lead =
+      in_transaction && !connection->is_read_only && !upstream.is_primary;
+  if (text == "COMMIT") {
+    std::vector<std::string> writes = std::move(connection->writes);
+    connection->writes.clear();
+    if (lost_lead && !writes.empty()) return fail(Outcome::kReadOnly);
+    connection->state = TransactionState::kNone;
+    return Commit(connection, std::move(writes), now);
+  }
+  if (lost_lead) return fail(Outcome::kReadOnly);
+  if (StartsWith(text, "WRITE ")) {
+    if (!upstream.is_primary) return fail(Outcome::kReadOnly);
+    if (!in_transaction) return Commit(connection, {text}, now);
+    connection->writes.push_back(text);
+  } else {
+    observer_->OnRead(command.id, connection->upstream, upstream.log, applied);
+  }
+  UpstreamAnswer answer;
+  answer.signature = "sig";
+  answer.rows = {"row"};
+  answer.position = position;
+  return answer;
+}
+
+UpstreamAnswer DatabaseModel::Commit(Connection* connection,
+                                     std::vector<std::string> writes,
+                                     TimePoint now) {
+  Upstream& upstream = upstreams_[connection->upstream];
+  UpstreamAnswer answer;
+  answer.signature = "sig";
+  if (writes.empty()) return answer;
+  LogEntry entry;
+  entry.position = LogPosition{upstream.term, upstream.log.size() + 1};
+  entry.writes = std::move(writes);
+  entry.at = now;
+  upstream.log.push_back(entry);
+  connection->awaits_replica = true;
+  connection->awaited = entry.position;
+  return answer;
+}
+
+UpstreamAnswer DatabaseModel::RunOwn(Connection* connection,
+                                     const UpstreamCommand& command,
+                                     TimePoint now) {
+  Upstream& upstream = upstreams_[connection->upstream];
+  UpstreamAnswer answer;
+  size_t applied = AppliedOf(upstream, now);
+  if (applied > 0) answer.position = upstream.log[applied - 1].position;
+  switch (command.kind) {
+    case CommandKind::kBegin:
+    case CommandKind::kBeginReadOnly: {
+      bool reads = command.kind == CommandKind::kBeginReadOnly;
+      if (answer.position < command.after) {
+        return Failed(Outcome::kBehind, connection->state);
+      }
+      if (!reads && !upstream.is_primary) {
+        return Failed(Outcome::kReadOnly, connection->state);
+      }
+      connection->state = TransactionState::kOpen;
+      connection->is_read_only = reads;
+      return answer;
+    }
+    case CommandKind::kRollback:
+      connection->state = TransactionState::kNone;
+      connection->writes.clear();
+      return answer;
+    case CommandKind::kReset:
+      connection->values.clear();
+      connection->prepared.clear();
+      return answer;
+    case CommandKind::kSetValue:
+      connection->values[command.name] = command.arguments;
+      return answer;
+    case CommandKind::kPrepare:
+      connection->prepared[command.name] = command.prepared;
+      return answer;
+    case CommandKind::kHold:
+      if (!upstream.is_primary && command.term > upstream.term) {
+        upstream.held_term = std::max(upstream.held_term, command.term);
+      }
+      return StatusOf(upstream);
+    case CommandKind::kResume:
+      upstream.held_term = 0;
+      return StatusOf(upstream);
+    case CommandKind::kDemote:
+      if (upstream.is_primary && upstream.term < command.term) {
+        upstream.is_primary = false;
+      }
+      return StatusOf(upstream);
+    default:
+      return StatusOf(upstream);
+  }
+}
+
+UpstreamAnswer DatabaseModel::StatusOf(const Upstream& upstream) const {
+  UpstreamAnswer answer;
+  answer.has_status = true;
+  answer.status.is_primary = upstream.is_primary;
+  answer.status.term = upstream.term;
+  answer.status.held_term = upstream.held_term;
+  if (!upstream.log.empty()) {
+    answer.status.received = upstream.log.back().position;
+    answer.position = upstream.log.back().position;
+  }
+  return answer;
+}
+
+size_t DatabaseModel::AppliedOf(const Upstream& upstream, TimePoint now) const {
+  size_t applied = upstream.log.size();
+  if (upstream.is_primary) return applied;
+  while (applied > 0 && now - upstream.log[applied - 1].at <
+                            options_.replication_delay + options_.apply_lag) {
+    applied--;
+  }
+  return applied;
+}
+
+void DatabaseModel::Replicate(TimePoint now) {
+  for (auto& item : upstreams_) {
+    Upstream& replica = item.second;
+    bool receives =
+        replica.is_running && !replica.is_primary && replica.held_term == 0;
+    if (receives) Follow(&replica, item.first, now);
+  }
+}
+
+void DatabaseModel::Follow(Upstream* replica, const UpstreamId& id,
+                           TimePoint now) {
+  const Upstream* leader = nullptr;
+  for (const auto& item : upstreams_) {
+    const Upstream& candidate = item.second;
+    bool leads = candidate.is_running && candidate.is_primary &&
+                 !IsCut(id, item.first) && candidate.term >= replica->term;
+    if (!leads) continue;
+    if (leader == nullptr || candidate.term > leader->term) leader = &candidate;
+  }
+  if (leader == nullptr) return;
+  replica->term = leader->term;
+  size_t same = 0;
+  while (same < replica->log.size() && same < leader->log.size() &&
+         replica->log[same].position == leader->log[same].position) {
+    same++;
+  }
+  replica->log.resize(same);
+  for (size_t i = same; i < leader->log.size(); i++) {
+    if (now - leader->log[i].at < options_.replication_delay) break;
+    replica->log.push_back(leader->log[i]);
+  }
+}
+
+bool DatabaseModel::IsReplicated(const UpstreamId& primary,
+                                 LogPosition position) {
+  uint64_t term = upstreams_[primary].term;
+  for (const auto& item : upstreams_) {
+    const Upstream& replica = item.second;
+    bool counts = item.first != primary && replica.is_running &&
+                  !replica.is_primary && replica.held_term == 0 &&
+                  replica.term == term && !IsCut(item.first, primary);
+    if (!counts || replica.log.size() < position.number) continue;
+    if (replica.log[position.number - 1].position == position) return true;
+  }
+  return false;
+}
+
+bool DatabaseModel::Promote(const UpstreamId& upstream, TimePoint now) {
+  auto found = upstreams_.find(upstream);
+  if (found == upstreams_.end() || !found->second.is_running) return false;
+  if (found->second.is_primary && found->second.term == NewestTerm()) {
+    return true;
+  }
+  promotions_.push_back(Promotion{upstream, now + options_.promote_time});
+  return true;
+}
+
+void DatabaseModel::ApplyPromotions(TimePoint now) {
+  for (auto it = promotions_.begin(); it != promotions_.end();) {
+    if (now < it->at) {
+      ++it;
+      continue;
+    }
+    Upstream& upstream = upstreams_[it->upstream];
+    if (upstream.is_running) {
+      upstream.term = NewestTerm() + 1;
+      upstream.is_primary = true;
+      upstream.held_term = 0;
+      observer_->OnPromoted(it->upstream, upstream.log);
+    }
+    it = promotions_.erase(it);
+  }
+}
+
+void DatabaseModel::StepDown(TimePoint now) {
+  for (auto& item : upstreams_) {
+    Upstream& old = item.second;
+    bool reaches = false;
+    for (const auto& other : upstreams_) {
+      reaches =
+          reaches ||
+          (other.second.is_running && other.second.is_primary &&
+           other.second.term > old.term && !IsCut(item.first, other.first));
+    }
+    bool is_old = old.is_running && old.is_primary && reaches;
+    if (!is_old) {
+      old.reaches_successor = false;
+      continue;
+    }
+    if (!old.reaches_successor) {
+      old.reaches_successor = true;
+      old.reaches_successor_since = now;
+    }
+    if (now - old.reaches_successor_since >= options_.step_down) {
+      old.is_primary = false;
+    }
+  }
+}
+
+std::vector<DatabaseOutput> DatabaseModel::Crash(const UpstreamId& upstream) {
+  std::vector<DatabaseOutput> lost;
+  Upstream& crashed = upstreams_[upstream];
+  crashed.is_running = false;
+  crashed.held_term = 0;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    if (it->second.upstream != upstream) {
+      ++it;
+      continue;
+    }
+    lost.push_back(DatabaseOutput{it->first, false, true, UpstreamAnswer()});
+    it = connections_.erase(it);
+  }
+  return lost;
+}
+
+void DatabaseModel::Restart(const UpstreamId& upstream) {
+  Upstream& started = upstreams_[upstream];
+  started.is_running = true;
+  // It stays a primary only if nobody else was promoted meanwhile.
+  if (started.term < NewestTerm()) started.is_primary = false;
+}
+
+void DatabaseModel::Rebirth(const UpstreamId& upstream) {
+  Upstream fresh;
+  fresh.term = 0;
+  upstreams_[upstream] = fresh;
+}
+
+void DatabaseModel::SetCut(const UpstreamId& a, const UpstreamId& b,
+                           bool is_cut) {
+  auto key = std::minmax(a, b);
+  if (is_cut) {
+    cuts_.insert({key.first, key.second});
+  } else {
+    cuts_.erase({key.first, key.second});
+  }
+}
+
+bool DatabaseModel::IsCut(const UpstreamId& a, const UpstreamId& b) const {
+  auto key = std::minmax(a, b);
+  return cuts_.count({key.first, key.second}) != 0;
+}
+
+uint64_t DatabaseModel::NewestTerm() const {
+  uint64_t newest = 0;
+  for (const auto& item : upstreams_) {
+    newest = std::max(newest, item.second.term);
+  }
+  return newest;
+}
+
+UpstreamId DatabaseModel::primary() const {
+  UpstreamId best;
+  uint64_t term = 0;
+  for (const auto& item : upstreams_) {
+    const Upstream& upstream = item.second;
+    bool leads = upstream.is_running && upstream.is_primary;
+    if (!leads || upstream.term < term) continue;
+    best = item.first;
+    term = upstream.term;
+  }
+  return best;
+}
+
+const std::vector<LogEntry>& DatabaseModel::LogOf(
+    const UpstreamId& upstream) const {
+  return upstreams_.at(upstream).log;
+}
+
+bool DatabaseModel::IsRunning(const UpstreamId& upstream) const {
+  return upstreams_.at(upstream).is_running;
+}
+
+std::map<std::string, int> DatabaseModel::Effects(
+    const UpstreamId& upstream) const {
+  std::map<std::string, int> effects;
+  for (const LogEntry& entry : upstreams_.at(upstream).log) {
+    for (const std::string& text : entry.writes) effects[text]++;
+  }
+  return effects;
+}
+
+uint64_t DatabaseModel::held_term(const UpstreamId& upstream) const {
+  return upstreams_.at(upstream).held_term;
+}
+
+size_t DatabaseModel::connection_count(const UpstreamId& upstream) const {
+  size_t count = 0;
+  for (const auto& item : connections_) {
+    if (item.second.upstream == upstream) count++;
+  }
+  return count;
+}
+
+}  // namespace fireflycart::standins
--- /dev/null
+++ b/fireflycart/standins/database_model.h
@@ -0,0 +1,162 @@
+// Stand-in for one database group of the prepared platform: a primary, replicas
+// that receive its commits, sessions with values and prepared statements, and
+// the orders hold, resume, demote and promote. Pure: time comes in from
+// outside.
+//
+//   DatabaseModel model(options, {"a", "b", "c"});
+//   model.Open("a", connection);
+//   model.Execute(connection, command);
+//   for (const DatabaseOutput& output : model.Advance(now)) Send(output);
+//
+// Limits: every statement takes the same time; slots are not modelled.
+
+#ifndef FIREFLYCART_STANDINS_DATABASE_MODEL_H_
+#define FIREFLYCART_STANDINS_DATABASE_MODEL_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/proxy/statement.h"
+
+namespace fireflycart::standins {
+
+struct DatabaseOptions {
+  Duration statement_time = Duration::Millis(2);
+  Duration replication_delay = Duration::Millis(1);
+  Duration apply_lag = Duration::Millis(8);
+  Duration promote_time = Duration::Millis(600);
+  // A primary that can reach its successor steps down after it.
+  Duration step_down = Duration::Millis(1000);
+};
+
+// A commit in an upstream's log.
+struct LogEntry {
+  proxy::LogPosition position;
+  std::vector<std::string> writes;  // Texts of the statements.
+  TimePoint at;
+};
+
+struct DatabaseOutput {
+  ConnectionId connection;
+  bool is_open = false;  // The connection was accepted; else an answer.
+  bool is_lost = false;  // The connection broke.
+  proxy::UpstreamAnswer answer;
+};
+
+// Told of what the group does, for checks of safety.
+class DatabaseObserver {
+ public:
+  virtual ~DatabaseObserver() = default;
+  // A caller's read ran on this log, up to the applied length.
+  virtual void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
+                      const std::vector<LogEntry>& log, size_t applied) = 0;
+  // A caller's statement ran with these session values.
+  virtual void OnRun(const proxy::StatementId& id, const std::string& text,
+                     const std::map<std::string, std::string>& values) = 0;
+  // An upstream took the lead with this log.
+  virtual void OnPromoted(const UpstreamId& upstream,
+                          const std::vector<LogEntry>& log) = 0;
+};
+
+class DatabaseModel {
+ public:
+  DatabaseModel(DatabaseOptions options, const std::vector<UpstreamId>& ids,
+                DatabaseObserver* observer);
+
+  // False if the upstream is down: nothing listens.
+  bool Open(const UpstreamId& upstream, ConnectionId connection);
+  void Execute(ConnectionId connection, const proxy::UpstreamCommand& command);
+  void Close(ConnectionId connection);
+
+  // Runs what is due and returns answers in order.
+  std::vector<DatabaseOutput> Advance(TimePoint now);
+
+  // Orders the promotion; false if the upstream is down.
+  bool Promote(const UpstreamId& upstream, TimePoint now);
+
+  // Ends the upstream; its log stays. Its connections are lost.
+  std::vector<DatabaseOutput> Crash(const UpstreamId& upstream);
+  void Restart(const UpstreamId& upstream);
+  // Starts under the same id with nothing.
+  void Rebirth(const UpstreamId& upstream);
+  // Cuts or mends the way between two upstreams.
+  void SetCut(const UpstreamId& a, const UpstreamId& b, bool is_cut);
+  // Answers to that many coming statements are lost.
+  void LoseAnswers(int count) { answers_to_lose_ = count; }
+  void SetApplyLag(Duration lag) { options_.apply_lag = lag; }
+
+  UpstreamId primary() const;
+  const std::vector<LogEntry>& LogOf(const UpstreamId& upstream) const;
+  bool IsRunning(const UpstreamId& upstream) const;
+  // How often each text is in the log of the upstream.
+  std::map<std::string, int> Effects(const UpstreamId& upstream) const;
+  uint64_t held_term(const UpstreamId& upstream) const;
+  size_t connection_count(const UpstreamId& upstream) const;
+
+ private:
+  struct Upstream {
+    bool is_running = true;
+    bool is_primary = false;
+    uint64_t term = 1;
+    uint64_t held_term = 0;
+    std::vector<LogEntry> log;
+    TimePoint reaches_successor_since;
+    bool reaches_successor = false;
+  };
+  struct Connection {
+    UpstreamId upstream;
+    std::map<std::string, std::string> values;
+    std::map<std::string, proxy::PreparedShape> prepared;
+    proxy::TransactionState state = proxy::TransactionState::kNone;
+    bool is_read_only = false;
+    std::vector<std::string> writes;  // Of the open transaction.
+    std::deque<proxy::UpstreamCommand> commands;
+    TimePoint ready_at;  // The first command is done then.
+    bool is_started = false;
+    bool awaits_replica = false;
+    proxy::LogPosition awaited;
+  };
+
+  void Replicate(TimePoint now);
+  void Follow(Upstream* replica, const UpstreamId& id, TimePoint now);
+  void ApplyPromotions(TimePoint now);
+  void StepDown(TimePoint now);
+  bool IsReplicated(const UpstreamId& primary, proxy::LogPosition position);
+  size_t AppliedOf(const Upstream& upstream, TimePoint now) const;
+  void RunFirst(ConnectionId id, Connection* connection, TimePoint now,
+                std::vector<DatabaseOutput>* outputs);
+  proxy::UpstreamAnswer RunStatement(Connection* connection,
+                                     const proxy::UpstreamCommand& command,
+                                     TimePoint now);
+  proxy::UpstreamAnswer RunOwn(Connection* connection,
+                               const proxy::UpstreamCommand& command,
+                               TimePoint now);
+  proxy::UpstreamAnswer Commit(Connection* connection,
+                               std::vector<std::string> writes, TimePoint now);
+  proxy::UpstreamAnswer StatusOf(const Upstream& upstream) const;
+  bool IsCut(const UpstreamId& a, const UpstreamId& b) const;
+  uint64_t NewestTerm() const;
+
+  DatabaseOptions options_;
+  DatabaseObserver* observer_;
+  std::map<UpstreamId, Upstream> upstreams_;
+  std::map<ConnectionId, Connection> connections_;
+  std::set<std::pair<UpstreamId, UpstreamId>> cuts_;
+  struct Promotion {
+    UpstreamId upstream;
+    TimePoint at;
+  };
+  std::vector<Promotion> promotions_;
+  std::vector<DatabaseOutput> opened_;
+  int answers_to_lose_ = 0;
+};
+
+}  // namespace fireflycart::standins
+
+#endif  // FIREFLYCART_STANDINS_DATABASE_MODEL_H_
--- /dev/null
+++ b/fireflycart/standins/testing/session_world.h
@@ -0,0 +1,196 @@
+// Several VMs that serve sessions, one database group, the store and callers in
+// virtual time, on a network that can be cut. Checks what must always hold.
+//
+//   SessionWorld world(options, seed);
+//   world.Run(Duration::Seconds(2));
+//   world.CutPrimaryFromReplicas();
+//   CPPUNIT_ASSERT_EQUAL(std::string(), world.problem());
+//
+// Time moves in steps of a millisecond. Messages on a cut link wait and arrive
+// when it is mended, as on a TCP connection.
+
+#ifndef FIREFLYCART_STANDINS_TESTING_SESSION_WORLD_H_
+#define FIREFLYCART_STANDINS_TESTING_SESSION_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fireflycart/core/proxy/proxy_reducer.h"
+#include "fireflycart/standins/database_model.h"
+#include "fireflycart/standins/prepared_store_model.h"
+
+namespace fireflycart::standins {
+
+struct SessionWorldOptions {
+  int vms = 3;
+  int callers = 12;
+  Duration pause = Duration::Millis(20);  // Between two operations of a caller.
+  DatabaseOptions database;
+  proxy::ReadRule rule = proxy::ReadRule::kNewest;
+  bool mixed_rules = true;  // A third of the callers on each rule.
+  Duration max_age = Duration::Millis(1000);
+};
+
+// Counts of what callers saw.
+struct SessionCounts {
+  int done = 0;
+  int refused = 0;  // Told that nothing is kept.
+  int open = 0;     // Outcome unknown, or the connection was cut.
+  int failed = 0;
+  int writes = 0;  // Acknowledged writing operations.
+  // Longest time without an acknowledged write, in ms.
+  int64_t write_gap = 0;
+  int64_t read_gap = 0;
+};
+
+class SessionWorld : private DatabaseObserver {
+ public:
+  SessionWorld(const SessionWorldOptions& options, uint64_t seed);
+  ~SessionWorld() override;
+
+  void Run(Duration time);
+
+  // Faults. Names: VMs are vm-0.., upstreams up-a.., the store "store" and the
+  // promotion call "promotion".
+  void Cut(const std::string& a, const std::string& b);
+  void Mend(const std::string& a, const std::string& b);
+  void MendAll();
+  void CutPrimaryFromReplicas();
+  void KillVm(int vm);
+  void StartVm(int vm);
+  void FreezeVm(int vm, Duration time);
+  void StopVm(int vm);
+  void CrashUpstream(const UpstreamId& id);
+  void RestartUpstream(const UpstreamId& id);
+  void Drain(const UpstreamId& id);
+  void Unregister(const UpstreamId& id);
+  void Register(const UpstreamId& id, bool leaving);
+  void SetRoutes(uint64_t version, Duration timeout);
+  void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
+
+  DatabaseModel& database() { return *database_; }
+  PreparedStoreModel& store() { return store_; }
+  const SessionCounts& counts() const { return counts_; }
+  void ResetGaps();
+  UpstreamId primary() const { return database_->primary(); }
+  VmId owner() const;
+  const proxy::ProxyReducer* vm(int index) const;
+  bool HasExited(int index) const;
+  // The first broken promise; empty if there is none.
+  const std::string& problem() const { return problem_; }
+  int promotions() const { return promotions_; }
+  // Upstream status questions and the like, without callers' statements.
+  int own_commands() const { return own_commands_; }
+  TimePoint now() const { return now_; }
+  // Compares logs with what callers were told, once everything is mended.
+  void CheckEffects();
+  std::vector<std::string> TakeLog();
+
+ private:
+  struct Vm;
+  struct Caller;
+  using Delivery = std::function<void()>;
+  using Link = std::pair<std::string, std::string>;
+
+  void Step();
+  void Send(const std::string& from, const std::string& to, Delivery deliver);
+  void DeliverDue();
+  bool IsCut(const std::string& a, const std::string& b) const;
+  void Report(const std::string& problem);
+
+  void Reduce(Vm* vm, proxy::ProxyEventBody body);
+  void Perform(Vm* vm, const proxy::ProxyEffects& effects);
+  void PerformOne(Vm* vm, const proxy::GreetCaller& e);
+  void PerformOne(Vm* vm, const proxy::AnswerStatement& e);
+  void PerformOne(Vm* vm, const proxy::CloseCaller& e);
+  void PerformOne(Vm* vm, const proxy::OpenUpstream& e);
+  void PerformOne(Vm* vm, const proxy::SendUpstream& e);
+  void PerformOne(Vm* vm, const proxy::CloseUpstream& e);
+  void PerformOne(Vm* vm, const CallPeer& e);
+  void PerformOne(Vm* vm, const AnswerPeer& e);
+  void PerformOne(Vm* vm, const proxy::StoreCall& e);
+  void PerformOne(Vm* vm, const proxy::PromoteUpstream& e);
+  void PerformOne(Vm* vm, const proxy::WriteRecord& e);
+  void PerformOne(Vm* vm, const proxy::CountStatement& e);
+  void PerformOne(Vm* vm, const Exit& e);
+  Vm* FindVm(const VmId& id);
+  // Delivers an event to this start of the VM only.
+  void Deliver(Vm* vm, uint64_t incarnation, proxy::ProxyEventBody body);
+
+  void StepCaller(Caller* caller);
+  void Connect(Caller* caller);
+  void BeginOperation(Caller* caller);
+  void SendNext(Caller* caller);
+  void OnAnswer(Caller* caller, const proxy::CallerAnswer& answer);
+  void EndOperation(Caller* caller, proxy::Outcome outcome);
+  void OnCut(Caller* caller);
+  std::string RouteName(proxy::ReadRule rule) const;
+  void WriteRoutes(uint64_t version, Duration timeout);
+  uint64_t Random(uint64_t bound) { return random_() % bound; }
+
+  // DatabaseObserver.
+  void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
+              const std::vector<LogEntry>& log, size_t applied) override;
+  void OnRun(const proxy::StatementId& id, const std::string& text,
+             const std::map<std::string, std::string>& values) override;
+  void OnPromoted(const UpstreamId& upstream,
+                  const std::vector<LogEntry>& log) override;
+
+  SessionWorldOptions options_;
+  std::mt19937_64 random_;
+  TimePoint now_ = TimePoint::FromMillis(1000);
+  std::unique_ptr<DatabaseModel> database_;
+  PreparedStoreModel store_;
+  std::map<UpstreamId, proxy::UpstreamRecord> records_;
+  proxy::RouteTable routes_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::multimap<TimePoint, Delivery> timers_;
+  std::map<Link, std::deque<std::pair<TimePoint, Delivery>>> links_;
+  std::set<Link> cuts_;
+  std::map<uint64_t, std::pair<Vm*, ConnectionId>> connections_;
+  std::map<std::pair<Vm*, ConnectionId>, uint64_t> connection_numbers_;
+  std::map<uint64_t, std::function<void(proxy::StoreAnswered)>> store_calls_;
+  std::map<uint64_t, std::function<void(PeerCallError, PeerReplyBody)>>
+      peer_calls_;
+  std::map<uint64_t, std::string> askers_;      // By peer call.
+  std::map<uint64_t, UpstreamId> upstream_of_;  // By connection.
+  std::set<uint64_t> opened_;                   // Accepted connections.
+  uint64_t last_number_ = 0;
+  int store_answers_to_lose_ = 0;
+  uint64_t highest_token_ = 0;
+
+  // What callers were told.
+  struct Acknowledged {
+    std::string text;
+    TimePoint at;
+    int caller = 0;
+  };
+  struct Expectation {
+    int caller = 0;
+    proxy::ReadRule rule = proxy::ReadRule::kNewest;
+    std::vector<std::string> texts;  // Writes that the read must contain.
+    std::map<std::string, std::string> values;
+  };
+  std::vector<Acknowledged> acknowledged_;
+  std::set<std::string> promised_;  // Writes of which nothing is kept.
+  std::map<std::string, Expectation> expectations_;  // By statement id.
+  SessionCounts counts_;
+  TimePoint last_write_;
+  TimePoint last_read_;
+  std::string problem_;
+  int promotions_ = 0;
+  int own_commands_ = 0;
+  std::vector<std::string> log_;
+};
+
+}  // namespace fireflycart::standins
+
+#endif  // FIREFLYCART_STANDINS_TESTING_SESSION_WORLD_H_
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -17,7 +17,11 @@
 from dataclasses import dataclass
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-TEST = "fireflycart/standins/testing/fireflycart_random_test"
+RANDOM_TEST = "standins/testing/fireflycart_random_test"
+FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
+                 "standins/testing/fireflycart_failure_test")
+SESSION_RANDOM_TEST = "standins/testing/fireflycart_session_random_test"
+SESSION_FOCUSED_TESTS = ("standins/testing/fireflycart_session_failure_test",)
 
 
 @dataclass(frozen=True)
@@ -30,6 +34,101 @@
     after: str
 
 
+# Mechanisms of sessions on the prepared platform.
+SESSION_MUTANTS = [
+    Mutant(
+        "read at a primary that is not proven current",
+        "proxy/group_dispatch.cc",
+        "return evidence_.IsProvenSince(work.arrived.time - ProofAge(work));",
+        "(void)work;\n  return true;",
+    ),
+    Mutant(
+        "promotion before all replicas hold",
+        "proxy/failover.cc",
+        "if (!all_hold || !HasUsableToken(context)) return;",
+        "(void)all_hold;\n  if (!HasUsableToken(context)) return;",
+    ),
+    Mutant(
+        "successor with the shortest log",
+        "proxy/failover.cc",
+        "if (successor_ == UpstreamId() || best < received) {",
+        "if (successor_ == UpstreamId() || received < best) {",
+    ),
+    Mutant(
+        "lost write sent again by the owner",
+        "proxy/group_answers.cc",
+        "bool may_repeat = !was_sent || work->call.access == Access::kRead;",
+        "bool may_repeat = true;\n  (void)was_sent;",
+    ),
+    Mutant(
+        "lost write sent again by the entry",
+        "proxy/forwarder.cc",
+        "bool is_harmless = !was_sent || call.access == Access::kRead ||",
+        "bool is_harmless = true || !was_sent || call.access == Access::kRead ||",
+    ),
+    Mutant(
+        "lost commit taken for rolled back",
+        "proxy/group_answers.cc",
+        "Fail(work, is_open ? Outcome::kUnknown : Outcome::kAborted,",
+        "(void)is_open;\n    Fail(work, Outcome::kAborted,",
+    ),
+    Mutant(
+        "session values of the last user kept",
+        "proxy/upstream_pool.cc",
+        "if (call.values.count(value.first) == 0) has_surplus = true;",
+        "(void)value;",
+    ),
+    Mutant(
+        "replica read without a floor",
+        "proxy/group_dispatch.cc",
+        "is_primary ? AfterAtPrimary(*work) : FloorFor(*work);",
+        "is_primary ? AfterAtPrimary(*work) : LogPosition();",
+    ),
+    Mutant(
+        "own writes not asked for",
+        "proxy/group_dispatch.cc",
+        "bool wants_own = work.call.rule == ReadRule::kOwnWrites;",
+        "bool wants_own = false;",
+    ),
+    Mutant(
+        "positions count without a proof",
+        "proxy/evidence.cc",
+        "    if (mark.sent.sequence > proven_.sequence) break;\n"
+        "    if (mark.sent.time >= time) return mark.position;",
+        "    if (mark.sent.time >= time) return mark.position;",
+    ),
+    Mutant(
+        "promotion without a token of its own",
+        "proxy/failover.cc",
+        "return lease_.MayUseOldToken(term_);",
+        "return true;",
+    ),
+    Mutant(
+        "held replicas are not resumed",
+        "proxy/failover.cc",
+        "if (may_hold) pool->SendControl(item.first, command, context);",
+        "(void)may_hold;",
+    ),
+    Mutant(
+        "successor of a leaving primary not awaited",
+        "proxy/failover.cc",
+        "if (!HasCaughtUp(pool, context)) return;",
+        "",
+    ),
+    Mutant(
+        "rolled back connection reused with its transaction",
+        "proxy/group_answers.cc",
+        "  pool_.Send(connection, {rollback}, StatementNumber(), context);",
+        "  connection->is_ending = false;",
+    ),
+    Mutant(
+        "routes not taken from peers",
+        "proxy/store_follower.cc",
+        'ApplyRoutes(reply.routes, "peer", context);',
+        "",
+    ),
+]
+
 MUTANTS = [
     Mutant(
         "acknowledge at the primary",
@@ -200,16 +299,18 @@
     build = os.path.join(tree, "build")
     configure = ["cmake", "-S", tree, "-B", build, "-G", "Ninja"]
     subprocess.run(configure, check=True, capture_output=True)
+    is_session = mutant.file.startswith("proxy/")
+    focused_tests = SESSION_FOCUSED_TESTS if is_session else FOCUSED_TESTS
+    random_test = SESSION_RANDOM_TEST if is_session else RANDOM_TEST
+    targets = [os.path.basename(t) for t in (*focused_tests, random_test)]
     made = subprocess.run(
-        ["cmake", "--build", build, "-j", "2", "--target", "fireflycart_random_test",
-         "fireflycart_failure_test", "fireflycart_core_test"],
+        ["cmake", "--build", build, "-j", "2", "--target", *targets],
         capture_output=True,
         check=False,
     )
     if made.returncode != 0:
         return mutant.name, "not built", made.stdout.decode()[-300:]
-    for name in ("core/testing/fireflycart_core_test",
-                 "standins/testing/fireflycart_failure_test"):
+    for name in focused_tests:
         focused = subprocess.run(
             [os.path.join(build, "fireflycart", name)], capture_output=True, check=False
         )
@@ -217,13 +318,15 @@
             names = re.findall(r"Test name: .*::(\w+)", focused.stderr.decode())
             return mutant.name, "found", "test " + ", ".join(names[:2])
     found = subprocess.run(
-        [os.path.join(build, TEST), "--seed=1", f"--runs={seeds}", "--stop_at_failure"],
+        [os.path.join(build, "fireflycart", random_test), "--seed=1",
+         f"--runs={seeds}", "--stop_at_failure"],
         capture_output=True,
         check=False,
     )
-    first = found.stdout.decode().split("\n")[0]
     if found.returncode == 0:
         return mutant.name, "SURVIVED", f"{seeds} seeds"
+    lines = found.stdout.decode().split("\n")
+    first = next((line for line in lines if "FAILED" in line), lines[0])
     return mutant.name, "found", first or f"exit code {found.returncode}"
 
 
@@ -233,7 +336,8 @@
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("names", nargs="*")
     options = parser.parse_args()
-    chosen = [m for m in MUTANTS if not options.names or m.name in options.names]
+    everything = SESSION_MUTANTS + MUTANTS
+    chosen = [m for m in everything if not options.names or m.name in options.names]
     survived = 0
     with tempfile.TemporaryDirectory() as directory:
         with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
