Stop accepting callers before the last look of a planned stop

Ruled out: a close with unread bytes, since the session began after the decision. The listener is now closed first, and the VM exits once nothing is open a step later.

--- a/fireflycart/core/proxy/proxy_event.h
+++ b/fireflycart/core/proxy/proxy_event.h
@@ -80,6 +80,9 @@
   SessionNumber session;
 };
 
+// New callers are no longer accepted; sessions go on.
+struct StopListening {};
+
 // Ends with UpstreamOpened or UpstreamClosed.
 struct OpenUpstream {
   ConnectionId connection;
@@ -124,9 +127,10 @@
 };
 
 using ProxyEffect =
-    std::variant<GreetCaller, AnswerStatement, CloseCaller, OpenUpstream,
-                 SendUpstream, CloseUpstream, CallPeer, AnswerPeer, StoreCall,
-                 PromoteUpstream, WriteRecord, CountStatement, Exit>;
+    std::variant<GreetCaller, AnswerStatement, CloseCaller, StopListening,
+                 OpenUpstream, SendUpstream, CloseUpstream, CallPeer,
+                 AnswerPeer, StoreCall, PromoteUpstream, WriteRecord,
+                 CountStatement, Exit>;
 
 using ProxyEffects = std::vector<ProxyEffect>;
 
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -291,6 +291,14 @@
   }
   bool is_over = passed >= options_.stop_limit() - kStopMargin;
   bool is_done = !is_busy && passed >= kTurnAway;
+  // The balancer may send callers to the end if it has no better VM. Those that
+  // were accepted are served, so the last look comes after the listener closed.
+  bool stops_listening = is_over || is_done || passed >= half;
+  if (stops_listening && !has_stopped_listening_) {
+    has_stopped_listening_ = true;
+    context_.Emit(StopListening{});
+    return;
+  }
   if (!is_over && !is_done) return;
   has_exited_ = true;
   context_.Log(LogLevel::kInfo, kPart, "stopped",
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -132,6 +132,7 @@
   uint64_t applied_fleet_ = 0;
   bool is_stopping_ = false;
   bool has_left_ = false;
+  bool has_stopped_listening_ = false;
   bool has_aborted_ = false;
   bool has_exited_ = false;
   TimePoint started_;
--- a/fireflycart/daemon/session_daemon.h
+++ b/fireflycart/daemon/session_daemon.h
@@ -56,6 +56,9 @@
     ports_.callers->Answer(e);
   }
   void PerformOne(const proxy::CloseCaller& e) { ports_.callers->Close(e); }
+  void PerformOne(const proxy::StopListening&) {
+    ports_.callers->StopListening();
+  }
   void PerformOne(const proxy::OpenUpstream& e) { ports_.upstreams->Open(e); }
   void PerformOne(const proxy::SendUpstream& e) { ports_.upstreams->Send(e); }
   void PerformOne(const proxy::CloseUpstream& e) { ports_.upstreams->Close(e); }
--- a/fireflycart/net/proxy_ports.h
+++ b/fireflycart/net/proxy_ports.h
@@ -24,6 +24,7 @@
   virtual void Greet(const GreetCaller& greeting) = 0;
   virtual void Answer(const AnswerStatement& answer) = 0;
   virtual void Close(const CloseCaller& close) = 0;
+  virtual void StopListening() = 0;
 };
 
 // Connections to upstreams.
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(Owner_Killed_OthersServe);
   CPPUNIT_TEST(Owner_FrozenPastFailover_WakesHarmlessly);
   CPPUNIT_TEST(Owner_Stops_SessionsAreClosedBetweenOperations);
+  CPPUNIT_TEST(Vm_StopsWhileCallersStillCome_NoStatementIsCut);
   CPPUNIT_TEST(Vm_CutFromOwner_ServesThroughItself);
   CPPUNIT_TEST(AllVms_KilledAtOnce_ServiceReturns);
   CPPUNIT_TEST(Store_DownWhilePrimaryCrashes_OldTokenServes);
@@ -174,6 +175,19 @@
     ExpectSafe();
   }
 
+  void Vm_StopsWhileCallersStillCome_NoStatementIsCut() {
+    world_->IgnoreReadiness();
+    world_->Run(Duration::Seconds(2));
+    for (int vm = 0; vm < 3; vm++) {
+      world_->StopVm(vm);
+      world_->Run(Duration::Seconds(6));
+      CPPUNIT_ASSERT(world_->HasExited(vm));
+      world_->StartVm(vm);
+      world_->Run(Duration::Millis(500));
+    }
+    ExpectSafe();
+  }
+
   void Vm_CutFromOwner_ServesThroughItself() {
     world_->Run(Duration::Seconds(3));
     std::string owner = world_->owner().value();
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -22,6 +22,8 @@
 constexpr Duration kLatency = Duration::Millis(1);
 constexpr Duration kStatementLimit = Duration::Millis(1000);
 constexpr Duration kReconnect = Duration::Millis(30);
+// As in the daemon: the last answers are still being written.
+constexpr Duration kExitDelay = Duration::Millis(50);
 constexpr int kMaxConnections = 16;
 // A read is compared with the newest acknowledged writes and the end of the
 // log, which holds them unless it lacks them.
@@ -53,6 +55,7 @@
   TimePoint frozen_until;
   std::deque<proxy::ProxyEventBody> held;  // Arrived while it was frozen.
   bool has_exited = false;
+  bool is_listening = true;
   std::map<uint64_t, Caller*> sessions;
   uint64_t last_session = 0;
 };
@@ -292,7 +295,16 @@
   for (const proxy::ProxyEffect& effect : effects) {
     std::visit([&](const auto& e) { PerformOne(vm, e); }, effect);
   }
-  if (vm->has_exited) vm->reducer.reset();
+}
+
+// The process ends: what was still open is cut.
+void SessionWorld::EndProcess(Vm* vm, uint64_t incarnation) {
+  if (!vm->reducer || vm->incarnation != incarnation) return;
+  for (const auto& item : vm->sessions) {
+    if (item.second->is_waiting) Report("a stopped VM cut a statement");
+  }
+  vm->has_exited = true;
+  KillVm(vm->id.value().back() - '0');
 }
 
 SessionWorld::Vm* SessionWorld::FindVm(const VmId& id) {
@@ -311,6 +323,7 @@
   record.incarnation = vm->incarnation;
   record.cpu_permille = 250;
   vm->has_exited = false;
+  vm->is_listening = true;
   vm->held.clear();
   vm->reducer = std::make_unique<proxy::ProxyReducer>(
       record, proxy::ProxyOptions(), random_());
@@ -406,6 +419,11 @@
   if (found != vm->sessions.end()) OnCut(found->second);
 }
 
+void SessionWorld::PerformOne(Vm* vm, const proxy::StopListening& e) {
+  (void)e;
+  vm->is_listening = false;
+}
+
 void SessionWorld::PerformOne(Vm* vm, const proxy::OpenUpstream& e) {
   uint64_t number = ++last_number_;
   connections_[number] = {vm, e.connection};
@@ -580,7 +598,9 @@
 
 void SessionWorld::PerformOne(Vm* vm, const Exit& e) {
   (void)e;
-  vm->has_exited = true;
+  uint64_t incarnation = vm->incarnation;
+  timers_.emplace(now_ + kExitDelay,
+                  [this, vm, incarnation] { EndProcess(vm, incarnation); });
 }
 
 std::vector<std::string> SessionWorld::TakeLog() {
@@ -610,7 +630,10 @@
 void SessionWorld::Connect(Caller* caller) {
   Vm* vm = vms_[Random(vms_.size())].get();
   caller->next = now_ + kReconnect;
-  if (!vm->reducer || !vm->reducer->is_ready()) return;
+  // A balancer without a ready VM uses all of them.
+  bool is_sent = vm->reducer && vm->is_listening &&
+                 (vm->reducer->is_ready() || ignores_readiness_);
+  if (!is_sent) return;
   caller->vm = vm;
   caller->incarnation = vm->incarnation;
   caller->session = SessionNumber(++vm->last_session);
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -73,6 +73,8 @@
   void Unregister(const UpstreamId& id);
   void Register(const UpstreamId& id, bool leaving);
   void SetRoutes(uint64_t version, Duration timeout);
+  // The balancer sends callers to VMs that are not ready, too.
+  void IgnoreReadiness() { ignores_readiness_ = true; }
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
 
   DatabaseModel& database() { return *database_; }
@@ -110,6 +112,7 @@
   void PerformOne(Vm* vm, const proxy::GreetCaller& e);
   void PerformOne(Vm* vm, const proxy::AnswerStatement& e);
   void PerformOne(Vm* vm, const proxy::CloseCaller& e);
+  void PerformOne(Vm* vm, const proxy::StopListening& e);
   void PerformOne(Vm* vm, const proxy::OpenUpstream& e);
   void PerformOne(Vm* vm, const proxy::SendUpstream& e);
   void PerformOne(Vm* vm, const proxy::CloseUpstream& e);
@@ -121,6 +124,7 @@
   void PerformOne(Vm* vm, const proxy::CountStatement& e);
   void PerformOne(Vm* vm, const Exit& e);
   Vm* FindVm(const VmId& id);
+  void EndProcess(Vm* vm, uint64_t incarnation);
   // Delivers an event to this start of the VM only.
   void Deliver(Vm* vm, uint64_t incarnation, proxy::ProxyEventBody body);
 
@@ -165,6 +169,7 @@
   std::set<uint64_t> opened_;                   // Accepted connections.
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
+  bool ignores_readiness_ = false;
   uint64_t highest_token_ = 0;
 
   // What callers were told.
