--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -114,6 +114,12 @@
     answers_to_lose_--;
     return;
   }
+  if (IsStatement(command) && answers_to_break_ > 0) {
+    answers_to_break_--;
+    outputs->push_back(DatabaseOutput{id, false, true, UpstreamAnswer()});
+    connection->commands.clear();
+    return;
+  }
   if (!answer.has_status) answer.state = connection->state;
   outputs->push_back(DatabaseOutput{id, false, false, answer});
 }
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -89,6 +89,8 @@
   void SetCut(const UpstreamId& a, const UpstreamId& b, bool is_cut);
   // Answers to that many coming statements are lost.
   void LoseAnswers(int count) { answers_to_lose_ = count; }
+  // That many coming statements run, and their connection breaks then.
+  void BreakAnswers(int count) { answers_to_break_ = count; }
   void SetApplyLag(Duration lag) { options_.apply_lag = lag; }
 
   UpstreamId primary() const;
@@ -155,6 +157,7 @@
   std::vector<Promotion> promotions_;
   std::vector<DatabaseOutput> opened_;
   int answers_to_lose_ = 0;
+  int answers_to_break_ = 0;
 };
 
 }  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(Vm_CutFromStore_HearsRoutesFromPeers);
   CPPUNIT_TEST(Replica_Reborn_IsNotPromoted);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
+  CPPUNIT_TEST(Answers_CutOff_NothingRunsTwiceAndRefusalsAreTrue);
+  CPPUNIT_TEST(Owner_KilledAgainAndAgain_WritesRunAtMostOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -291,7 +293,40 @@
     ExpectSafe();
   }
 
+  void Answers_CutOff_NothingRunsTwiceAndRefusalsAreTrue() {
+    MakeWriting();
+    world_->Run(Duration::Seconds(2));
+    for (int i = 0; i < 20; i++) {
+      world_->database().BreakAnswers(4);
+      world_->Run(Duration::Millis(200));
+    }
+    world_->Run(Duration::Seconds(1));
+    CPPUNIT_ASSERT(world_->counts().open > 0);
+    ExpectSafe();
+  }
+
+  void Owner_KilledAgainAndAgain_WritesRunAtMostOnce() {
+    MakeWriting();
+    world_->Run(Duration::Seconds(2));
+    for (int i = 0; i < 12; i++) {
+      int owner = IndexOf(world_->owner());
+      world_->KillVm(owner);
+      world_->Run(Duration::Millis(400));
+      world_->StartVm(owner);
+      world_->Run(Duration::Millis(600));
+    }
+    ExpectSafe();
+  }
+
  private:
+  void MakeWriting() {
+    SessionWorldOptions options;
+    options.only_writes = true;
+    options.callers = 24;
+    options.pause = Duration::Millis(3);
+    Make(options);
+  }
+
   void Make(const SessionWorldOptions& options) {
     options_ = options;
     world_ = std::make_unique<SessionWorld>(options, kSeed);
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -183,6 +183,11 @@
     Vm* vm = found->second.first;
     ConnectionId connection = found->second.second;
     uint64_t incarnation = vm->incarnation;
+    if (output.is_lost) {
+      database_->Close(output.connection);
+      LoseConnection(output.connection);
+      continue;
+    }
     proxy::ProxyEventBody body =
         output.is_open ? proxy::ProxyEventBody(proxy::UpstreamOpened{
                              connection, output.answer.position})
@@ -344,6 +349,14 @@
     connection_numbers_.erase({vm, it->second.second});
     it = connections_.erase(it);
   }
+  // Connections of peers break at once; what was sent may have been acted on.
+  for (const auto& item : targets_) {
+    uint64_t number = item.first;
+    if (item.second != vm->name || peer_calls_.count(number) == 0) continue;
+    Send(vm->name, askers_[number], [this, number] {
+      EndPeerCall(number, PeerCallError::kBroken, PeerReplyBody());
+    });
+  }
   for (auto& caller : callers_) {
     if (caller->vm == vm) OnCut(caller.get());
   }
@@ -361,21 +374,26 @@
 
 void SessionWorld::CrashUpstream(const UpstreamId& id) {
   for (const DatabaseOutput& lost : database_->Crash(id)) {
-    auto found = connections_.find(lost.connection.value());
-    if (found == connections_.end()) continue;
-    Vm* vm = found->second.first;
-    ConnectionId connection = found->second.second;
-    uint64_t incarnation = vm->incarnation;
-    connection_numbers_.erase(found->second);
-    connections_.erase(found);
-    Send(id.value(), vm->name, [this, vm, incarnation, connection] {
-      Deliver(
-          vm, incarnation,
-          proxy::UpstreamClosed{connection, Outcome::kUnknown, false, "reset"});
-    });
+    LoseConnection(lost.connection);
   }
 }
 
+void SessionWorld::LoseConnection(ConnectionId number) {
+  auto found = connections_.find(number.value());
+  if (found == connections_.end()) return;
+  Vm* vm = found->second.first;
+  ConnectionId connection = found->second.second;
+  uint64_t incarnation = vm->incarnation;
+  connection_numbers_.erase(found->second);
+  connections_.erase(found);
+  Send(upstream_of_[number.value()].value(), vm->name,
+       [this, vm, incarnation, connection] {
+         Deliver(vm, incarnation,
+                 proxy::UpstreamClosed{connection, Outcome::kUnknown, false,
+                                       "reset"});
+       });
+}
+
 void SessionWorld::RestartUpstream(const UpstreamId& id) {
   database_->Restart(id);
 }
@@ -497,38 +515,37 @@
   askers_[number] = vm->name;
   VmId from = vm->id;
   PeerCallBody body = e.body;
+  targets_[number] = to->name;
   Send(vm->name, to->name, [this, vm, to, number, from, body] {
     if (!to->reducer) {
       Send(to->name, vm->name, [this, number] {
-        auto found = peer_calls_.find(number);
-        if (found == peer_calls_.end()) return;
-        auto lost = found->second;
-        peer_calls_.erase(found);
-        lost(PeerCallError::kNotSent, PeerReplyBody());
+        EndPeerCall(number, PeerCallError::kNotSent, PeerReplyBody());
       });
       return;
     }
     Deliver(to, to->incarnation, PeerCalled{HandleId(number), from, body});
   });
   timers_.emplace(now_ + e.timeout, [this, number] {
-    auto found = peer_calls_.find(number);
-    if (found == peer_calls_.end()) return;
-    auto lost = found->second;
-    peer_calls_.erase(found);
-    lost(PeerCallError::kBroken, PeerReplyBody());
+    EndPeerCall(number, PeerCallError::kBroken, PeerReplyBody());
   });
 }
 
+void SessionWorld::EndPeerCall(uint64_t number, PeerCallError error,
+                               const PeerReplyBody& body) {
+  auto found = peer_calls_.find(number);
+  if (found == peer_calls_.end()) return;
+  auto end = found->second;
+  peer_calls_.erase(found);
+  targets_.erase(number);
+  end(error, body);
+}
+
 void SessionWorld::PerformOne(Vm* vm, const AnswerPeer& e) {
   uint64_t number = e.handle.value();
   PeerReplyBody body = e.body;
-  std::string asker = askers_[number];
-  Send(vm->name, asker, [this, number, body] {
-    auto found = peer_calls_.find(number);
-    if (found == peer_calls_.end()) return;
-    auto end = found->second;
-    peer_calls_.erase(found);
-    end(PeerCallError::kNone, body);
+  // The reply travels back on the caller's connection.
+  Send(vm->name, askers_[number], [this, number, body] {
+    EndPeerCall(number, PeerCallError::kNone, body);
   });
 }
 
@@ -668,7 +685,7 @@
     caller->statements.back().name = "v" + std::to_string(Random(2));
     caller->statements.back().arguments = std::to_string(Random(4));
   }
-  switch (Random(5)) {
+  switch (options_.only_writes ? Random(2) : Random(5)) {
     case 0:
       add(StatementKind::kWrite, write_text());
       break;
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -34,6 +34,7 @@
   Duration pause = Duration::Millis(20);  // Between two operations of a caller.
   DatabaseOptions database;
   proxy::ReadRule rule = proxy::ReadRule::kNewest;
+  bool only_writes = false;
   bool mixed_rules = true;  // A third of the callers on each rule.
   Duration max_age = Duration::Millis(1000);
 };
@@ -124,6 +125,9 @@
   void PerformOne(Vm* vm, const proxy::CountStatement& e);
   void PerformOne(Vm* vm, const Exit& e);
   Vm* FindVm(const VmId& id);
+  void LoseConnection(ConnectionId number);
+  void EndPeerCall(uint64_t number, PeerCallError error,
+                   const PeerReplyBody& body);
   void EndProcess(Vm* vm, uint64_t incarnation);
   // Delivers an event to this start of the VM only.
   void Deliver(Vm* vm, uint64_t incarnation, proxy::ProxyEventBody body);
@@ -164,6 +168,7 @@
   std::map<uint64_t, std::function<void(proxy::StoreAnswered)>> store_calls_;
   std::map<uint64_t, std::function<void(PeerCallError, PeerReplyBody)>>
       peer_calls_;
+  std::map<uint64_t, std::string> targets_;     // By open peer call.
   std::map<uint64_t, std::string> askers_;      // By peer call.
   std::map<uint64_t, UpstreamId> upstream_of_;  // By connection.
   std::set<uint64_t> opened_;                   // Accepted connections.
