Let three VMs follow the store and spread the news between VMs

Three VMs by hash now follow; each VM tells three others when it learns something, and follows the store itself if no news of it came for 8 s.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -59,15 +59,10 @@
 Fleet::Fleet(VmRecord self, KnowledgeSource* knowledge)
     : self_(std::move(self)), knowledge_(knowledge) {}
 
-void Fleet::SetVms(const std::vector<VmRecord>& records,
-                   ProxyContext* context) {
-  std::set<VmId> listed;
-  for (const VmRecord& record : records) {
-    listed.insert(record.vm);
-    AddVm(record, context);
-  }
+void Fleet::SetVms(const VmList& list, ProxyContext* context) {
+  for (const auto& item : list.records) AddVm(item.second, context);
   for (auto it = vms_.begin(); it != vms_.end();) {
-    bool keep = listed.count(it->first) != 0;
+    bool keep = list.records.count(it->first) != 0;
     it = keep ? std::next(it) : vms_.erase(it);
   }
   Recompute();
@@ -82,10 +77,10 @@
   vm.record = record;
   vm.is_down = false;
   vm.is_leaving = false;
+  vm.hears_store = true;
   vm.open_calls = 0;
   context->Log(LogLevel::kInfo, kPart, is_new ? "vm_known" : "vm_restarted",
                {{"peer", record.vm.value()}, {"address", record.address}});
-  Recompute();
 }
 
 void Fleet::SetGroups(const std::vector<GroupId>& groups) {
@@ -186,19 +181,44 @@
   Recompute();
 }
 
-void Fleet::OnHeard(const VmId& id, const FreshnessCall& call,
+void Fleet::OnHeard(const VmId& id, const Freshness& freshness,
                     ProxyContext* context) {
   auto found = vms_.find(id);
-  if (found == vms_.end()) return;
-  if (call.is_leaving) OnLeaving(id, context);
-  OnKnowledge(id, call.route_version, call.upstream_version);
+  if (found != vms_.end()) {
+    Vm& vm = found->second;
+    if (freshness.is_leaving) OnLeaving(id, context);
+    if (vm.hears_store != freshness.hears_store) version_++;
+    vm.hears_store = freshness.hears_store;
+  }
+  knowledge_->OnPeerKnowledge(id, freshness);
 }
 
-void Fleet::OnKnowledge(const VmId& vm, uint64_t routes, uint64_t upstreams) {
-  FreshnessCall own = knowledge_->Knowledge();
-  bool is_ahead =
-      routes > own.route_version || upstreams > own.upstream_version;
-  if (is_ahead) knowledge_->OnPeerAhead(vm);
+bool Fleet::IsReader() const {
+  auto rank = [](const VmId& vm) {
+    return XXH3_64bits(vm.value().data(), vm.value().size());
+  };
+  uint64_t own = rank(self_.vm);
+  size_t before = 0;
+  for (const auto& item : vms_) {
+    bool reads = IsUsable(item.first) && item.second.hears_store;
+    if (reads && rank(item.first) < own) before++;
+  }
+  return before < kReaders;
+}
+
+void Fleet::Spread(ProxyContext* context) {
+  std::vector<Vm*> usable;
+  for (auto& item : vms_) {
+    if (IsUsable(item.first)) usable.push_back(&item.second);
+  }
+  for (size_t told = 0; told < kTold && !usable.empty(); told++) {
+    size_t index = context->Random(usable.size());
+    const VmRecord& record = usable[index]->record;
+    context->Emit(CallPeer{context->NextCall(), record.vm, record.address,
+                           kProbeTimeout,
+                           FreshnessCall{knowledge_->Knowledge()}});
+    usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
+  }
 }
 
 void Fleet::Probe(Vm* vm, ProxyContext* context) {
@@ -207,7 +227,7 @@
   CallId call = context->NextCall();
   probes_[call] = vm->record.vm;
   context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
-                         knowledge_->Knowledge()});
+                         FreshnessCall{knowledge_->Knowledge()}});
 }
 
 bool Fleet::OnReply(const PeerReplied& reply, ProxyContext* context) {
@@ -228,8 +248,7 @@
   }
   vm.waits_since = context->now();
   SetDown(&vm, false, "probe_answered", context);
-  if (body->is_leaving) OnLeaving(id, context);
-  OnKnowledge(id, body->route_version, body->upstream_version);
+  OnHeard(id, body->freshness, context);
   return true;
 }
 
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -28,9 +28,9 @@
 class KnowledgeSource {
  public:
   virtual ~KnowledgeSource() = default;
-  virtual FreshnessCall Knowledge() const = 0;
-  // A peer knows of newer routes or upstreams.
-  virtual void OnPeerAhead(const VmId& vm) = 0;
+  virtual Freshness Knowledge() const = 0;
+  // What a peer said of itself.
+  virtual void OnPeerKnowledge(const VmId& vm, const Freshness& freshness) = 0;
 };
 
 class Fleet {
@@ -44,13 +44,15 @@
   // Pause before a VM that failed is probed, first and later on.
   static constexpr Duration kFirstReprobe = Duration::Millis(100);
   static constexpr Duration kDownProbePeriod = Duration::Millis(400);
+  // VMs that follow the platform's store for all. Two may be cut off at once.
+  static constexpr size_t kReaders = 3;
+  // VMs that are told at once of what this one has learnt; each tells as many.
+  static constexpr size_t kTold = 3;
 
   Fleet(VmRecord self, KnowledgeSource* knowledge);
 
   // Takes in the registry; VMs that are not in it are dropped.
-  void SetVms(const std::vector<VmRecord>& records, ProxyContext* context);
-  // Adds VMs that a peer or their own call told of.
-  void AddVm(const VmRecord& record, ProxyContext* context);
+  void SetVms(const VmList& list, ProxyContext* context);
   void SetGroups(const std::vector<GroupId>& groups);
 
   // The VM that should own the group, this one if nobody else can.
@@ -58,6 +60,11 @@
   std::string AddressOf(const VmId& vm) const;
   bool IsUsable(const VmId& vm) const;
   std::vector<VmRecord> Records() const;
+  // True if this VM is one of the kReaders; others take over from VMs that do
+  // not hear the store.
+  bool IsReader() const;
+  // Tells some VMs that this one knows more than before.
+  void Spread(ProxyContext* context);
   // Grows with every change of owners.
   uint64_t version() const { return version_; }
   size_t size() const { return vms_.size(); }
@@ -71,7 +78,7 @@
   void OnCallFailed(const VmId& vm, ProxyContext* context);
   void OnLeaving(const VmId& vm, ProxyContext* context);
   // The VM itself called.
-  void OnHeard(const VmId& vm, const FreshnessCall& call,
+  void OnHeard(const VmId& vm, const Freshness& freshness,
                ProxyContext* context);
 
   // Handles the reply to a probe; false if the call is not one.
@@ -83,6 +90,7 @@
     VmRecord record;
     bool is_down = false;
     bool is_leaving = false;
+    bool hears_store = true;
     int open_calls = 0;
     TimePoint waits_since;  // Since when calls are open without an answer.
     bool is_probed = false;
@@ -91,7 +99,7 @@
 
   void Probe(Vm* vm, ProxyContext* context);
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
-  void OnKnowledge(const VmId& vm, uint64_t routes, uint64_t upstreams);
+  void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
 
   VmRecord self_;
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -83,28 +83,40 @@
 };
 struct WithdrawReply {};
 
+// Versions of what a VM knows of the platform's store.
+struct KnownVersions {
+  uint64_t routes = 0;
+  uint64_t upstreams = 0;
+  uint64_t vms = 0;
+
+  bool IsAheadOf(const KnownVersions& o) const {
+    return routes > o.routes || upstreams > o.upstreams || vms > o.vms;
+  }
+};
+
 // Shows that the sender lives and what it knows.
-struct FreshnessCall {
-  uint64_t route_version = 0;
-  uint64_t upstream_version = 0;
+struct Freshness {
+  KnownVersions known;
+  Duration store_age;  // Since any VM is known to have heard the store.
+  bool hears_store = false;
   bool is_leaving = false;
 };
+struct FreshnessCall {
+  Freshness freshness;
+};
 struct FreshnessReply {
-  uint64_t route_version = 0;
-  uint64_t upstream_version = 0;
-  bool is_leaving = false;
+  Freshness freshness;
 };
 
 // Asks for what the sender lacks.
 struct SnapshotCall {
-  uint64_t route_version = 0;
-  uint64_t upstream_version = 0;
+  KnownVersions known;
 };
 // Each part has version 0 if the receiver had nothing newer.
 struct SnapshotReply {
   RouteTable routes;
   UpstreamList upstreams;
-  std::vector<VmRecord> vms;
+  VmList vms;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -78,6 +78,8 @@
 }
 
 void ProxyReducer::ApplyChanges() {
+  bool has_news = applied_vm_changes_ != follower_.vm_changes() ||
+                  applied_changes_ != follower_.changes();
   if (applied_vm_changes_ != follower_.vm_changes()) {
     applied_vm_changes_ = follower_.vm_changes();
     fleet_.SetVms(follower_.vms(), &context_);
@@ -87,6 +89,7 @@
     ApplyDirectory();
   }
   if (applied_fleet_ != fleet_.version()) ApplyOwners();
+  if (has_news) fleet_.Spread(&context_);
 }
 
 void ProxyReducer::ApplyDirectory() {
@@ -109,6 +112,7 @@
 
 void ProxyReducer::ApplyOwners() {
   applied_fleet_ = fleet_.version();
+  follower_.SetReader(fleet_.IsReader(), &context_);
   if (!follower_.has_upstreams() || !follower_.has_vms()) return;
   for (const auto& item : follower_.routes().groups) {
     bool is_chosen = !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
@@ -219,6 +223,7 @@
     snapshot_ = CallId();
     const auto* body = std::get_if<SnapshotReply>(&event.body);
     if (body != nullptr) follower_.OnSnapshot(*body, &context_);
+    AskAhead();
     return;
   }
   Forwarder::Result result = forwarder_.OnReply(event, &context_);
@@ -262,7 +267,7 @@
     if (vm.vm == self_.vm || !fleet_.IsUsable(vm.vm)) continue;
     if (++told > kStopNotices) break;
     context_.Emit(CallPeer{context_.NextCall(), vm.vm, vm.address,
-                           kNoticeTimeout, Knowledge()});
+                           kNoticeTimeout, FreshnessCall{Knowledge()}});
   }
   context_.WakeAt(context_.now() + kStopStep);
 }
@@ -372,17 +377,31 @@
   }
 }
 
-FreshnessCall ProxyReducer::Knowledge() const {
-  return FreshnessCall{follower_.routes().version,
-                       follower_.upstreams().version, is_stopping_};
+Freshness ProxyReducer::Knowledge() const {
+  Freshness freshness;
+  freshness.known = follower_.known();
+  freshness.store_age = follower_.store_age(context_.now());
+  freshness.hears_store = follower_.hears_store();
+  freshness.is_leaving = is_stopping_;
+  return freshness;
 }
 
-void ProxyReducer::OnPeerAhead(const VmId& vm) {
-  if (snapshot_ != CallId()) return;
-  snapshot_ = context_.NextCall();
-  context_.Emit(CallPeer{
-      snapshot_, vm, fleet_.AddressOf(vm), kSnapshotTimeout,
-      SnapshotCall{follower_.routes().version, follower_.upstreams().version}});
+void ProxyReducer::OnPeerKnowledge(const VmId& vm, const Freshness& freshness) {
+  follower_.OnStoreHeard(freshness.store_age, &context_);
+  if (!freshness.known.IsAheadOf(follower_.known())) return;
+  ahead_ = vm;
+  AskAhead();
+}
+
+void ProxyReducer::AskAhead() {
+  if (snapshot_ != CallId() || ahead_ == VmId()) return;
+  std::string address = fleet_.AddressOf(ahead_);
+  if (!address.empty()) {
+    snapshot_ = context_.NextCall();
+    context_.Emit(CallPeer{snapshot_, ahead_, address, kSnapshotTimeout,
+                           SnapshotCall{follower_.known()}});
+  }
+  ahead_ = VmId();
 }
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
@@ -422,24 +441,21 @@
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const FreshnessCall& call) {
-  FreshnessCall own = Knowledge();
-  context_.Emit(AnswerPeer{
-      handle,
-      FreshnessReply{own.route_version, own.upstream_version, own.is_leaving}});
-  fleet_.OnHeard(from, call, &context_);
+  context_.Emit(AnswerPeer{handle, FreshnessReply{Knowledge()}});
+  fleet_.OnHeard(from, call.freshness, &context_);
 }
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const SnapshotCall& call) {
   (void)from;
   SnapshotReply reply;
-  if (follower_.routes().version > call.route_version) {
+  if (follower_.routes().version > call.known.routes) {
     reply.routes = follower_.routes();
   }
-  if (follower_.upstreams().version > call.upstream_version) {
+  if (follower_.upstreams().version > call.known.upstreams) {
     reply.upstreams = follower_.upstreams();
   }
-  reply.vms = fleet_.Records();
+  if (follower_.vms().version > call.known.vms) reply.vms = follower_.vms();
   context_.Emit(AnswerPeer{handle, std::move(reply)});
 }
 
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -104,12 +104,13 @@
   void OnStatementDone(const WorkOrigin& origin, StatementReply reply) override;
 
   // KnowledgeSource.
-  FreshnessCall Knowledge() const override;
-  void OnPeerAhead(const VmId& vm) override;
+  Freshness Knowledge() const override;
+  void OnPeerKnowledge(const VmId& vm, const Freshness& freshness) override;
 
   GroupOwner* OwnerFor(const GroupId& group);
   GroupOwner* OwnerOfConnection(ConnectionId connection);
   VmId VmFor(SessionNumber session, const StatementCall& call);
+  void AskAhead();
   void ApplyChanges();
   void ApplyDirectory();
   void ApplyOwners();
@@ -127,6 +128,7 @@
   std::map<GroupId, std::unique_ptr<GroupOwner>> owners_;
   std::unordered_map<uint64_t, GroupId> connections_;
   CallId snapshot_;
+  VmId ahead_;  // Knows more, and is to be asked next.
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
   uint64_t applied_fleet_ = 0;
--- a/fireflycart/core/proxy/route.h
+++ b/fireflycart/core/proxy/route.h
@@ -75,6 +75,12 @@
   int cpu_permille = 0;  // Of one core.
 };
 
+// All registered VMs as of one version of the registry.
+struct VmList {
+  uint64_t version = 0;
+  std::map<VmId, VmRecord> records;
+};
+
 }  // namespace fireflycart::proxy
 
 #endif  // FIREFLYCART_CORE_PROXY_ROUTE_H_
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -60,6 +60,7 @@
 
 void StoreFollower::Step(Table* table, ProxyContext* context) {
   if (table->call != CallId()) return;
+  if (table->is_current && !MustFollow(context)) return;
   if (context->now() < table->next) {
     context->WakeAt(table->next);
     return;
@@ -76,6 +77,29 @@
                 FollowTable{table->table, table->version, kFollowWait}});
 }
 
+bool StoreFollower::MustFollow(ProxyContext* context) const {
+  return is_reader_ || store_age(context->now()) > kUnheardLimit;
+}
+
+bool StoreFollower::hears_store() const {
+  for (const Table& table : tables_) {
+    if (table.failures > 0) return false;
+  }
+  return true;
+}
+
+void StoreFollower::SetReader(bool is_reader, ProxyContext* context) {
+  if (is_reader == is_reader_) return;
+  is_reader_ = is_reader;
+  context->Log(LogLevel::kInfo, kPart,
+               is_reader ? "follows_store" : "leaves_store_to_peers", {});
+  for (Table& table : tables_) Step(&table, context);
+}
+
+void StoreFollower::OnStoreHeard(Duration age, ProxyContext* context) {
+  store_heard_ = std::max(store_heard_, context->now() - age);
+}
+
 void StoreFollower::OnWake(ProxyContext* context) {
   Announce(context);
   for (Table& table : tables_) Step(&table, context);
@@ -104,6 +128,7 @@
                       {"failures", std::to_string(table.failures)}});
       }
       table.failures = 0;
+      store_heard_ = context->now();
       Apply(table, answer, table.is_reading, context);
       table.version = answer.version;
       table.is_current = true;
@@ -176,7 +201,8 @@
 
 void StoreFollower::ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                                    ProxyContext* context) {
-  if (answer.version < upstreams_.version) return;
+  bool has_news = is_whole || !answer.upstreams.empty();
+  if (answer.version < upstreams_.version || !has_news) return;
   if (is_whole) upstreams_.records.clear();
   for (const UpstreamChange& change : answer.upstreams) {
     if (!change.is_present) {
@@ -195,17 +221,19 @@
 }
 
 void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole) {
-  if (is_whole) vms_.clear();
+  bool has_news = is_whole || !answer.rows.empty();
+  if (answer.version < vms_.version || !has_news) return;
+  if (is_whole) vms_.records.clear();
   for (const StoreRow& row : answer.rows) {
     VmRecord record;
     record.vm = VmId(row.key);
     if (row.is_deleted || !DecodeVm(row.value, &record)) {
-      vms_.erase(row.key);
+      vms_.records.erase(record.vm);
     } else {
-      vms_[row.key] = record;
+      vms_.records[record.vm] = record;
     }
   }
-  has_vms_ = true;
+  vms_.version = answer.version;
   vm_changes_++;
 }
 
@@ -218,25 +246,22 @@
                   {"before", std::to_string(upstreams_.version)}});
     upstreams_ = reply.upstreams;
     changes_++;
-    // The store's own changes are taken from the peer's version on.
-    Table& table = tables_[1];
-    if (table.version < upstreams_.version) {
-      table.version = upstreams_.version;
-      table.is_current = true;
-    }
+    TakeVersion(StoreTable::kUpstreams, upstreams_.version);
   }
-  for (const VmRecord& record : reply.vms) {
-    VmRecord& known = vms_[record.vm.value()];
-    if (known.incarnation >= record.incarnation) continue;
-    known = record;
+  if (reply.vms.version > vms_.version) {
+    vms_ = reply.vms;
     vm_changes_++;
+    TakeVersion(StoreTable::kVms, vms_.version);
   }
 }
 
-std::vector<VmRecord> StoreFollower::vms() const {
-  std::vector<VmRecord> records;
-  for (const auto& item : vms_) records.push_back(item.second);
-  return records;
+// The store's own changes are taken from the peer's version on.
+void StoreFollower::TakeVersion(StoreTable which, uint64_t version) {
+  for (Table& table : tables_) {
+    if (table.table != which || table.version >= version) continue;
+    table.version = version;
+    table.is_current = true;
+  }
 }
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -1,7 +1,9 @@
 // Keeps routes, upstreams and the list of VMs current: reads each table of the
-// store once, then follows its changes.
+// store once, then follows its changes, or leaves that to other VMs and hears
+// of changes from them.
 //
 //   follower.Start(self_record, &context);
+//   follower.SetReader(fleet.IsReader(), &context);
 //   if (follower.OnStore(answer, &context)) Use(follower.routes());
 //   follower.OnSnapshot(reply, &context);        // what a peer knew
 //
@@ -30,6 +32,9 @@
   // upstream must be known.
   static constexpr Duration kFollowWait = Duration::Millis(4000);
   static constexpr Duration kFollowSlack = Duration::Millis(1000);
+  // A VM that no news of the store reached for so long follows it itself. More
+  // than readers need for an answer and news to spread.
+  static constexpr Duration kUnheardLimit = Duration::Millis(8000);
   static constexpr Duration kReadTimeout = Duration::Millis(1000);
   // Pause after a failed call, doubled up to the longest.
   static constexpr Duration kRetry = Duration::Millis(200);
@@ -44,13 +49,22 @@
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
   void OnSnapshot(const SnapshotReply& reply, ProxyContext* context);
   void OnWake(ProxyContext* context);
+  // Whether this VM is one of those that follow the store for all.
+  void SetReader(bool is_reader, ProxyContext* context);
+  // Some VM heard the store so long ago.
+  void OnStoreHeard(Duration age, ProxyContext* context);
 
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_; }
-  std::vector<VmRecord> vms() const;
+  const VmList& vms() const { return vms_; }
   bool has_upstreams() const { return upstreams_.version != 0; }
-  bool has_vms() const { return has_vms_; }
-  // Grow with each change.
+  bool has_vms() const { return vms_.version != 0; }
+  KnownVersions known() const {
+    return KnownVersions{routes_.version, upstreams_.version, vms_.version};
+  }
+  bool hears_store() const;
+  Duration store_age(TimePoint now) const { return now - store_heard_; }
+  // Grows with each change of routes or upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
   uint64_t vm_changes() const { return vm_changes_; }
 
@@ -78,6 +92,8 @@
   void ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                       ProxyContext* context);
   void ApplyVms(const StoreAnswered& answer, bool is_whole);
+  void TakeVersion(StoreTable which, uint64_t version);
+  bool MustFollow(ProxyContext* context) const;
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
 
   VmRecord self_;
@@ -89,8 +105,9 @@
   TimePoint next_announcement_;
   RouteTable routes_;
   UpstreamList upstreams_;
-  std::map<std::string, VmRecord> vms_;
-  bool has_vms_ = false;
+  VmList vms_;
+  bool is_reader_ = true;
+  TimePoint store_heard_;
   uint64_t changes_ = 0;
   uint64_t vm_changes_ = 0;
 };
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -146,6 +146,36 @@
   }
 }
 
+Json ToJson(const VmList& l) {
+  return Json::array({l.version, ValuesToJson(l.records)});
+}
+void FromJson(const Json& json, VmList* l) {
+  Unpacker fields(json);
+  fields.Take(&l->version);
+  for (const Json& item : fields.Next()) {
+    VmRecord record;
+    FromJson(item, &record);
+    l->records[record.vm] = record;
+  }
+}
+
+Json ToJson(const KnownVersions& k) {
+  return Pack(k.routes, k.upstreams, k.vms);
+}
+void FromJson(const Json& json, KnownVersions* k) {
+  Unpacker(json).Take(&k->routes).Take(&k->upstreams).Take(&k->vms);
+}
+
+Json ToJson(const Freshness& f) {
+  return Json::array(
+      {ToJson(f.known), f.store_age.millis(), f.hears_store, f.is_leaving});
+}
+void FromJson(const Json& json, Freshness* f) {
+  Unpacker fields(json);
+  FromJson(fields.Next(), &f->known);
+  fields.Take(&f->store_age).Take(&f->hears_store).Take(&f->is_leaving);
+}
+
 }  // namespace
 
 Json ToJson(const StatementCall& c) {
@@ -213,47 +243,27 @@
   fields.Take(&c->id);
 }
 
-Json ToJson(const FreshnessCall& c) {
-  return Pack(c.route_version, c.upstream_version, c.is_leaving);
-}
+Json ToJson(const FreshnessCall& c) { return ToJson(c.freshness); }
 void FromJson(const Json& json, FreshnessCall* c) {
-  Unpacker(json)
-      .Take(&c->route_version)
-      .Take(&c->upstream_version)
-      .Take(&c->is_leaving);
+  FromJson(json, &c->freshness);
 }
 
-Json ToJson(const FreshnessReply& r) {
-  return Pack(r.route_version, r.upstream_version, r.is_leaving);
-}
+Json ToJson(const FreshnessReply& r) { return ToJson(r.freshness); }
 void FromJson(const Json& json, FreshnessReply* r) {
-  Unpacker(json)
-      .Take(&r->route_version)
-      .Take(&r->upstream_version)
-      .Take(&r->is_leaving);
+  FromJson(json, &r->freshness);
 }
 
-Json ToJson(const SnapshotCall& c) {
-  return Pack(c.route_version, c.upstream_version);
-}
-void FromJson(const Json& json, SnapshotCall* c) {
-  Unpacker(json).Take(&c->route_version).Take(&c->upstream_version);
-}
+Json ToJson(const SnapshotCall& c) { return ToJson(c.known); }
+void FromJson(const Json& json, SnapshotCall* c) { FromJson(json, &c->known); }
 
 Json ToJson(const SnapshotReply& r) {
-  Json vms = Json::array();
-  for (const VmRecord& vm : r.vms) vms.push_back(ToJson(vm));
-  return Json::array({ToJson(r.routes), ToJson(r.upstreams), std::move(vms)});
+  return Json::array({ToJson(r.routes), ToJson(r.upstreams), ToJson(r.vms)});
 }
 void FromJson(const Json& json, SnapshotReply* r) {
   Unpacker fields(json);
   FromJson(fields.Next(), &r->routes);
   FromJson(fields.Next(), &r->upstreams);
-  for (const Json& item : fields.Next()) {
-    VmRecord vm;
-    FromJson(item, &vm);
-    r->vms.push_back(std::move(vm));
-  }
+  FromJson(fields.Next(), &r->vms);
 }
 
 // Messages without fields.
