--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -237,6 +237,10 @@
   }
   bool is_fresh = next->status_sent.sequence > started_.sequence;
   if (is_fresh && !(next->status.received < catch_up_)) return true;
+  if (context->now() - all_held_.time > kCatchUpLimit) {
+    GiveUp("the successor lags", pool, context);
+    return false;
+  }
   Ask(successor_, CommandKind::kStatus, pool, context);
   return false;
 }
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -44,6 +44,8 @@
   // An attempt that cannot make every replica hold is given up after it, so
   // that a primary which only this VM cannot reach goes on.
   static constexpr Duration kHoldLimit = Duration::Seconds(5);
+  // Time for the successor of a leaving primary to receive what others have.
+  static constexpr Duration kCatchUpLimit = Duration::Millis(400);
   // Pause before the next attempt.
   static constexpr Duration kRetryAfter = Duration::Millis(500);
   // Pause between two orders to hold, or two questions, to one upstream.
--- /dev/null
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -0,0 +1,143 @@
+// Tests of the fencing token.
+
+#include "fireflycart/core/proxy/duty_lease.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace fireflycart::proxy {
+namespace {
+
+const GroupId kGroup("ledger");
+
+class DutyLeaseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DutyLeaseTest);
+  CPPUNIT_TEST(Acquire_FreeRow_TokenIsTheWrittenVersion);
+  CPPUNIT_TEST(Acquire_OtherIsPromoting_WaitsUntilItsTimeIsOver);
+  CPPUNIT_TEST(Acquire_Conflict_ReadsThePresentRow);
+  CPPUNIT_TEST(Acquire_WriteUnanswered_ReadsBeforeWritingAgain);
+  CPPUNIT_TEST(OldToken_StoreAwayAndTermUnchanged_MayBeUsed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { now_ = TimePoint::FromMillis(1000); }
+
+  void Acquire_FreeRow_TokenIsTheWrittenVersion() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, LastWrite().expected_version);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(lease_.has_token());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{31}, lease_.token());
+  }
+
+  void Acquire_OtherIsPromoting_WaitsUntilItsTimeIsOver() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    StoreRow other{kGroup.value(), "vm-9 1 promoting", 20, false};
+    AnswerRead({other});
+    for (int i = 0; i < 100 && !HasOpen<WriteRow>(); i++) {
+      now_ = now_ + Duration::Millis(50);
+      Begin();
+      lease_.OnWake(&context_);
+      if (HasOpen<ReadTable>()) AnswerRead({other});
+    }
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    CPPUNIT_ASSERT(now_ - TimePoint::FromMillis(1000) >= DutyLease::kExclusive);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{20}, LastWrite().expected_version);
+  }
+
+  void Acquire_Conflict_ReadsThePresentRow() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    StoreRow other{kGroup.value(), "vm-9 1 idle", 22, false};
+    AnswerWrite(StoreStatus::kConflict, 22, {other});
+    CPPUNIT_ASSERT(!lease_.has_token());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{22}, LastWrite().expected_version);
+  }
+
+  void Acquire_WriteUnanswered_ReadsBeforeWritingAgain() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kUnknown, 0, {});
+    CPPUNIT_ASSERT(!lease_.has_token());
+    now_ = now_ + Duration::Millis(500);
+    effects_.clear();
+    Begin();
+    lease_.OnWake(&context_);
+    CPPUNIT_ASSERT(HasOpen<ReadTable>());
+    CPPUNIT_ASSERT(!HasOpen<WriteRow>());
+  }
+
+  void OldToken_StoreAwayAndTermUnchanged_MayBeUsed() {
+    Begin();
+    lease_.Acquire(false, 4, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(!lease_.has_token());
+    CPPUNIT_ASSERT(!lease_.MayUseOldToken(4));
+    lease_.Acquire(true, 4, &context_);
+    AnswerWrite(StoreStatus::kUnknown, 0, {});
+    CPPUNIT_ASSERT(lease_.MayUseOldToken(4));
+    CPPUNIT_ASSERT(!lease_.MayUseOldToken(5));
+  }
+
+ private:
+  void Begin() { context_.Begin(now_, &effects_); }
+
+  template <typename T>
+  bool HasOpen() const {
+    const auto* call = LastCall();
+    return call != nullptr && call->call != answered_ &&
+           std::holds_alternative<T>(call->body);
+  }
+
+  const StoreCall* LastCall() const {
+    const StoreCall* last = nullptr;
+    for (const ProxyEffect& effect : effects_) {
+      if (const auto* call = std::get_if<StoreCall>(&effect)) last = call;
+    }
+    return last;
+  }
+
+  WriteRow LastWrite() const {
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    return std::get<WriteRow>(LastCall()->body);
+  }
+
+  void Answer(StoreStatus status, uint64_t version,
+              const std::vector<StoreRow>& rows) {
+    StoreAnswered answer;
+    answer.call = LastCall()->call;
+    answered_ = answer.call;
+    answer.status = status;
+    answer.version = version;
+    answer.rows = rows;
+    Begin();
+    CPPUNIT_ASSERT(lease_.OnStore(answer, &context_));
+  }
+
+  void AnswerRead(const std::vector<StoreRow>& rows) {
+    CPPUNIT_ASSERT(HasOpen<ReadTable>());
+    Answer(StoreStatus::kOk, 25, rows);
+  }
+
+  void AnswerWrite(StoreStatus status, uint64_t version,
+                   const std::vector<StoreRow>& rows) {
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    Answer(status, version, rows);
+  }
+
+  TimePoint now_;
+  ProxyEffects effects_;
+  ProxyContext context_{VmId("vm-1"), 1, 7};
+  DutyLease lease_{kGroup};
+  CallId answered_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DutyLeaseTest);
+
+}  // namespace
+}  // namespace fireflycart::proxy
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(Primary_GoesDark_WritesResumeAndNothingIsLost);
   CPPUNIT_TEST(Primary_CutFromReplicasAndHalfTheVms_NoStaleRead);
   CPPUNIT_TEST(Primary_Leaving_ChangesWithoutGap);
+  CPPUNIT_TEST(Primary_LeavingWhileSuccessorLags_NothingIsLost);
   CPPUNIT_TEST(Primary_BackBeforePromotion_ReplicasResume);
   CPPUNIT_TEST(Primary_UnreachableFromOwnerOnly_ServiceGoesOn);
   CPPUNIT_TEST(Owner_Killed_OthersServe);
@@ -130,6 +131,23 @@
     ExpectSafe();
   }
 
+  // The status that the successor was chosen by may be a period old.
+  void Primary_LeavingWhileSuccessorLags_NothingIsLost() {
+    for (int offset_ms = 0; offset_ms < 200; offset_ms += 20) {
+      Make(SessionWorldOptions());
+      world_->Run(Duration::Millis(3000 + offset_ms));
+      UpstreamId old = world_->primary();
+      world_->Cut("up-b", old.value());
+      world_->Run(Duration::Millis(80));
+      world_->Drain(old);
+      world_->Run(Duration::Seconds(4));
+      CPPUNIT_ASSERT_EQUAL(UpstreamId("up-c"), world_->primary());
+      world_->MendAll();
+      world_->Run(Duration::Seconds(1));
+      ExpectSafe();
+    }
+  }
+
   void Primary_BackBeforePromotion_ReplicasResume() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
