--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -9,6 +9,7 @@
 
 std::vector<VmRecord> Vms(int count, int cpu_permille) {
   std::vector<VmRecord> vms;
+  vms.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; i++) {
     VmRecord vm;
     vm.vm = VmId("vm-" + std::to_string(i));
@@ -20,8 +21,9 @@
 
 std::vector<GroupId> Groups(int count) {
   std::vector<GroupId> groups;
+  groups.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; i++) {
-    groups.push_back(GroupId("group-" + std::to_string(i)));
+    groups.emplace_back("group-" + std::to_string(i));
   }
   return groups;
 }
--- a/fireflycart/daemon/logging.cc
+++ b/fireflycart/daemon/logging.cc
@@ -25,27 +25,6 @@
 using Logger =
     logging::sources::severity_channel_logger_mt<LogLevel, std::string>;
 
-const char* LevelText(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "unknown";
-}
-
-LogLevel LevelOf(const std::string& text) {
-  if (text == "debug") return LogLevel::kDebug;
-  if (text == "warning") return LogLevel::kWarning;
-  if (text == "error") return LogLevel::kError;
-  return LogLevel::kInfo;
-}
-
 // The fields of one record.
 struct Fields {
   std::string time;
@@ -90,6 +69,27 @@
 
 }  // namespace
 
+const char* LevelText(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+LogLevel LevelOf(const std::string& text) {
+  if (text == "debug") return LogLevel::kDebug;
+  if (text == "warning") return LogLevel::kWarning;
+  if (text == "error") return LogLevel::kError;
+  return LogLevel::kInfo;
+}
+
 void StartLogging(const std::string& lowest_level, const std::string& format,
                   const VmId& vm) {
   logging::add_common_attributes();
--- a/fireflycart/daemon/logging.h
+++ b/fireflycart/daemon/logging.h
@@ -16,6 +16,11 @@
 
 namespace fireflycart {
 
+// Lower-case name of a level.
+const char* LevelText(LogLevel level);
+// The level of that name; kInfo if there is none.
+LogLevel LevelOf(const std::string& text);
+
 void StartLogging(const std::string& lowest_level, const std::string& format,
                   const VmId& vm);
 
--- a/fireflycart/daemon/structured_log.cc
+++ b/fireflycart/daemon/structured_log.cc
@@ -59,20 +59,6 @@
   uint64_t left_out = 0;
 };
 
-const char* LevelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "unknown";
-}
-
 // True if one more line of the event may be written now.
 bool TakeBudget(Budget* budget, TimePoint now) {
   constexpr int64_t kMillisPerSecond = 1000;
@@ -94,9 +80,7 @@
 void StartStructuredLogging(const std::string& lowest_level, const VmId& vm) {
   Output& output = SharedOutput();
   output.vm = vm;
-  if (lowest_level == "debug") output.lowest = LogLevel::kDebug;
-  if (lowest_level == "warning") output.lowest = LogLevel::kWarning;
-  if (lowest_level == "error") output.lowest = LogLevel::kError;
+  output.lowest = LevelOf(lowest_level);
   int flags = fcntl(STDOUT_FILENO, F_GETFL);
   if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   using Sink = logging::sinks::unlocked_sink<BufferBackend>;
@@ -120,7 +104,7 @@
       {"time_ms",
        std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()},
       {"up_ms", now.millis()},
-      {"level", LevelName(record.level)},
+      {"level", LevelText(record.level)},
       {"vm", output.vm.value()},
       {"part", record.part},
       {"event", record.event}};
--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -73,8 +73,8 @@
   uint64_t Random(uint64_t bound) { return random_() % bound; }
   std::string RandomVm() { return "vm-" + std::to_string(Random(4)); }
   UpstreamId RandomUpstream() {
-    static const char* const kNames[] = {"up-a", "up-b", "up-c"};
-    return UpstreamId(kNames[Random(3)]);
+    const char* letters = "abc";
+    return UpstreamId(std::string("up-") + letters[Random(3)]);
   }
   std::string RandomPeer() {
     switch (Random(3)) {
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -1,82 +1,27 @@
-// Callers run single statements and transactions, each with texts of its own,
-// so that a text in a log tells whose it is. What a read must contain is taken
-// down when its operation starts, and compared with the log that it runs on.
+// Effects become messages on links, which arrive a latency later unless the
+// link is cut. The callers are in session_callers.cc.
 
 #include "fireflycart/standins/testing/session_world.h"
 
 #include <algorithm>
 
-#include "fireflycart/core/error.h"
+#include "fireflycart/standins/testing/session_world_parts.h"
 
 namespace fireflycart::standins {
 namespace {
 
-using proxy::CallerAnswer;
-using proxy::CallerStatement;
 using proxy::Outcome;
 using proxy::ReadRule;
-using proxy::SessionNumber;
-using proxy::StatementKind;
-using proxy::TransactionState;
 
 constexpr Duration kLatency = Duration::Millis(1);
 constexpr Duration kStatementLimit = Duration::Millis(1000);
-constexpr Duration kReconnect = Duration::Millis(30);
 // As in the daemon: the last answers are still being written.
 constexpr Duration kExitDelay = Duration::Millis(50);
 constexpr int kMaxConnections = 16;
-// A read is compared with the newest acknowledged writes and the end of the
-// log, which holds them unless it lacks them.
-constexpr size_t kChecked = 100;
-constexpr size_t kTail = 1000;
 const GroupId kGroup("ledger");
 
-bool IsPromise(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::kBusy:
-    case Outcome::kAborted:
-    case Outcome::kBehind:
-    case Outcome::kReadOnly:
-    case Outcome::kWrongInstance:
-    case Outcome::kTooManyConnections:
-      return true;
-    default:
-      return false;
-  }
-}
-
 }  // namespace
 
-struct SessionWorld::Vm {
-  VmId id;
-  std::string name;
-  uint64_t incarnation = 0;
-  std::unique_ptr<proxy::ProxyReducer> reducer;
-  TimePoint frozen_until;
-  std::deque<proxy::ProxyEventBody> held;  // Arrived while it was frozen.
-  bool has_exited = false;
-  bool is_listening = true;
-  std::map<uint64_t, Caller*> sessions;
-  uint64_t last_session = 0;
-};
-
-struct SessionWorld::Caller {
-  int index = 0;
-  ReadRule rule = ReadRule::kNewest;
-  Vm* vm = nullptr;
-  uint64_t incarnation = 0;
-  SessionNumber session;
-  bool is_greeted = false;
-  TimePoint next;                          // When it acts next.
-  std::deque<CallerStatement> statements;  // Left of the operation.
-  bool is_waiting = false;
-  bool sent_effect = false;  // A write's single statement or a commit was sent.
-  std::vector<std::string> texts;  // Writes of the operation.
-  TimePoint started;
-  TimePoint connected;
-  std::map<std::string, std::string> acknowledged_values;
-};
-
 SessionWorld::SessionWorld(const SessionWorldOptions& options, uint64_t seed)
     : options_(options), random_(seed) {
   std::vector<UpstreamId> ids = {UpstreamId("up-a"), UpstreamId("up-b"),
@@ -471,8 +416,9 @@
        });
   timers_.emplace(
       now_ + e.timeout, [this, vm, incarnation, number, connection] {
-        if (connections_.count(number) == 0 || opened_.count(number) != 0)
-          return;
+        bool is_over =
+            connections_.count(number) == 0 || opened_.count(number) != 0;
+        if (is_over) return;
         connections_.erase(number);
         Deliver(vm, incarnation,
                 proxy::UpstreamClosed{connection, Outcome::kUnknown, false,
@@ -633,241 +579,4 @@
   last_read_ = now_;
 }
 
-void SessionWorld::StepCaller(Caller* caller) {
-  if (now_ < caller->next || caller->is_waiting) return;
-  if (caller->vm == nullptr) {
-    Connect(caller);
-  } else if (caller->is_greeted && caller->statements.empty()) {
-    BeginOperation(caller);
-  } else if (caller->is_greeted) {
-    SendNext(caller);
-  }
-}
-
-void SessionWorld::Connect(Caller* caller) {
-  Vm* vm = vms_[Random(vms_.size())].get();
-  caller->next = now_ + kReconnect;
-  // A balancer without a ready VM uses all of them.
-  bool is_sent = vm->reducer && vm->is_listening &&
-                 (vm->reducer->is_ready() || ignores_readiness_);
-  if (!is_sent) return;
-  caller->vm = vm;
-  caller->incarnation = vm->incarnation;
-  caller->session = SessionNumber(++vm->last_session);
-  caller->is_greeted = false;
-  caller->connected = now_;
-  caller->acknowledged_values.clear();
-  vm->sessions[caller->session.value()] = caller;
-  Deliver(vm, vm->incarnation,
-          proxy::CallerStarted{caller->session, RouteName(caller->rule)});
-}
-
-void SessionWorld::BeginOperation(Caller* caller) {
-  caller->statements.clear();
-  caller->texts.clear();
-  caller->sent_effect = false;
-  caller->started = now_;
-  auto add = [&](StatementKind kind, const std::string& text) {
-    CallerStatement statement;
-    statement.kind = kind;
-    statement.id = proxy::StatementId("s" + std::to_string(++last_number_));
-    statement.text = text;
-    caller->statements.push_back(statement);
-  };
-  auto write_text = [&] {
-    std::string text = "WRITE c" + std::to_string(caller->index) + "-" +
-                       std::to_string(++last_number_);
-    caller->texts.push_back(text);
-    return text;
-  };
-  if (Random(8) == 0) {
-    add(StatementKind::kSetValue, "");
-    caller->statements.back().name = "v" + std::to_string(Random(2));
-    caller->statements.back().arguments = std::to_string(Random(4));
-  }
-  switch (options_.only_writes ? Random(2) : Random(5)) {
-    case 0:
-      add(StatementKind::kWrite, write_text());
-      break;
-    case 1: {
-      add(StatementKind::kBegin, "");
-      add(StatementKind::kRead, "READ x");
-      add(StatementKind::kWrite, write_text());
-      if (Random(2) == 0) add(StatementKind::kWrite, write_text());
-      add(Random(6) == 0 ? StatementKind::kRollback : StatementKind::kCommit,
-          "COMMIT");
-      break;
-    }
-    case 2:
-      add(StatementKind::kBeginReadOnly, "");
-      add(StatementKind::kRead, "READ x");
-      add(StatementKind::kRead, "READ y");
-      add(StatementKind::kCommit, "COMMIT");
-      break;
-    default:
-      add(StatementKind::kRead, "READ x");
-  }
-  SendNext(caller);
-}
-
-void SessionWorld::SendNext(Caller* caller) {
-  CallerStatement statement = caller->statements.front();
-  Expectation expectation;
-  expectation.caller = caller->index;
-  expectation.rule = caller->rule;
-  expectation.values = caller->acknowledged_values;
-  TimePoint oldest = caller->rule == ReadRule::kNewest
-                         ? caller->started
-                         : caller->started - options_.max_age;
-  size_t first =
-      acknowledged_.size() > kChecked ? acknowledged_.size() - kChecked : 0;
-  for (size_t i = first; i < acknowledged_.size(); i++) {
-    const Acknowledged& ack = acknowledged_[i];
-    // A session's own writes end with its connection.
-    bool is_own = caller->rule == ReadRule::kOwnWrites &&
-                  ack.caller == caller->index && ack.at >= caller->connected &&
-                  ack.at < caller->started;
-    if (ack.at < oldest || is_own) expectation.texts.push_back(ack.text);
-  }
-  expectations_[statement.id.value()] = std::move(expectation);
-  bool has_effect =
-      !caller->texts.empty() && (statement.kind == StatementKind::kCommit ||
-                                 (statement.kind == StatementKind::kWrite &&
-                                  caller->statements.size() == 1));
-  caller->sent_effect = caller->sent_effect || has_effect;
-  caller->is_waiting = true;
-  Vm* vm = caller->vm;
-  Deliver(vm, caller->incarnation,
-          proxy::CallerSent{caller->session, statement});
-}
-
-void SessionWorld::OnAnswer(Caller* caller, const CallerAnswer& answer) {
-  if (!caller->is_waiting) {
-    Report("answer to nothing");
-    return;
-  }
-  caller->is_waiting = false;
-  CallerStatement statement = caller->statements.front();
-  caller->statements.pop_front();
-  caller->next = now_;
-  if (answer.outcome != Outcome::kDone) {
-    EndOperation(caller, answer.outcome);
-    return;
-  }
-  bool needs_proof = statement.kind == StatementKind::kRead ||
-                     statement.kind == StatementKind::kWrite ||
-                     statement.kind == StatementKind::kCommit;
-  if (needs_proof && answer.signature.empty()) {
-    Report("success without an upstream's signature");
-  }
-  if (statement.kind == StatementKind::kSetValue) {
-    caller->acknowledged_values[statement.name] = statement.arguments;
-  }
-  if (statement.kind == StatementKind::kRollback) caller->texts.clear();
-  if (caller->statements.empty()) EndOperation(caller, Outcome::kDone);
-}
-
-void SessionWorld::EndOperation(Caller* caller, Outcome outcome) {
-  bool writes = !caller->texts.empty();
-  if (outcome == Outcome::kDone) {
-    counts_.done++;
-    TimePoint& last = writes ? last_write_ : last_read_;
-    int64_t& gap = writes ? counts_.write_gap : counts_.read_gap;
-    gap = std::max(gap, (now_ - last).millis());
-    last = now_;
-    if (writes) counts_.writes++;
-    for (const std::string& text : caller->texts) {
-      acknowledged_.push_back(Acknowledged{text, now_, caller->index});
-    }
-  } else if (IsPromise(outcome)) {
-    counts_.refused++;
-    for (const std::string& text : caller->texts) promised_.insert(text);
-  } else if (outcome == Outcome::kFailed) {
-    counts_.failed++;
-  } else {
-    counts_.open++;
-  }
-  caller->texts.clear();
-  caller->statements.clear();
-  caller->next = now_ + options_.pause;
-  if (outcome == Outcome::kDone) return;
-  // The operation may have ended inside a transaction: a new session.
-  Vm* vm = caller->vm;
-  if (vm == nullptr) return;
-  Deliver(vm, caller->incarnation, proxy::CallerEnded{caller->session});
-  vm->sessions.erase(caller->session.value());
-  caller->vm = nullptr;
-}
-
-void SessionWorld::OnCut(Caller* caller) {
-  if (caller->vm != nullptr)
-    caller->vm->sessions.erase(caller->session.value());
-  caller->vm = nullptr;
-  bool was_busy = caller->is_waiting || !caller->statements.empty();
-  caller->is_waiting = false;
-  caller->next = now_ + kReconnect;
-  if (was_busy) EndOperation(caller, Outcome::kUnknown);
-  caller->next = now_ + kReconnect;
-}
-
-void SessionWorld::OnRead(const proxy::StatementId& id,
-                          const UpstreamId& upstream,
-                          const std::vector<LogEntry>& log, size_t applied) {
-  auto found = expectations_.find(id.value());
-  if (found == expectations_.end()) {
-    Report("a read ran that nobody sent: " + id.value());
-    return;
-  }
-  std::set<std::string> present;
-  size_t first = applied > kTail ? applied - kTail : 0;
-  for (size_t i = first; i < applied; i++) {
-    present.insert(log[i].writes.begin(), log[i].writes.end());
-  }
-  for (const std::string& text : found->second.texts) {
-    if (present.count(text) != 0) continue;
-    Report("stale read " + id.value() + " at " + upstream.value() + " lacks " +
-           text);
-    return;
-  }
-}
-
-void SessionWorld::OnRun(const proxy::StatementId& id, const std::string& text,
-                         const std::map<std::string, std::string>& values) {
-  auto found = expectations_.find(id.value());
-  if (found == expectations_.end()) {
-    Report("a statement ran that nobody sent: " + text);
-    return;
-  }
-  if (found->second.values != values) {
-    Report("session values differ for " + id.value() + " " + text);
-  }
-}
-
-void SessionWorld::OnPromoted(const UpstreamId& upstream,
-                              const std::vector<LogEntry>& log) {
-  promotions_++;
-  std::set<std::string> present;
-  for (const LogEntry& entry : log) {
-    present.insert(entry.writes.begin(), entry.writes.end());
-  }
-  for (const Acknowledged& ack : acknowledged_) {
-    if (present.count(ack.text) != 0) continue;
-    Report("promoted " + upstream.value() + " lacks acknowledged " + ack.text);
-    return;
-  }
-}
-
-void SessionWorld::CheckEffects() {
-  std::map<std::string, int> effects = database_->Effects(primary());
-  for (const auto& item : effects) {
-    if (item.second > 1) Report("ran twice: " + item.first);
-    if (promised_.count(item.first) != 0) {
-      Report("kept though refused: " + item.first);
-    }
-  }
-  for (const Acknowledged& ack : acknowledged_) {
-    if (effects.count(ack.text) == 0) Report("lost: " + ack.text);
-  }
-}
-
 }  // namespace fireflycart::standins
