--- a/fireflycart/core/proxy/evidence.cc
+++ b/fireflycart/core/proxy/evidence.cc
@@ -37,14 +37,4 @@
   return LogPosition();
 }
 
-TimePoint Evidence::covered_until() const {
-  TimePoint covered;
-  if (!has_proof_) return covered;
-  for (const Mark& mark : marks_) {
-    if (mark.sent.sequence > proven_.sequence) break;
-    covered = mark.sent.time;
-  }
-  return covered;
-}
-
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/evidence.h
+++ b/fireflycart/core/proxy/evidence.h
@@ -49,9 +49,6 @@
   // that time; unknown if there is none.
   LogPosition FloorFor(TimePoint time) const;
 
-  // Newest time up to which all commits are covered by a known position.
-  TimePoint covered_until() const;
-
  private:
   struct Mark {
     Instant sent;
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -81,10 +81,8 @@
   void Yield(UpstreamPool* pool, ProxyContext* context);
 
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
-  FailoverStage stage() const { return stage_; }
   FailoverCause cause() const { return cause_; }
   const UpstreamId& successor() const { return successor_; }
-  const UpstreamId& old_primary() const { return old_primary_; }
 
   // While all replicas hold, the successor has every acknowledged commit: reads
   // of any kind may run there after this position. Unknown at other times.
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -192,7 +192,6 @@
   work->attempts++;
   work->connection = connection->id;
   work->sent = context->instant();
-  if (work->first_sent == TimePoint()) work->first_sent = context->now();
   context->WakeAround(work->timeout);
   bool is_primary = upstream->record.id == primary_;
   LogPosition after = is_primary ? AfterAtPrimary(*work) : FloorFor(*work);
@@ -238,7 +237,6 @@
   work->stage = WorkStage::kRunning;
   work->connection = connection->id;
   work->sent = context->instant();
-  work->first_sent = context->now();
   context->WakeAround(work->timeout);
   SendStatement(work, connection, UpstreamPool::SetUp(connection, work->call),
                 context);
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -131,7 +131,6 @@
                 {"term", std::to_string(best_term)}});
   UpstreamId old = primary_;
   primary_ = best;
-  primary_since_ = context->now();
   without_primary_since_ = context->now();
   evidence_.Forget();
   proof_pending_ = false;
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -160,7 +160,6 @@
   TimePoint next_status_;
   TimePoint next_tidy_;
   UpstreamId primary_;
-  TimePoint primary_since_;
   TimePoint without_primary_since_;
   Instant proof_asked_;
   bool proof_pending_ = false;
--- a/fireflycart/core/proxy/proxy_event.h
+++ b/fireflycart/core/proxy/proxy_event.h
@@ -45,7 +45,6 @@
 struct UpstreamClosed {
   ConnectionId connection;
   Outcome outcome = Outcome::kUnknown;
-  bool was_refused_port = false;  // Nothing listens there.
   std::string reason;
 };
 
--- a/fireflycart/core/proxy/store.h
+++ b/fireflycart/core/proxy/store.h
@@ -20,7 +20,6 @@
 
 // kRoutes and kUpstreams are written by others, kVms and kDuties by us.
 enum class StoreTable { kRoutes, kUpstreams, kVms, kDuties };
-constexpr int kStoreTables = 4;
 
 const char* StoreTableName(StoreTable table);
 
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -73,7 +73,6 @@
   connection.id = context->NextConnection();
   connection.upstream = upstream->record.id;
   connection.is_control = is_control;
-  connection.opened_at = context->instant();
   if (is_control) {
     upstream->control = connection.id;
   } else {
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -40,7 +40,6 @@
   bool is_open = false;
   bool is_pinned = false;  // Belongs to a transaction.
   bool is_ending = false;  // Rolls back; free after that.
-  Instant opened_at;       // When opening began.
   std::deque<SentCommand> sent;
   std::map<std::string, std::string> values;
   std::set<PreparedShape> prepared;
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -53,7 +53,6 @@
   std::set<UpstreamId> avoid;  // Refused it, or are behind what it needs.
   ConnectionId connection;     // While it is sent.
   Instant sent;
-  TimePoint first_sent;
   StatementReply reply;
 
   TransactionKey transaction() const {
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(Primary_CutFromReplicasAndHalfTheVms_NoStaleRead);
   CPPUNIT_TEST(Primary_Leaving_ChangesWithoutGap);
   CPPUNIT_TEST(Primary_LeavingWhileSuccessorLags_NothingIsLost);
+  CPPUNIT_TEST(Primary_EntryGoneForGood_IsReplacedWithoutGap);
+  CPPUNIT_TEST(Primary_EntryBackInTime_IsKept);
+  CPPUNIT_TEST(Replicas_FarBehind_ReadsAreServedInTheirAge);
   CPPUNIT_TEST(Primary_BackBeforePromotion_ReplicasResume);
   CPPUNIT_TEST(Primary_UnreachableFromOwnerOnly_ServiceGoesOn);
   CPPUNIT_TEST(Owner_Killed_OthersServe);
@@ -148,6 +151,39 @@
     }
   }
 
+  void Primary_EntryGoneForGood_IsReplacedWithoutGap() {
+    world_->Run(Duration::Seconds(3));
+    UpstreamId old = world_->primary();
+    world_->ResetGaps();
+    world_->Unregister(old);
+    world_->Run(Duration::Seconds(5));
+    CPPUNIT_ASSERT(world_->primary() != old);
+    ExpectWriteGapAtMost(200);
+    ExpectSafe();
+  }
+
+  void Primary_EntryBackInTime_IsKept() {
+    world_->Run(Duration::Seconds(3));
+    UpstreamId old = world_->primary();
+    world_->Unregister(old);
+    world_->Run(Duration::Millis(1800));
+    world_->Register(old, false);
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, world_->promotions());
+    ExpectSafe();
+  }
+
+  void Replicas_FarBehind_ReadsAreServedInTheirAge() {
+    world_->Run(Duration::Seconds(2));
+    world_->database().SetApplyLag(Duration::Millis(3000));
+    int refused = world_->counts().refused;
+    world_->ResetGaps();
+    world_->Run(Duration::Seconds(5));
+    CPPUNIT_ASSERT(world_->counts().refused - refused < 10);
+    CPPUNIT_ASSERT(world_->counts().read_gap <= 500);
+    ExpectSafe();
+  }
+
   void Primary_BackBeforePromotion_ReplicasResume() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -334,8 +334,7 @@
   Send(upstream_of_[number.value()].value(), vm->name,
        [this, vm, incarnation, connection] {
          Deliver(vm, incarnation,
-                 proxy::UpstreamClosed{connection, Outcome::kUnknown, false,
-                                       "reset"});
+                 proxy::UpstreamClosed{connection, Outcome::kUnknown, "reset"});
        });
 }
 
@@ -410,8 +409,7 @@
          Send(upstream.value(), vm->name,
               [this, vm, incarnation, connection, outcome] {
                 Deliver(vm, incarnation,
-                        proxy::UpstreamClosed{connection, outcome, true,
-                                              "refused"});
+                        proxy::UpstreamClosed{connection, outcome, "refused"});
               });
        });
   timers_.emplace(
@@ -421,7 +419,7 @@
         if (is_over) return;
         connections_.erase(number);
         Deliver(vm, incarnation,
-                proxy::UpstreamClosed{connection, Outcome::kUnknown, false,
+                proxy::UpstreamClosed{connection, Outcome::kUnknown,
                                       "no answer in time"});
       });
 }
@@ -431,7 +429,6 @@
   if (found == connection_numbers_.end()) return;
   uint64_t number = found->second;
   for (const proxy::UpstreamCommand& command : e.commands) {
-    if (command.id.value().empty()) own_commands_++;
     Send(vm->name, upstream_of_[number].value(), [this, number, command] {
       database_->Execute(ConnectionId(number), command);
     });
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -89,8 +89,6 @@
   // The first broken promise; empty if there is none.
   const std::string& problem() const { return problem_; }
   int promotions() const { return promotions_; }
-  // Upstream status questions and the like, without callers' statements.
-  int own_commands() const { return own_commands_; }
   TimePoint now() const { return now_; }
   // Compares logs with what callers were told, once everything is mended.
   void CheckEffects();
@@ -197,7 +195,6 @@
   TimePoint last_read_;
   std::string problem_;
   int promotions_ = 0;
-  int own_commands_ = 0;
   std::vector<std::string> log_;
 };
 
