Send no work to an upstream that has been leaving for long

Ruled out: late news of the registry, which all VMs had within 5 ms. One that stays is now preferred among equals, and no role gets work after the drain time less 1.5 s.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -184,6 +184,7 @@
 void Failover::ChooseSuccessor(UpstreamPool* pool, ProxyContext* context) {
   successor_ = UpstreamId();
   LogPosition best;
+  bool best_leaves = false;
   for (const auto& item : pool->upstreams()) {
     const PooledUpstream& upstream = item.second;
     bool is_candidate = item.first != old_primary_ && upstream.has_status &&
@@ -201,9 +202,12 @@
     }
     if (!is_candidate) continue;
     LogPosition received = upstream.status.received;
-    if (successor_ == UpstreamId() || best < received) {
+    // Of equal ones, one that stays.
+    bool is_as_good = received == best && best_leaves;
+    if (successor_ == UpstreamId() || best < received || is_as_good) {
       successor_ = item.first;
       best = received;
+      best_leaves = upstream.record.leaving;
     }
   }
   bool may_wait = context->now() - started_.time < kShortLimit;
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -76,6 +76,10 @@
 
 bool GroupOwner::MayStartAtPrimary(const Work& work, ProxyContext* context) {
   if (context->now() < work.not_before || !IsProven(work)) return false;
+  const PooledUpstream* primary = Primary();
+  if (primary == nullptr || pool_.IsDrained(*primary, context->now())) {
+    return false;
+  }
   return !work.in_transaction() || pool_.MayPin(primary_);
 }
 
@@ -99,7 +103,8 @@
 bool GroupOwner::DispatchFrozen(ProxyContext* context) {
   PooledUpstream* successor = pool_.FindUpstream(failover_.successor());
   bool may_read = failover_.frozen().known() && successor != nullptr &&
-                  !successor->is_down && pool_.HasSlot(*successor);
+                  !successor->is_down && pool_.HasSlot(*successor) &&
+                  !pool_.IsDrained(*successor, context->now());
   if (!may_read) return false;
   Work* work =
       queue_.First(Lane::kPrimary, context->now(), [&](const Work& candidate) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -49,6 +49,8 @@
 
   void SetSpec(const GroupSpec& spec);
   void SetTransactionIdle(Duration limit) { transaction_idle_ = limit; }
+  // Time after which a leaving upstream gets no new work.
+  void SetDrainLimit(Duration limit) { pool_.SetDrainLimit(limit); }
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
                     ProxyContext* context);
   // Whether this VM should own the group.
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -17,6 +17,8 @@
 constexpr Duration kStopStep = Duration::Millis(100);
 // A stopping VM exits this long before it would be killed.
 constexpr Duration kStopMargin = Duration::Millis(500);
+// Part of the drain time for news of it to arrive and for work under way.
+constexpr Duration kDrainMargin = Duration::Millis(1500);
 // Peers that are told of a stop at once; the others learn it by probes.
 constexpr size_t kStopNotices = 100;
 constexpr Duration kNoticeTimeout = Duration::Millis(500);
@@ -135,6 +137,7 @@
   StatementResults* results = this;
   auto owner = std::make_unique<GroupOwner>(spec->second, results);
   owner->SetTransactionIdle(table.transaction_idle);
+  owner->SetDrainLimit(options_.drain_time() - kDrainMargin);
   owner->SetUpstreams(records, &context_);
   GroupOwner* created = owner.get();
   owners_[group] = std::move(owner);
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -33,8 +33,13 @@
   Duration stop_limit() const { return stop_limit_; }
   void set_stop_limit(Duration d) { stop_limit_ = d; }
 
+  // Time within which the last work must have reached a leaving upstream.
+  Duration drain_time() const { return drain_time_; }
+  void set_drain_time(Duration d) { drain_time_ = d; }
+
  private:
   Duration stop_limit_ = Duration::Millis(6000);
+  Duration drain_time_ = Duration::Millis(7000);
 };
 
 // Sizes of a node's state at one moment.
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -54,6 +54,7 @@
   UpstreamRecord record;
   bool is_registered = true;
   TimePoint unregistered_at;
+  TimePoint leaving_since;  // Since when its record says so.
   ConnectionId control;
   int running = 0;       // Statements that were sent and not answered.
   int connections = 0;   // Data connections, opening ones included.
@@ -142,6 +143,13 @@
   std::vector<ConnectionId> ConnectionsOf(const UpstreamId& id) const;
   // True if the upstream takes one more statement now.
   bool HasSlot(const PooledUpstream& upstream) const;
+  // True if the upstream has been leaving for so long that no new work may
+  // reach it.
+  bool IsDrained(const PooledUpstream& upstream, TimePoint now) const {
+    return upstream.record.leaving &&
+           now - upstream.leaving_since >= drain_limit_;
+  }
+  void SetDrainLimit(Duration limit) { drain_limit_ = limit; }
 
  private:
   int DataBudget() const;
@@ -153,6 +161,7 @@
   GroupId group_;
   int max_connections_ = 1;
   bool is_alone_ = false;
+  Duration drain_limit_ = Duration::Millis(5500);
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
 };
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -34,6 +34,7 @@
 proxy::ProxyOptions OptionsOf(const Settings& settings) {
   proxy::ProxyOptions options;
   options.set_stop_limit(settings.sessions->stop_limit);
+  options.set_drain_time(settings.sessions->drain_time);
   return options;
 }
 
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -68,6 +68,10 @@
     double, grace_s, 6,
     "Time from the signal to stop until the process is killed: 1 to 600.");
 
+ABSL_FLAG(int, drain_ms, 7000,
+          "Time after which no new work may reach a leaving upstream: 2000 to "
+          "600000.");
+
 namespace fireflycart {
 namespace {
 
@@ -208,6 +212,8 @@
       "grace_s (in milliseconds)",
       static_cast<int>(absl::GetFlag(FLAGS_grace_s) * kMillisPerSecond), 1000,
       600000));
+  settings.drain_time = Duration::Millis(
+      check->Range("drain_ms", absl::GetFlag(FLAGS_drain_ms), 2000, 600000));
   return settings;
 }
 
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -34,6 +34,7 @@
   int cpu_permille = 1000;
   size_t max_sessions = 1;
   Duration stop_limit;
+  Duration drain_time;
 };
 
 struct Settings {
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -44,7 +44,7 @@
   if (caller->vm == nullptr) {
     Connect(caller);
   } else if (caller->is_greeted && caller->statements.empty()) {
-    BeginOperation(caller);
+    if (!callers_paused_) BeginOperation(caller);
   } else if (caller->is_greeted) {
     SendNext(caller);
   }
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(Primary_CutFromReplicasAndHalfTheVms_NoStaleRead);
   CPPUNIT_TEST(Primary_Leaving_ChangesWithoutGap);
   CPPUNIT_TEST(Primary_LeavingWhileSuccessorLags_NothingIsLost);
+  CPPUNIT_TEST(Primary_LostWhileReplicaLeaves_StayingOneSucceeds);
+  CPPUNIT_TEST(Primary_LeavingAndNotReplaceable_GetsNoLateWork);
   CPPUNIT_TEST(Primary_EntryGoneForGood_IsReplacedWithoutGap);
   CPPUNIT_TEST(Primary_EntryBackInTime_IsKept);
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreServedInTheirAge);
@@ -151,6 +153,38 @@
     }
   }
 
+  void Primary_LostWhileReplicaLeaves_StayingOneSucceeds() {
+    SessionWorldOptions options;
+    options.pause = Duration::Millis(60);
+    Make(options);
+    world_->Run(Duration::Seconds(3));
+    world_->Drain(UpstreamId("up-b"));
+    world_->Run(Duration::Seconds(2));
+    // No commit is under way, so both replicas have received the same.
+    world_->PauseCallers(true);
+    world_->Run(Duration::Millis(1500));
+    world_->CrashUpstream(world_->primary());
+    world_->PauseCallers(false);
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(UpstreamId("up-c"), world_->primary());
+    ExpectSafe();
+  }
+
+  void Primary_LeavingAndNotReplaceable_GetsNoLateWork() {
+    world_->Run(Duration::Seconds(3));
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      world_->Cut(vm, "promotion");
+    }
+    world_->Drain(world_->primary());
+    world_->Run(Duration::Seconds(5));
+    int before = world_->counts().writes;
+    CPPUNIT_ASSERT(before > 0);
+    world_->Run(Duration::Seconds(2));
+    int at_limit = world_->counts().writes;
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(at_limit, world_->counts().writes);
+  }
+
   void Primary_EntryGoneForGood_IsReplacedWithoutGap() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -74,6 +74,8 @@
   void Unregister(const UpstreamId& id);
   void Register(const UpstreamId& id, bool leaving);
   void SetRoutes(uint64_t version, Duration timeout);
+  // Callers begin no operations meanwhile.
+  void PauseCallers(bool is_paused) { callers_paused_ = is_paused; }
   // The balancer sends callers to VMs that are not ready, too.
   void IgnoreReadiness() { ignores_readiness_ = true; }
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
@@ -173,6 +175,7 @@
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
   bool ignores_readiness_ = false;
+  bool callers_paused_ = false;
   uint64_t highest_token_ = 0;
 
   // What callers were told.
