Replace a primary whose commits reach no replica

Cause, found by reading: a primary that answers its owner but is cut off from its replicas was kept; each commit ended as unknown after the statement's whole time. The owner now replaces it if a commit is unanswered for 400 ms and no replica has what the primary had a status period ago. Ruled out as a sign: missing answers alone, since answers get lost. Test: Primary_CutFromReplicasOnly_IsReplaced, failing before.

--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -18,6 +18,9 @@
 constexpr Duration kStuckHold = Duration::Seconds(10);
 // Time without a leader after which one is chosen; covers the start.
 constexpr Duration kLeaderless = Duration::Millis(500);
+// A commit that waits for replicas for so long waits in vain: a replica
+// receives within milliseconds.
+constexpr Duration kCommitStall = Duration::Millis(400);
 // An upstream drops the connections of a dead VM after 3 s.
 constexpr Duration kAloneAfter = Duration::Seconds(4);
 // Time after which the owner takes the duty ahead of need.
@@ -133,6 +136,7 @@
   primary_ = best;
   without_primary_since_ = context->now();
   evidence_.Forget();
+  primary_before_ = LogPosition();
   proof_pending_ = false;
   next_status_ = context->now();
   context->WakeAt(context->now());
@@ -251,6 +255,7 @@
   }
   next_status_ = context->now() + kStatusPeriod;
   context->WakeAt(next_status_);
+  CheckStalled(context);
   UpstreamCommand status;
   for (const auto& item : pool_.upstreams()) {
     PooledConnection* control = pool_.Find(item.second.control);
@@ -343,6 +348,58 @@
   }
 }
 
+// True if a commit that was sent to the primary before that time is unanswered.
+bool GroupOwner::HasStalledCommit(TimePoint sent_before) const {
+  for (const auto& item : work_) {
+    const Work& work = *item.second;
+    bool is_sent =
+        work.stage == WorkStage::kRunning && work.sent.time < sent_before;
+    if (!is_sent) continue;
+    if (!work.in_transaction()) {
+      if (work.call.access == Access::kWrite) return true;
+      continue;
+    }
+    auto found = transactions_.find(work.transaction());
+    bool commits = work.call.access == Access::kCommit &&
+                   found != transactions_.end() && found->second.has_written;
+    if (commits) return true;
+  }
+  return false;
+}
+
+// True if no replica has what the primary had a status period ago.
+bool GroupOwner::IsReplicationStalled(const PooledUpstream& primary,
+                                      ProxyContext* context) const {
+  TimePoint limit = context->now() - kCommitStall;
+  bool is_suspect = primary.has_status && primary.status_sent.time > limit &&
+                    HasStalledCommit(limit);
+  if (!is_suspect) return false;
+  int behind = 0;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& replica = item.second;
+    bool receives = item.first != primary_ && !replica.is_down &&
+                    replica.has_status && replica.status.held_term == 0;
+    if (!receives) continue;
+    bool is_behind = replica.status_sent.time > limit &&
+                     replica.status.received < primary_before_;
+    if (!is_behind) return false;
+    behind++;
+  }
+  return behind > 0;
+}
+
+// A primary that answers, but whose commits reach no replica, is cut off from
+// them: nothing will be acknowledged there.
+void GroupOwner::CheckStalled(ProxyContext* context) {
+  const PooledUpstream* primary = Primary();
+  if (!is_chosen_ || failover_.is_active() || primary == nullptr) return;
+  if (IsReplicationStalled(*primary, context)) {
+    failover_.Start(FailoverCause::kStalled, primary_, primary->status.term,
+                    context);
+  }
+  primary_before_ = primary->status.received;
+}
+
 void GroupOwner::CheckFailover(ProxyContext* context) {
   if (!is_chosen_ || failover_.is_active()) return;
   PooledUpstream* known = pool_.FindUpstream(primary_);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -140,6 +140,10 @@
   void EndIdleTransactions(ProxyContext* context);
   void CheckFailover(ProxyContext* context);
   void CheckLeaderless(ProxyContext* context);
+  void CheckStalled(ProxyContext* context);
+  bool HasStalledCommit(TimePoint sent_before) const;
+  bool IsReplicationStalled(const PooledUpstream& primary,
+                            ProxyContext* context) const;
   void AskStatus(ProxyContext* context);
   void Tidy(ProxyContext* context);
   void DropGone(ProxyContext* context);
@@ -163,6 +167,7 @@
   TimePoint next_tidy_;
   UpstreamId primary_;
   TimePoint without_primary_since_;
+  LogPosition primary_before_;  // Its position one status period ago.
   Instant proof_asked_;
   bool proof_pending_ = false;
   bool holds_duty_ = false;
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(Primary_CutFromReplicasAndHalfTheVms_NoStaleRead);
   CPPUNIT_TEST(Primary_Leaving_ChangesWithoutGap);
   CPPUNIT_TEST(Primary_LeavingWhileSuccessorLags_NothingIsLost);
+  CPPUNIT_TEST(Primary_CutFromReplicasOnly_IsReplaced);
   CPPUNIT_TEST(Primary_LostWhileReplicaLeaves_StayingOneSucceeds);
   CPPUNIT_TEST(Primary_LeavingAndNotReplaceable_GetsNoLateWork);
   CPPUNIT_TEST(Primary_EntryGoneForGood_IsReplacedWithoutGap);
@@ -153,6 +154,19 @@
     }
   }
 
+  void Primary_CutFromReplicasOnly_IsReplaced() {
+    world_->Run(Duration::Seconds(3));
+    UpstreamId old = world_->primary();
+    world_->ResetGaps();
+    world_->CutPrimaryFromReplicas();
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(world_->promotions() >= 1);
+    ExpectWriteGapAtMost(PromoteMs() + 2 * kDetectionMs);
+    world_->MendAll();
+    world_->Run(Duration::Seconds(3));
+    ExpectSafe();
+  }
+
   void Primary_LostWhileReplicaLeaves_StayingOneSucceeds() {
     SessionWorldOptions options;
     options.pause = Duration::Millis(60);
