--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -21,7 +21,8 @@
 FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
                  "standins/testing/fireflycart_failure_test")
 SESSION_RANDOM_TEST = "standins/testing/fireflycart_session_random_test"
-SESSION_FOCUSED_TESTS = ("standins/testing/fireflycart_session_failure_test",)
+SESSION_FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
+                         "standins/testing/fireflycart_session_failure_test")
 
 
 @dataclass(frozen=True)
