Let other VMs take over at once when those that follow the store lose it

The store turned away the VMs that had called it last, which are just the three that follow it for all. They noted it (reset: at once; silent: after up to 5 s), yet told nobody: others learn of it by a probe of one random VM each 400 ms, and took over after 8 s without news. A change of routes sent in that time was in force nowhere 5 s later. Ruled out: slow spreading (every version that a reader got was in force at all 89 VMs within 0.5 s).

Change: a VM that begins or ceases to hear the store tells the six that would follow it next; three more follow while some are known not to hear it. The tables are asked at their own thirds of the four seconds, so a silent refusal is known within 1.73 s for as many calls as before; while the store does not answer, one table is tried for all three.

Test: Readers_AllCutFromStore_RoutesArriveInTime, failed first (version 2, not 9, after 3 s).

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -26,6 +26,11 @@
   return -static_cast<double>(std::max(vm.cpu_permille, 1)) / std::log(uniform);
 }
 
+// The order in which VMs follow the store.
+uint64_t ReaderRank(const VmId& vm) {
+  return XXH3_64bits(vm.value().data(), vm.value().size());
+}
+
 }  // namespace
 
 std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
@@ -194,16 +199,35 @@
 }
 
 bool Fleet::IsReader() const {
-  auto rank = [](const VmId& vm) {
-    return XXH3_64bits(vm.value().data(), vm.value().size());
-  };
-  uint64_t own = rank(self_.vm);
+  uint64_t own = ReaderRank(self_.vm);
   size_t before = 0;
+  size_t deaf = 0;
+  for (const auto& item : vms_) {
+    if (!IsUsable(item.first)) continue;
+    if (!item.second.hears_store) {
+      deaf++;
+    } else if (ReaderRank(item.first) < own) {
+      before++;
+    }
+  }
+  // What took the store from some may have taken it from their followers.
+  return before < kReaders + std::min(deaf, kReaders);
+}
+
+void Fleet::TellReaders(ProxyContext* context) {
+  std::map<uint64_t, const VmRecord*> next;
   for (const auto& item : vms_) {
-    bool reads = IsUsable(item.first) && item.second.hears_store;
-    if (reads && rank(item.first) < own) before++;
+    if (!IsUsable(item.first) || !item.second.hears_store) continue;
+    next[ReaderRank(item.first)] = &item.second.record;
+    if (next.size() > kNextReaders) next.erase(std::prev(next.end()));
   }
-  return before < kReaders;
+  for (const auto& item : next) Tell(*item.second, context);
+}
+
+void Fleet::Tell(const VmRecord& record, ProxyContext* context) {
+  context->Emit(CallPeer{context->NextCall(), record.vm, record.address,
+                         kProbeTimeout,
+                         FreshnessCall{knowledge_->Knowledge()}});
 }
 
 void Fleet::Spread(ProxyContext* context) {
@@ -213,10 +237,7 @@
   }
   for (size_t told = 0; told < kTold && !usable.empty(); told++) {
     size_t index = context->Random(usable.size());
-    const VmRecord& record = usable[index]->record;
-    context->Emit(CallPeer{context->NextCall(), record.vm, record.address,
-                           kProbeTimeout,
-                           FreshnessCall{knowledge_->Knowledge()}});
+    Tell(usable[index]->record, context);
     usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
   }
 }
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -46,6 +46,9 @@
   static constexpr Duration kDownProbePeriod = Duration::Millis(400);
   // VMs that follow the platform's store for all. Two may be cut off at once.
   static constexpr size_t kReaders = 3;
+  // VMs that are told at once that this one began or ceased to hear the store:
+  // those that follow next. Twice the readers, as some may be cut off, too.
+  static constexpr size_t kNextReaders = 2 * kReaders;
   // VMs that are told at once of what this one has learnt; each tells as many.
   static constexpr size_t kTold = 3;
 
@@ -63,6 +66,8 @@
   // True if this VM is one of the kReaders; others take over from VMs that do
   // not hear the store.
   bool IsReader() const;
+  // Tells those that would follow the store next of this VM's own hearing.
+  void TellReaders(ProxyContext* context);
   // Tells some VMs that this one knows more than before.
   void Spread(ProxyContext* context);
   // Grows with every change of owners.
@@ -98,6 +103,7 @@
   };
 
   void Probe(Vm* vm, ProxyContext* context);
+  void Tell(const VmRecord& record, ProxyContext* context);
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -92,6 +92,10 @@
   }
   if (applied_fleet_ != fleet_.version()) ApplyOwners();
   if (has_news) fleet_.Spread(&context_);
+  if (has_told_hearing_ != follower_.hears_store()) {
+    has_told_hearing_ = follower_.hears_store();
+    fleet_.TellReaders(&context_);
+  }
 }
 
 void ProxyReducer::ApplyDirectory() {
@@ -180,6 +184,7 @@
   gauges.vms_down = static_cast<int64_t>(fleet_.down_count());
   gauges.routes_version = follower_.routes().version;
   gauges.is_ready = is_ready();
+  gauges.follows_store = follower_.is_reader();
   return gauges;
 }
 
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -54,6 +54,7 @@
   int64_t vms_down = 0;
   uint64_t routes_version = 0;
   bool is_ready = false;
+  bool follows_store = false;  // Reads the store for other VMs, too.
 };
 
 class ProxyReducer : private StatementRouter,
@@ -137,6 +138,7 @@
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
   uint64_t applied_fleet_ = 0;
+  bool has_told_hearing_ = true;
   bool is_stopping_ = false;
   bool has_left_ = false;
   bool has_stopped_listening_ = false;
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -1,6 +1,7 @@
 // Each table is a small state machine: read whole, then follow from the version
 // read; a lost history or a failed read starts over. A failed follow keeps the
-// version and asks again, since changes are kept for a while.
+// version and asks again, since changes are kept for a while. While the store
+// does not answer, one table is tried for all.
 
 #include "fireflycart/core/proxy/store_follower.h"
 
@@ -41,6 +42,10 @@
 void StoreFollower::Start(const VmRecord& self, ProxyContext* context) {
   self_ = self;
   Announce(context);
+  StepAll(context);
+}
+
+void StoreFollower::StepAll(ProxyContext* context) {
   for (Table& table : tables_) Step(&table, context);
 }
 
@@ -61,6 +66,7 @@
 void StoreFollower::Step(Table* table, ProxyContext* context) {
   if (table->call != CallId()) return;
   if (table->is_current && !MustFollow(context)) return;
+  if (IsOtherTried(*table)) return;
   if (context->now() < table->next) {
     context->WakeAt(table->next);
     return;
@@ -72,9 +78,29 @@
         StoreCall{table->call, kReadTimeout, ReadTable{table->table, ""}});
     return;
   }
-  context->Emit(
-      StoreCall{table->call, kFollowWait + kFollowSlack,
-                FollowTable{table->table, table->version, kFollowWait}});
+  Duration wait = WaitOf(*table, context->now());
+  table->is_first = false;
+  context->Emit(StoreCall{table->call, wait + kFollowSlack,
+                          FollowTable{table->table, table->version, wait}});
+}
+
+// Until the table's next turn; the turns of the tables are spread evenly.
+Duration StoreFollower::WaitOf(const Table& table, TimePoint now) const {
+  if (table.is_first || table.failures > 0) return kFirstWait;
+  int64_t period = kFollowWait.millis();
+  int64_t turn =
+      (&table - tables_.data()) * period / static_cast<int64_t>(kFollowed);
+  int64_t wait = period - (now.millis() - turn) % period;
+  if (wait < kFirstWait.millis()) wait += period;
+  return Duration::Millis(wait);
+}
+
+// While the store does not answer, the first table that failed is tried alone.
+bool StoreFollower::IsOtherTried(const Table& table) const {
+  for (const Table& other : tables_) {
+    if (other.failures > 0) return &other != &table;
+  }
+  return false;
 }
 
 bool StoreFollower::MustFollow(ProxyContext* context) const {
@@ -93,7 +119,12 @@
   is_reader_ = is_reader;
   context->Log(LogLevel::kInfo, kPart,
                is_reader ? "follows_store" : "leaves_store_to_peers", {});
-  for (Table& table : tables_) Step(&table, context);
+  for (Table& table : tables_) {
+    table.is_first = is_reader;
+    // Whether the store would answer is not known when nothing is asked.
+    if (!is_reader) table.failures = 0;
+  }
+  StepAll(context);
 }
 
 void StoreFollower::OnStoreHeard(Duration age, ProxyContext* context) {
@@ -102,7 +133,7 @@
 
 void StoreFollower::OnWake(ProxyContext* context) {
   Announce(context);
-  for (Table& table : tables_) Step(&table, context);
+  StepAll(context);
 }
 
 bool StoreFollower::OnStore(const StoreAnswered& answer,
@@ -122,13 +153,7 @@
     if (table.call == CallId() || table.call != answer.call) continue;
     table.call = CallId();
     if (answer.status == StoreStatus::kOk) {
-      if (table.failures > 0) {
-        context->Log(LogLevel::kInfo, kPart, "store_regained",
-                     {{"table", StoreTableName(table.table)},
-                      {"failures", std::to_string(table.failures)}});
-      }
-      table.failures = 0;
-      store_heard_ = context->now();
+      OnHeard(table, context);
       Apply(table, answer, table.is_reading, context);
       table.version = answer.version;
       table.is_current = true;
@@ -140,12 +165,24 @@
     } else {
       OnFailed(&table, answer.status, context);
     }
-    Step(&table, context);
+    StepAll(context);
     return true;
   }
   return false;
 }
 
+void StoreFollower::OnHeard(const Table& table, ProxyContext* context) {
+  store_heard_ = context->now();
+  if (hears_store()) return;
+  context->Log(LogLevel::kInfo, kPart, "store_regained",
+               {{"table", StoreTableName(table.table)},
+                {"failures", std::to_string(table.failures)}});
+  for (Table& other : tables_) {
+    other.failures = 0;
+    other.next = TimePoint();
+  }
+}
+
 void StoreFollower::OnFailed(Table* table, StoreStatus status,
                              ProxyContext* context) {
   Duration pause = kRetry * (int64_t{1} << std::min(table->failures, 3));
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -27,11 +27,14 @@
 
 class StoreFollower {
  public:
-  // A follower asks again after this, so a connection that went silent costs
-  // no more than the wait and the slack. Below the 7 s in which a leaving
-  // upstream must be known.
+  // A follower asks again after this, each table at its own third of the time.
+  // So a VM that the store turned away silently knows it within a third and the
+  // slack, early enough for others to learn routes within 3 s.
   static constexpr Duration kFollowWait = Duration::Millis(4000);
-  static constexpr Duration kFollowSlack = Duration::Millis(1000);
+  // The store answers within 4 ms, and up to fifty times slower when loaded.
+  static constexpr Duration kFollowSlack = Duration::Millis(400);
+  // A VM that takes over from others makes sure first that it is heard.
+  static constexpr Duration kFirstWait = Duration::Millis(200);
   // A VM that no news of the store reached for so long follows it itself. More
   // than readers need for an answer and news to spread.
   static constexpr Duration kUnheardLimit = Duration::Millis(8000);
@@ -63,6 +66,7 @@
     return KnownVersions{routes_.version, upstreams_.version, vms_.version};
   }
   bool hears_store() const;
+  bool is_reader() const { return is_reader_; }
   Duration store_age(TimePoint now) const { return now - store_heard_; }
   // Grows with each change of routes or upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
@@ -77,6 +81,7 @@
     StoreTable table;
     CallId call;
     bool is_reading = false;
+    bool is_first = false;    // The next follow is the first after taking over.
     bool is_current = false;  // Read once; later changes are followed.
     uint64_t version = 0;
     int failures = 0;
@@ -84,6 +89,9 @@
   };
 
   void Step(Table* table, ProxyContext* context);
+  void StepAll(ProxyContext* context);
+  Duration WaitOf(const Table& table, TimePoint now) const;
+  bool IsOtherTried(const Table& table) const;
   void Announce(ProxyContext* context);
   void Apply(const Table& table, const StoreAnswered& answer, bool is_whole,
              ProxyContext* context);
@@ -94,6 +102,7 @@
   void ApplyVms(const StoreAnswered& answer, bool is_whole);
   void TakeVersion(StoreTable which, uint64_t version);
   bool MustFollow(ProxyContext* context) const;
+  void OnHeard(const Table& table, ProxyContext* context);
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
 
   VmRecord self_;
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -59,6 +59,7 @@
   Gauge("vms_down", gauges.vms_down, &out);
   Gauge("routes_version", gauges.routes_version, &out);
   Gauge("ready", gauges.is_ready ? 1 : 0, &out);
+  Gauge("follows_store", gauges.follows_store ? 1 : 0, &out);
   return out.str();
 }
 
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(Store_HistoryLost_RoutesAreReadWhole);
   CPPUNIT_TEST(Store_AnswersLost_DutyIsReadAgain);
   CPPUNIT_TEST(Vm_CutFromStore_HearsRoutesFromPeers);
+  CPPUNIT_TEST(Readers_AllCutFromStore_RoutesArriveInTime);
   CPPUNIT_TEST(Replica_Reborn_IsNotPromoted);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Answers_CutOff_NothingRunsTwiceAndRefusalsAreTrue);
@@ -387,6 +388,26 @@
     ExpectSafe();
   }
 
+  void Readers_AllCutFromStore_RoutesArriveInTime() {
+    SessionWorldOptions options;
+    options.vms = 8;
+    for (int delay_ms : {0, 700, 1500, 2300, 3100, 3900}) {
+      Make(options);
+      world_->Run(Duration::Millis(6000 + delay_ms));
+      for (int i = 0; i < options.vms; i++) {
+        if (!world_->vm(i)->gauges().follows_store) continue;
+        world_->Cut("vm-" + std::to_string(i), "store");
+      }
+      world_->SetRoutes(9, Duration::Millis(900));
+      // The users' bound for a configuration to be in force.
+      world_->Run(Duration::Seconds(3));
+      for (int i = 0; i < options.vms; i++) {
+        CPPUNIT_ASSERT_EQUAL(uint64_t{9},
+                             world_->vm(i)->gauges().routes_version);
+      }
+    }
+  }
+
   void Replica_Reborn_IsNotPromoted() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
