Send no reads to replicas that lag too far; count no refusals as attempts

A queued statement that had been sent before was also kept until its time limit, although nobody was working on it.

Change: a replica's lag is what it lacked when it last answered, compared with the times of the primary's positions; a read is not sent if its position is newer than that. Refusals are repeated until the time to give up; only lost answers count as attempts. The time to give up holds for all queued work.

Tests: Replicas_FarBehind_ReadsAreNotSentThere and Upstream_BusyManyTimes_StatementIsServedInItsTime, both failed first.

--- a/fireflycart/core/proxy/evidence.cc
+++ b/fireflycart/core/proxy/evidence.cc
@@ -4,6 +4,8 @@
 
 #include "fireflycart/core/proxy/evidence.h"
 
+#include <algorithm>
+
 namespace fireflycart::proxy {
 
 void Evidence::OnPrimaryPosition(Instant sent, LogPosition position) {
@@ -28,6 +30,24 @@
   has_proof_ = false;
 }
 
+Duration Evidence::LagOf(LogPosition applied, TimePoint at) const {
+  auto later = std::partition_point(
+      marks_.begin(), marks_.end(),
+      [&](const Mark& mark) { return !(applied < mark.position); });
+  if (later == marks_.end() || at < later->sent.time) return Duration();
+  return at - later->sent.time;
+}
+
+TimePoint Evidence::ReachedAt(LogPosition position) const {
+  if (marks_.empty()) return TimePoint();
+  auto reached = std::partition_point(
+      marks_.begin(), marks_.end(),
+      [&](const Mark& mark) { return mark.position < position; });
+  // Before the first mark nothing is known, after the last one it is newer.
+  if (reached == marks_.begin()) return TimePoint();
+  return reached == marks_.end() ? marks_.back().sent.time : reached->sent.time;
+}
+
 LogPosition Evidence::FloorFor(TimePoint time) const {
   if (!has_proof_) return LogPosition();
   for (const Mark& mark : marks_) {
--- a/fireflycart/core/proxy/evidence.h
+++ b/fireflycart/core/proxy/evidence.h
@@ -49,13 +49,21 @@
   // that time; unknown if there is none.
   LogPosition FloorFor(TimePoint time) const;
 
+  // How far an upstream that held just this position at that time is behind the
+  // primary, as far as is known: it may be further.
+  Duration LagOf(LogPosition applied, TimePoint at) const;
+
+  // When the primary had this position, as far as is known: it may have been
+  // later. Zero if nothing is known of that.
+  TimePoint ReachedAt(LogPosition position) const;
+
  private:
   struct Mark {
     Instant sent;
     LogPosition position;
   };
 
-  std::deque<Mark> marks_;  // In order of time.
+  std::deque<Mark> marks_;  // In order of time and position.
   Instant proven_;
   bool has_proof_ = false;
 };
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr char kPart[] = "statement";
-// Sendings of one statement, hedged ones included.
+// Sendings of one statement whose answers were lost. Refusals do not count:
+// they cost nothing at the upstream, and their time is bounded.
 constexpr int kMaxAttempts = 4;
 // Pause after an upstream said that its queue is full.
 constexpr Duration kBusyPause = Duration::Millis(8);
@@ -114,8 +115,7 @@
 void GroupOwner::OnSingleFailed(Work* work, const UpstreamId& upstream,
                                 const UpstreamAnswer& answer,
                                 ProxyContext* context) {
-  bool may_retry =
-      work->attempts < kMaxAttempts && context->now() < work->give_up;
+  bool may_retry = context->now() < work->give_up;
   Duration pause;
   switch (answer.outcome) {
     case Outcome::kBehind:
@@ -137,10 +137,12 @@
       break;
     case Outcome::kNoStatement:
       pool_.Close(work->connection, context);
+      work->losses++;
       break;
     default:
       may_retry = false;
   }
+  may_retry = may_retry && work->losses < kMaxAttempts;
   if (may_retry) {
     Requeue(work, pause, context);
     return;
@@ -229,7 +231,7 @@
       transactions_.erase(found);
     }
     bool may_start_over = !was_sent && work->call.opens_transaction &&
-                          work->attempts < kMaxAttempts;
+                          ++work->losses < kMaxAttempts;
     if (may_start_over) {
       Requeue(work, Duration(), context);
       return;
@@ -243,7 +245,7 @@
   bool may_repeat = !was_sent || work->call.access == Access::kRead;
   if (!may_repeat) {
     Fail(work, Outcome::kUnknown, "connection_lost", context);
-  } else if (work->attempts < kMaxAttempts && context->now() < work->timeout) {
+  } else if (++work->losses < kMaxAttempts && context->now() < work->timeout) {
     Requeue(work, Duration(), context);
   } else {
     Fail(work, Outcome::kBusy, "connection_lost", context);
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -152,6 +152,16 @@
   return floor;
 }
 
+// True if the replica will probably refuse a read at this position: it lacked
+// it a moment ago, or is too far behind the time at which the primary had it.
+bool GroupOwner::IsBehind(const PooledUpstream& replica, LogPosition floor,
+                          TimePoint now) const {
+  if (!(replica.applied < floor)) return false;
+  if (now - replica.applied_at < kAppliedFresh) return true;
+  Duration lag = evidence_.LagOf(replica.applied, replica.applied_at);
+  return now - lag < evidence_.ReachedAt(floor);
+}
+
 PooledUpstream* GroupOwner::ReplicaFor(const Work& work,
                                        ProxyContext* context) {
   LogPosition floor = FloorFor(work);
@@ -166,9 +176,7 @@
                      work.avoid.count(item.first) == 0 &&
                      context->now() - upstream.status_sent.time < kStatusFresh;
     if (!is_usable) continue;
-    bool holds = !(upstream.applied < floor);
-    bool is_known = context->now() - upstream.applied_at < kAppliedFresh;
-    if (!holds && is_known) continue;
+    if (IsBehind(upstream, floor, context->now())) continue;
     if (work.in_transaction() && !pool_.MayPin(item.first)) continue;
     // Loads are compared as shares of slots, cross-multiplied.
     bool is_better =
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -154,8 +154,7 @@
   std::vector<StatementNumber> due;
   for (const auto& item : work_) {
     const Work* work = item.second.get();
-    TimePoint limit = work->is_queued() && work->attempts == 0 ? work->give_up
-                                                               : work->timeout;
+    TimePoint limit = work->is_queued() ? work->give_up : work->timeout;
     if (context->now() >= limit) due.push_back(item.first);
   }
   for (StatementNumber number : due) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -101,6 +101,8 @@
   void Continue(Work* work, ProxyContext* context);
   PooledUpstream* Primary();
   PooledUpstream* ReplicaFor(const Work& work, ProxyContext* context);
+  bool IsBehind(const PooledUpstream& replica, LogPosition floor,
+                TimePoint now) const;
   LogPosition FloorFor(const Work& work) const;
   LogPosition AfterAtPrimary(const Work& work) const;
   bool MayStartAtPrimary(const Work& work, ProxyContext* context);
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -44,11 +44,12 @@
   StatementCall call;
   Instant arrived;
   TimePoint target;   // Answered later, it is late.
-  TimePoint give_up;  // Refused if not sent by then.
+  TimePoint give_up;  // Refused if it still waits by then.
   TimePoint timeout;
   WorkStage stage = WorkStage::kQueued;
   bool is_late = false;
-  int attempts = 0;
+  int attempts = 0;            // Sendings, refused ones included.
+  int losses = 0;              // Sendings whose answer was lost.
   TimePoint not_before;        // Pause after a refusal.
   std::set<UpstreamId> avoid;  // Refused it, or are behind what it needs.
   ConnectionId connection;     // While it is sent.
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -91,6 +91,8 @@
   void LoseAnswers(int count) { answers_to_lose_ = count; }
   // That many coming statements run, and their connection breaks then.
   void BreakAnswers(int count) { answers_to_break_ = count; }
+  // That many coming statements are refused: all slots are busy.
+  void RefuseBusy(int count) { busy_answers_ = count; }
   void SetApplyLag(Duration lag) { options_.apply_lag = lag; }
 
   UpstreamId primary() const;
@@ -100,6 +102,8 @@
   std::map<std::string, int> Effects(const UpstreamId& upstream) const;
   uint64_t held_term(const UpstreamId& upstream) const;
   size_t connection_count(const UpstreamId& upstream) const;
+  // Statements that were refused because a replica lacked their position.
+  int behind_answers() const { return behind_answers_; }
 
  private:
   struct Upstream {
@@ -145,7 +149,7 @@
   proxy::UpstreamAnswer Commit(Connection* connection,
                                const proxy::UpstreamCommand& command,
                                std::vector<std::string> writes, TimePoint now);
-  proxy::UpstreamAnswer StatusOf(const Upstream& upstream) const;
+  proxy::UpstreamAnswer StatusOf(const Upstream& upstream, TimePoint now) const;
   bool IsCut(const UpstreamId& a, const UpstreamId& b) const;
   uint64_t NewestTerm() const;
 
@@ -162,6 +166,8 @@
   std::vector<DatabaseOutput> opened_;
   int answers_to_lose_ = 0;
   int answers_to_break_ = 0;
+  int busy_answers_ = 0;
+  int behind_answers_ = 0;
 };
 
 }  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(Store_AnswersLost_DutyIsReadAgain);
   CPPUNIT_TEST(Vm_CutFromStore_HearsRoutesFromPeers);
   CPPUNIT_TEST(Readers_AllCutFromStore_RoutesArriveInTime);
+  CPPUNIT_TEST(Replicas_FarBehind_ReadsAreNotSentThere);
+  CPPUNIT_TEST(Upstream_BusyManyTimes_StatementIsServedInItsTime);
   CPPUNIT_TEST(Replica_Reborn_IsNotPromoted);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Answers_CutOff_NothingRunsTwiceAndRefusalsAreTrue);
@@ -408,6 +410,35 @@
     }
   }
 
+  void Replicas_FarBehind_ReadsAreNotSentThere() {
+    world_->Run(Duration::Seconds(2));
+    world_->database().SetApplyLag(Duration::Millis(2500));
+    // Until their lag shows.
+    world_->Run(Duration::Seconds(3));
+    int done = world_->counts().done;
+    int behind = world_->database().behind_answers();
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(world_->counts().done - done > 400);
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().refused);
+    int wasted = world_->database().behind_answers() - behind;
+    CPPUNIT_ASSERT(wasted * 50 < world_->counts().done - done);
+    ExpectSafe();
+  }
+
+  void Upstream_BusyManyTimes_StatementIsServedInItsTime() {
+    SessionWorldOptions options;
+    options.callers = 1;
+    options.mixed_rules = false;
+    Make(options);
+    world_->Run(Duration::Seconds(2));
+    for (int i = 0; i < 20; i++) {
+      world_->database().RefuseBusy(9);
+      world_->Run(Duration::Millis(400));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().refused);
+    ExpectSafe();
+  }
+
   void Replica_Reborn_IsNotPromoted() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
