Keep the cost of a VM's membership from growing with the fleet

Change: a VM keeps in touch with the VMs at distances 1, 2, 4.. along a ring; it probes one of them each period and tells all of them news. The list of VMs is taken in at most five times a second. Only VMs that are down or hold calls are looked at in a wake-up. Probes of lost VMs thin out to 1.6 s, and one that calls is probed at once.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -52,6 +52,24 @@
 
 }  // namespace
 
+std::vector<VmId> ContactsOf(const VmId& self,
+                             const std::vector<VmRecord>& vms) {
+  std::vector<std::pair<uint64_t, VmId>> ring;
+  ring.reserve(vms.size());
+  for (const VmRecord& vm : vms) {
+    if (vm.vm != self) ring.emplace_back(ReaderRank(vm.vm), vm.vm);
+  }
+  std::sort(ring.begin(), ring.end());
+  auto next = std::upper_bound(ring.begin(), ring.end(),
+                               std::make_pair(ReaderRank(self), self));
+  auto start = static_cast<size_t>(next - ring.begin());
+  std::vector<VmId> contacts;
+  for (size_t distance = 1; distance <= ring.size(); distance *= 2) {
+    contacts.push_back(ring[(start + distance - 1) % ring.size()].second);
+  }
+  return contacts;
+}
+
 std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
                                     const std::vector<VmRecord>& all) {
   std::vector<VmRecord> vms = Candidates(groups.size(), all);
@@ -121,6 +139,7 @@
     if (IsUsable(item.first)) usable.push_back(item.second.record);
   }
   owners_ = PlaceGroups(groups_, usable);
+  contacts_ = ContactsOf(self_.vm, usable);
   version_++;
 }
 
@@ -164,6 +183,8 @@
                     ProxyContext* context) {
   if (vm->is_down == is_down) return;
   vm->is_down = is_down;
+  vm->failed_probes = 0;
+  if (is_down) watched_.insert(vm->record.vm);
   context->Log(LogLevel::kWarning, kPart, is_down ? "vm_lost" : "vm_regained",
                {{"peer", vm->record.vm.value()}, {"cause", cause}});
   Recompute();
@@ -173,6 +194,7 @@
   auto found = vms_.find(id);
   if (found == vms_.end()) return;
   Vm& vm = found->second;
+  watched_.insert(id);
   if (vm.open_calls++ == 0) {
     vm.waits_since = context->now();
     context->WakeAt(context->now() + kSilentAfter);
@@ -214,6 +236,10 @@
     if (freshness.is_leaving) OnLeaving(id, context);
     if (vm.hears_store != freshness.hears_store) version_++;
     vm.hears_store = freshness.hears_store;
+    if (vm.is_down) {
+      vm.next_probe = context->now();
+      context->WakeAt(vm.next_probe);
+    }
   }
   knowledge_->OnPeerKnowledge(id, freshness);
 }
@@ -251,14 +277,9 @@
 }
 
 void Fleet::Spread(ProxyContext* context) {
-  std::vector<Vm*> usable;
-  for (auto& item : vms_) {
-    if (IsUsable(item.first)) usable.push_back(&item.second);
-  }
-  for (size_t told = 0; told < kTold && !usable.empty(); told++) {
-    size_t index = context->Random(usable.size());
-    Tell(usable[index]->record, context);
-    usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
+  for (const VmId& contact : contacts_) {
+    auto found = vms_.find(contact);
+    if (found != vms_.end()) Tell(found->second.record, context);
   }
 }
 
@@ -282,9 +303,11 @@
   vm.is_probed = false;
   const auto* body = std::get_if<FreshnessReply>(&reply.body);
   if (reply.error != PeerCallError::kNone || body == nullptr) {
-    vm.next_probe = context->now() + kDownProbePeriod;
-    context->WakeAt(vm.next_probe);
     SetDown(&vm, true, "probe_failed", context);
+    Duration pause = kDownProbePeriod * (int64_t{1} << vm.failed_probes);
+    vm.next_probe = context->now() + std::min(pause, kDownProbeMax);
+    vm.failed_probes = std::min(vm.failed_probes + 1, kProbeDoublings);
+    context->WakeAt(vm.next_probe);
     return true;
   }
   vm.waits_since = context->now();
@@ -293,33 +316,38 @@
   return true;
 }
 
-void Fleet::OnWake(ProxyContext* context) {
-  for (auto& item : vms_) {
-    Vm& vm = item.second;
-    if (vm.is_down) {
-      if (context->now() >= vm.next_probe) {
-        Probe(&vm, context);
-      } else {
-        context->WakeAt(vm.next_probe);
-      }
-      continue;
-    }
-    if (vm.open_calls == 0) continue;
-    TimePoint due = vm.waits_since + kSilentAfter;
-    if (context->now() >= due) {
-      Probe(&vm, context);
-      vm.waits_since = context->now();
+// Sees to one VM that is down or holds calls unanswered; false if it needs no
+// watching.
+bool Fleet::Watch(Vm* vm, ProxyContext* context) {
+  if (vm->is_down) {
+    if (context->now() >= vm->next_probe) {
+      Probe(vm, context);
+    } else {
+      context->WakeAt(vm->next_probe);
     }
-    context->WakeAt(vm.waits_since + kSilentAfter);
+    return true;
+  }
+  if (vm->open_calls == 0) return false;
+  if (context->now() >= vm->waits_since + kSilentAfter) {
+    Probe(vm, context);
+    vm->waits_since = context->now();
+  }
+  context->WakeAt(vm->waits_since + kSilentAfter);
+  return true;
+}
+
+void Fleet::OnWake(ProxyContext* context) {
+  for (auto it = watched_.begin(); it != watched_.end();) {
+    auto found = vms_.find(*it);
+    bool stays = found != vms_.end() && Watch(&found->second, context);
+    it = stays ? std::next(it) : watched_.erase(it);
   }
   if (context->now() < next_probe_) return;
   next_probe_ = context->now() + kProbePeriod;
   context->WakeAt(next_probe_);
-  if (vms_.empty()) return;
-  auto chosen = vms_.begin();
-  std::advance(chosen,
-               static_cast<std::ptrdiff_t>(context->Random(vms_.size())));
-  if (!chosen->second.is_down) Probe(&chosen->second, context);
+  if (contacts_.empty()) return;
+  auto chosen = vms_.find(contacts_[context->Random(contacts_.size())]);
+  if (chosen != vms_.end()) Probe(&chosen->second, context);
 }
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -9,13 +9,18 @@
 // and one that misses the probe is passed over until it answers again. Views
 // may differ between VMs, which costs performance only.
 //
-// Cost: one probe per period to a random VM, and one to each VM that is silent
+// Each VM keeps in touch with few others, its contacts: those at distances 1,
+// 2, 4 and so on along a ring, so that news reaches all in as many steps as
+// there are contacts.
+//
+// Cost: one probe per period to a contact, and one to each VM that is silent
 // while calls to it are open, whatever the size of the fleet.
 
 #ifndef FIREFLYCART_CORE_PROXY_FLEET_H_
 #define FIREFLYCART_CORE_PROXY_FLEET_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +40,7 @@
 
 class Fleet {
  public:
-  // Period of the probe of one random VM.
+  // Period of the probe of one contact.
   static constexpr Duration kProbePeriod = Duration::Millis(400);
   // Longest wait for a probe: a round trip takes some milliseconds.
   static constexpr Duration kProbeTimeout = Duration::Millis(200);
@@ -44,13 +49,14 @@
   // Pause before a VM that failed is probed, first and later on.
   static constexpr Duration kFirstReprobe = Duration::Millis(100);
   static constexpr Duration kDownProbePeriod = Duration::Millis(400);
+  // It doubles with each failure, so that many lost VMs cost little.
+  static constexpr Duration kDownProbeMax = Duration::Millis(1600);
+  static constexpr int kProbeDoublings = 2;
   // VMs that follow the platform's store for all. Two may be cut off at once.
   static constexpr size_t kReaders = 3;
   // VMs that are told at once that this one began or ceased to hear the store:
   // those that follow next. Twice the readers, as some may be cut off, too.
   static constexpr size_t kNextReaders = 2 * kReaders;
-  // VMs that are told at once of what this one has learnt; each tells as many.
-  static constexpr size_t kTold = 3;
 
   Fleet(VmRecord self, KnowledgeSource* knowledge);
 
@@ -68,7 +74,7 @@
   bool IsReader() const;
   // Tells those that would follow the store next of this VM's own hearing.
   void TellReaders(ProxyContext* context);
-  // Tells some VMs that this one knows more than before.
+  // Tells the contacts that this one knows more than before.
   void Spread(ProxyContext* context);
   // Grows with every change of owners.
   uint64_t version() const { return version_; }
@@ -100,8 +106,10 @@
     TimePoint waits_since;  // Since when calls are open without an answer.
     bool is_probed = false;
     TimePoint next_probe;
+    int failed_probes = 0;  // In a row, up to kProbeDoublings.
   };
 
+  bool Watch(Vm* vm, ProxyContext* context);
   void Probe(Vm* vm, ProxyContext* context);
   void Tell(const VmRecord& record, ProxyContext* context);
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
@@ -112,6 +120,8 @@
   KnowledgeSource* knowledge_;
   bool is_leaving_ = false;
   std::map<VmId, Vm> vms_;  // Without this one.
+  std::set<VmId> watched_;  // Down, or with calls open.
+  std::vector<VmId> contacts_;
   std::map<CallId, VmId> probes_;
   std::vector<GroupId> groups_;
   std::map<GroupId, VmId> owners_;
@@ -119,6 +129,11 @@
   TimePoint next_probe_;
 };
 
+// The VMs at distances 1, 2, 4 and so on behind this one, in the order of their
+// hashes.
+std::vector<VmId> ContactsOf(const VmId& self,
+                             const std::vector<VmRecord>& vms);
+
 // Places groups on VMs by weighted rendezvous hashing with bounded loads: each
 // group goes to its best VM that has room for one more by its processor share.
 std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -22,6 +22,8 @@
 // Peers that are told of a stop at once; the others learn it by probes.
 constexpr size_t kStopNotices = 100;
 constexpr Duration kNoticeTimeout = Duration::Millis(500);
+// Pause between two changes of the fleet that come from the list of VMs.
+constexpr Duration kVmsStep = Duration::Millis(200);
 constexpr Duration kSnapshotTimeout = Duration::Millis(1000);
 // A starting VM waits so long for the list of VMs before it serves without.
 constexpr Duration kListLimit = Duration::Millis(1500);
@@ -80,12 +82,7 @@
 }
 
 void ProxyReducer::ApplyChanges() {
-  bool has_news = applied_vm_changes_ != follower_.vm_changes() ||
-                  applied_changes_ != follower_.changes();
-  if (applied_vm_changes_ != follower_.vm_changes()) {
-    applied_vm_changes_ = follower_.vm_changes();
-    fleet_.SetVms(follower_.vms(), &context_);
-  }
+  bool has_news = applied_changes_ != follower_.changes() || ApplyVms();
   if (applied_changes_ != follower_.changes()) {
     applied_changes_ = follower_.changes();
     ApplyDirectory();
@@ -98,6 +95,19 @@
   }
 }
 
+// Many VMs start at the same moment: their records are taken in together.
+bool ProxyReducer::ApplyVms() {
+  if (applied_vm_changes_ == follower_.vm_changes()) return false;
+  if (context_.now() < next_vms_) {
+    context_.WakeAt(next_vms_);
+    return false;
+  }
+  next_vms_ = context_.now() + kVmsStep;
+  applied_vm_changes_ = follower_.vm_changes();
+  fleet_.SetVms(follower_.vms(), &context_);
+  return true;
+}
+
 void ProxyReducer::ApplyDirectory() {
   const RouteTable& table = follower_.routes();
   std::vector<GroupId> groups;
@@ -463,7 +473,9 @@
   if (follower_.upstreams().version > call.known.upstreams) {
     reply.upstreams = follower_.upstreams();
   }
-  if (follower_.vms().version > call.known.vms) reply.vms = follower_.vms();
+  if (follower_.vms().version > call.known.vms) {
+    reply.vms = follower_.VmsAfter(call.known.vms);
+  }
   context_.Emit(AnswerPeer{handle, std::move(reply)});
 }
 
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -118,6 +118,7 @@
   VmId VmFor(SessionNumber session, const StatementCall& call);
   void AskAhead();
   void ApplyChanges();
+  bool ApplyVms();
   void ApplyDirectory();
   void ApplyOwners();
   void OnWake();
@@ -137,6 +138,7 @@
   VmId ahead_;  // Knows more, and is to be asked next.
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
+  TimePoint next_vms_;
   uint64_t applied_fleet_ = 0;
   bool has_told_hearing_ = true;
   bool is_stopping_ = false;
--- a/fireflycart/core/proxy/route.h
+++ b/fireflycart/core/proxy/route.h
@@ -73,11 +73,13 @@
   DataCentreId data_centre;
   uint64_t incarnation = 0;
   int cpu_permille = 0;  // Of one core.
+  uint64_t version = 0;  // Of the registry, when the record was written.
 };
 
-// All registered VMs as of one version of the registry.
+// The registered VMs as of one version of the registry.
 struct VmList {
   uint64_t version = 0;
+  uint64_t after = 0;  // Only changes after this version; 0: all records.
   std::map<VmId, VmRecord> records;
 };
 
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -260,12 +260,17 @@
 void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole) {
   bool has_news = is_whole || !answer.rows.empty();
   if (answer.version < vms_.version || !has_news) return;
-  if (is_whole) vms_.records.clear();
+  if (is_whole) {
+    vms_.records.clear();
+    vms_dropped_ = answer.version;
+  }
   for (const StoreRow& row : answer.rows) {
     VmRecord record;
     record.vm = VmId(row.key);
+    record.version = row.version;
     if (row.is_deleted || !DecodeVm(row.value, &record)) {
       vms_.records.erase(record.vm);
+      vms_dropped_ = answer.version;
     } else {
       vms_.records[record.vm] = record;
     }
@@ -286,12 +291,35 @@
     TakeVersion(StoreTable::kUpstreams, upstreams_.version);
   }
   if (reply.vms.version > vms_.version) {
-    vms_ = reply.vms;
-    vm_changes_++;
+    TakeVms(reply.vms);
     TakeVersion(StoreTable::kVms, vms_.version);
   }
 }
 
+VmList StoreFollower::VmsAfter(uint64_t version) const {
+  // Records that were dropped since are missing in the whole list only.
+  if (version < vms_dropped_) return vms_;
+  VmList changes;
+  changes.version = vms_.version;
+  changes.after = version;
+  for (const auto& item : vms_.records) {
+    if (item.second.version > version) changes.records.insert(item);
+  }
+  return changes;
+}
+
+void StoreFollower::TakeVms(const VmList& vms) {
+  if (vms.after > vms_.version) return;
+  if (vms.after == 0) {
+    vms_ = vms;
+    vms_dropped_ = vms.version;
+  } else {
+    for (const auto& item : vms.records) vms_.records[item.first] = item.second;
+    vms_.version = vms.version;
+  }
+  vm_changes_++;
+}
+
 // The store's own changes are taken from the peer's version on.
 void StoreFollower::TakeVersion(StoreTable which, uint64_t version) {
   for (Table& table : tables_) {
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -60,6 +60,8 @@
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_; }
   const VmList& vms() const { return vms_; }
+  // What a peer lacks that knows this version.
+  VmList VmsAfter(uint64_t version) const;
   bool has_upstreams() const { return upstreams_.version != 0; }
   bool has_vms() const { return vms_.version != 0; }
   KnownVersions known() const {
@@ -100,6 +102,7 @@
   void ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                       ProxyContext* context);
   void ApplyVms(const StoreAnswered& answer, bool is_whole);
+  void TakeVms(const VmList& vms);
   void TakeVersion(StoreTable which, uint64_t version);
   bool MustFollow(ProxyContext* context) const;
   void OnHeard(const Table& table, ProxyContext* context);
@@ -115,6 +118,7 @@
   RouteTable routes_;
   UpstreamList upstreams_;
   VmList vms_;
+  uint64_t vms_dropped_ = 0;  // Version at which a record was last dropped.
   bool is_reader_ = true;
   TimePoint store_heard_;
   uint64_t changes_ = 0;
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(Place_StrongVmsLost_WeakOnesOwn);
   CPPUNIT_TEST(Place_VmLeaves_FewGroupsMove);
   CPPUNIT_TEST(Place_NoVm_NoOwner);
+  CPPUNIT_TEST(Contacts_ManyVms_FewAndAllAreReached);
+  CPPUNIT_TEST(Contacts_OneVm_None);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +87,29 @@
     CPPUNIT_ASSERT_EQUAL(size_t{8}, used.size());
   }
 
+  void Contacts_ManyVms_FewAndAllAreReached() {
+    std::vector<VmRecord> vms = Vms(300, 120);
+    std::set<VmId> reached = {vms[0].vm};
+    std::vector<VmId> told = {vms[0].vm};
+    for (int step = 0; step < 9; step++) {
+      std::vector<VmId> next;
+      for (const VmId& vm : told) {
+        std::vector<VmId> contacts = ContactsOf(vm, vms);
+        CPPUNIT_ASSERT_EQUAL(size_t{9}, contacts.size());
+        for (const VmId& contact : contacts) {
+          if (reached.insert(contact).second) next.push_back(contact);
+        }
+      }
+      told = next;
+    }
+    CPPUNIT_ASSERT_EQUAL(vms.size(), reached.size());
+  }
+
+  void Contacts_OneVm_None() {
+    std::vector<VmRecord> vms = Vms(1, 120);
+    CPPUNIT_ASSERT(ContactsOf(vms[0].vm, vms).empty());
+  }
+
   void Place_VmLeaves_FewGroupsMove() {
     std::vector<VmRecord> vms = Vms(30, 250);
     std::map<GroupId, VmId> before = PlaceGroups(Groups(300), vms);
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -95,7 +95,8 @@
 }
 
 Json ToJson(const VmRecord& v) {
-  return Pack(v.vm, v.address, v.data_centre, v.incarnation, v.cpu_permille);
+  return Pack(v.vm, v.address, v.data_centre, v.incarnation, v.cpu_permille,
+              v.version);
 }
 void FromJson(const Json& json, VmRecord* v) {
   Unpacker(json)
@@ -103,7 +104,8 @@
       .Take(&v->address)
       .Take(&v->data_centre)
       .Take(&v->incarnation)
-      .Take(&v->cpu_permille);
+      .Take(&v->cpu_permille)
+      .Take(&v->version);
 }
 
 template <typename Map>
@@ -147,11 +149,11 @@
 }
 
 Json ToJson(const VmList& l) {
-  return Json::array({l.version, ValuesToJson(l.records)});
+  return Json::array({l.version, l.after, ValuesToJson(l.records)});
 }
 void FromJson(const Json& json, VmList* l) {
   Unpacker fields(json);
-  fields.Take(&l->version);
+  fields.Take(&l->version).Take(&l->after);
   for (const Json& item : fields.Next()) {
     VmRecord record;
     FromJson(item, &record);
