Use an unconfirmed token only while all contacts answer

Cause: an owner that is cut off from the other VMs and from the store replaces a crashed primary with the token that the store had confirmed earlier. Meanwhile the VM that took the group over has a newer one and has ordered its promotion; the term that would show it grows only when that takes effect. The mechanism is as old as the use of old tokens, which serves when the store is down for all.

Change: an owner that replaces a primary probes its contacts every 100 ms, and uses a token that the store did not confirm only if all answered within 250 ms and no VM is lost.

Store_DownWhilePrimaryCrashes_OldTokenServes holds as before.

--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -47,7 +47,8 @@
   TimePoint granted_at() const { return granted_at_; }
 
   // A token that was confirmed in that term may still be used if the store
-  // does not answer: nobody else promoted since, or the term would have grown.
+  // does not answer and no other VM may have taken the duty: nobody else
+  // promoted since, or the term would have grown.
   bool MayUseOldToken(uint64_t term) const {
     return has_token_ && token_term_ == term && store_failures_ > 0;
   }
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -49,6 +49,7 @@
   all_held_ = Instant();
   frozen_ = LogPosition();
   has_ordered_hold_ = false;
+  is_fleet_confirmed_ = false;
   asked_.clear();
   context->Log(LogLevel::kWarning, kPart, "started",
                {{"group", group_.value()},
@@ -253,7 +254,7 @@
   if (lease_.has_token()) {
     return context->now() - lease_.granted_at() < kTokenLimit;
   }
-  return lease_.MayUseOldToken(term_);
+  return is_fleet_confirmed_ && lease_.MayUseOldToken(term_);
 }
 
 void Failover::Order(ProxyContext* context) {
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -80,6 +80,15 @@
   // promotion yet is left to the next owner.
   void Yield(UpstreamPool* pool, ProxyContext* context);
 
+  // Whether the other VMs were just heard, so that none of them took the group
+  // for its own. Without it no token is used that the store did not confirm:
+  // another VM may have a newer one. Returns true if that changed.
+  bool SetFleetConfirmed(bool is_confirmed) {
+    bool has_changed = is_confirmed != is_fleet_confirmed_;
+    is_fleet_confirmed_ = is_confirmed;
+    return has_changed;
+  }
+
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
   FailoverCause cause() const { return cause_; }
   const UpstreamId& successor() const { return successor_; }
@@ -128,6 +137,7 @@
   Instant all_held_;
   LogPosition frozen_;
   bool has_ordered_hold_ = false;
+  bool is_fleet_confirmed_ = false;
   CallId order_;
   TimePoint ordered_at_;
   TimePoint retry_at_;
--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -174,6 +174,26 @@
   return count;
 }
 
+void Fleet::ConfirmContacts(ProxyContext* context) {
+  for (const VmId& contact : contacts_) {
+    auto found = vms_.find(contact);
+    if (found == vms_.end()) continue;
+    bool is_due = context->now() - found->second.last_heard >= kConfirmPeriod;
+    if (is_due) Probe(&found->second, context);
+  }
+  context->WakeAt(context->now() + kConfirmPeriod);
+}
+
+bool Fleet::IsConfirmed(TimePoint now) const {
+  for (const VmId& contact : contacts_) {
+    auto found = vms_.find(contact);
+    bool is_heard =
+        found != vms_.end() && now - found->second.last_heard <= kConfirmed;
+    if (!is_heard) return false;
+  }
+  return down_count() == 0;
+}
+
 void Fleet::Leave() {
   is_leaving_ = true;
   Recompute();
@@ -207,6 +227,7 @@
   Vm& vm = found->second;
   if (vm.open_calls > 0) vm.open_calls--;
   vm.waits_since = context->now();
+  vm.last_heard = context->now();
   SetDown(&vm, false, "answered", context);
 }
 
@@ -311,6 +332,7 @@
     return true;
   }
   vm.waits_since = context->now();
+  vm.last_heard = context->now();
   SetDown(&vm, false, "probe_answered", context);
   OnHeard(id, body->freshness, context);
   return true;
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -52,6 +52,10 @@
   // It doubles with each failure, so that many lost VMs cost little.
   static constexpr Duration kDownProbeMax = Duration::Millis(1600);
   static constexpr int kProbeDoublings = 2;
+  // Another VM passes this one over no sooner than kSilentAfter and
+  // kProbeTimeout after it last answered.
+  static constexpr Duration kConfirmed = Duration::Millis(250);
+  static constexpr Duration kConfirmPeriod = Duration::Millis(100);
   // VMs that follow the platform's store for all. Two may be cut off at once.
   static constexpr size_t kReaders = 3;
   // VMs that are told at once that this one began or ceased to hear the store:
@@ -76,6 +80,10 @@
   void TellReaders(ProxyContext* context);
   // Tells the contacts that this one knows more than before.
   void Spread(ProxyContext* context);
+  // Probes the contacts that were not heard just now.
+  void ConfirmContacts(ProxyContext* context);
+  // True if all contacts were heard within kConfirmed and no VM is lost.
+  bool IsConfirmed(TimePoint now) const;
   // Grows with every change of owners.
   uint64_t version() const { return version_; }
   size_t size() const { return vms_.size(); }
@@ -104,6 +112,7 @@
     bool hears_store = true;
     int open_calls = 0;
     TimePoint waits_since;  // Since when calls are open without an answer.
+    TimePoint last_heard;   // When it last answered.
     bool is_probed = false;
     TimePoint next_probe;
     int failed_probes = 0;  // In a row, up to kProbeDoublings.
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -68,6 +68,10 @@
   Settle(context);
 }
 
+void GroupOwner::SetFleetConfirmed(bool is_confirmed, ProxyContext* context) {
+  if (failover_.SetFleetConfirmed(is_confirmed)) Settle(context);
+}
+
 void GroupOwner::Submit(StatementCall call, const WorkOrigin& origin,
                         ProxyContext* context) {
   Activate(context);
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -93,6 +93,7 @@
     has_told_hearing_ = follower_.hears_store();
     fleet_.TellReaders(&context_);
   }
+  ConfirmFleet();
 }
 
 // Many VMs start at the same moment: their records are taken in together.
@@ -138,6 +139,18 @@
   }
 }
 
+// An owner that replaces a primary has to know that no other VM does, too.
+void ProxyReducer::ConfirmFleet() {
+  bool is_asked = false;
+  for (auto& item : owners_) {
+    if (!item.second->is_replacing_primary()) continue;
+    if (!is_asked) fleet_.ConfirmContacts(&context_);
+    is_asked = true;
+    item.second->SetFleetConfirmed(fleet_.IsConfirmed(context_.now()),
+                                   &context_);
+  }
+}
+
 GroupOwner* ProxyReducer::OwnerFor(const GroupId& group) {
   auto found = owners_.find(group);
   if (found != owners_.end()) return found->second.get();
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -121,6 +121,7 @@
   bool ApplyVms();
   void ApplyDirectory();
   void ApplyOwners();
+  void ConfirmFleet();
   void OnWake();
   void StepStop();
   void Finish(ProxyEffects* effects);
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(Vm_CutFromOwner_ServesThroughItself);
   CPPUNIT_TEST(AllVms_KilledAtOnce_ServiceReturns);
   CPPUNIT_TEST(Store_DownWhilePrimaryCrashes_OldTokenServes);
+  CPPUNIT_TEST(Owner_CutFromVmsAndStoreAsPrimaryCrashes_KeepsItsOldToken);
   CPPUNIT_TEST(Store_HistoryLost_RoutesAreReadWhole);
   CPPUNIT_TEST(Store_AnswersLost_DutyIsReadAgain);
   CPPUNIT_TEST(Vm_CutFromStore_HearsRoutesFromPeers);
@@ -357,6 +358,24 @@
     ExpectSafe();
   }
 
+  void Owner_CutFromVmsAndStoreAsPrimaryCrashes_KeepsItsOldToken() {
+    for (int delay_ms : {0, 300, 600}) {
+      Make(options_);
+      world_->Run(Duration::Seconds(3));
+      std::string owner = world_->owner().value();
+      for (const char* other : {"vm-0", "vm-1", "vm-2", "store"}) {
+        if (other != owner) world_->Cut(owner, other);
+      }
+      world_->Run(Duration::Millis(delay_ms));
+      world_->CrashUpstream(world_->primary());
+      world_->Run(Duration::Seconds(3));
+      CPPUNIT_ASSERT(world_->promotions() >= 1);
+      world_->MendAll();
+      world_->Run(Duration::Seconds(1));
+      ExpectSafe();
+    }
+  }
+
   void Store_HistoryLost_RoutesAreReadWhole() {
     world_->Run(Duration::Seconds(2));
     for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "store");
