--- a/fireflycart/core/proxy/testing/evidence_test.cc
+++ b/fireflycart/core/proxy/testing/evidence_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(Floor_OfAnAge_OldestPositionThatCoversIt);
   CPPUNIT_TEST(Proof_Older_DoesNotReplaceNewer);
   CPPUNIT_TEST(Primary_Changes_NothingCounts);
+  CPPUNIT_TEST(Lag_OfAReplica_SinceThePrimaryHadMore);
+  CPPUNIT_TEST(Reached_OutsideOfWhatIsKnown_NoClaim);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,6 +53,30 @@
     CPPUNIT_ASSERT(evidence_.IsProvenSince(TimePoint::FromMillis(200)));
   }
 
+  void Lag_OfAReplica_SinceThePrimaryHadMore() {
+    evidence_.OnPrimaryPosition(At(100, 1), LogPosition{1, 5});
+    evidence_.OnPrimaryPosition(At(200, 2), LogPosition{1, 8});
+    evidence_.OnPrimaryPosition(At(300, 3), LogPosition{1, 9});
+    TimePoint at = TimePoint::FromMillis(1000);
+    CPPUNIT_ASSERT_EQUAL(int64_t{800},
+                         evidence_.LagOf(LogPosition{1, 6}, at).millis());
+    CPPUNIT_ASSERT_EQUAL(int64_t{700},
+                         evidence_.LagOf(LogPosition{1, 8}, at).millis());
+    CPPUNIT_ASSERT_EQUAL(int64_t{0},
+                         evidence_.LagOf(LogPosition{1, 9}, at).millis());
+  }
+
+  void Reached_OutsideOfWhatIsKnown_NoClaim() {
+    evidence_.OnPrimaryPosition(At(100, 1), LogPosition{1, 5});
+    evidence_.OnPrimaryPosition(At(200, 2), LogPosition{1, 8});
+    CPPUNIT_ASSERT(evidence_.ReachedAt(LogPosition{1, 4}) == TimePoint());
+    CPPUNIT_ASSERT_EQUAL(int64_t{200},
+                         evidence_.ReachedAt(LogPosition{1, 7}).millis());
+    // It came after the last mark.
+    CPPUNIT_ASSERT_EQUAL(int64_t{200},
+                         evidence_.ReachedAt(LogPosition{1, 9}).millis());
+  }
+
   void Primary_Changes_NothingCounts() {
     evidence_.OnPrimaryPosition(At(100, 1), LogPosition{1, 5});
     evidence_.OnProof(At(100, 1));
--- /dev/null
+++ b/fireflycart/ctl/explain.cc
@@ -0,0 +1,120 @@
+// Lines are read once: those of the request are kept by time, all others that
+// tell what a VM believes likewise. Which of these matter is known at the end,
+// from the VMs, the group and the times of the request's lines.
+
+#include "fireflycart/ctl/explain.h"
+
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "fireflycart/ctl/commands.h"
+
+namespace fireflycart {
+namespace {
+
+using nlohmann::json;
+using Lines = std::multimap<int64_t, json>;
+
+// Fields that stand at the front of each printed line.
+const std::set<std::string>& FrontFields() {
+  static const auto* fields = new std::set<std::string>{
+      "time_ms", "up_ms", "level", "vm", "part", "event"};
+  return *fields;
+}
+
+std::string Text(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string Field(const json& line, const char* name) {
+  auto found = line.find(name);
+  return found == line.end() ? "" : Text(*found);
+}
+
+std::string Format(const json& line) {
+  std::string text = Field(line, "time_ms") + " " + Field(line, "vm") + " " +
+                     Field(line, "part") + "." + Field(line, "event");
+  for (const auto& item : line.items()) {
+    if (FrontFields().count(item.key()) != 0) continue;
+    text += " " + item.key() + "=" + Text(item.value());
+  }
+  return text;
+}
+
+// False if the text holds no log line.
+bool Parse(const std::string& text, json* line, int64_t* time_ms) {
+  size_t brace = text.find('{');
+  if (brace == std::string::npos) return false;
+  *line = json::parse(text.begin() + static_cast<std::ptrdiff_t>(brace),
+                      text.end(), nullptr, false);
+  if (!line->is_object()) return false;
+  auto time = line->find("time_ms");
+  if (time == line->end() || !time->is_number_integer()) return false;
+  *time_ms = time->get<int64_t>();
+  return true;
+}
+
+// The VMs and groups of the request's lines.
+std::set<std::string> Involved(const Lines& request) {
+  std::set<std::string> names;
+  for (const auto& item : request) {
+    for (const char* field : {"vm", "peer", "group"}) {
+      names.insert(Field(item.second, field));
+    }
+  }
+  names.erase("");
+  return names;
+}
+
+bool Concerns(const json& line, const std::set<std::string>& involved) {
+  std::string group = Field(line, "group");
+  bool is_of_vm = involved.count(Field(line, "vm")) != 0;
+  return is_of_vm && (group.empty() || involved.count(group) != 0);
+}
+
+}  // namespace
+
+std::vector<std::string> ExplainRequest(const std::string& id,
+                                        std::istream* logs) {
+  Lines request;
+  Lines beliefs;
+  std::string text;
+  while (std::getline(*logs, text)) {
+    json line;
+    int64_t time_ms = 0;
+    if (!Parse(text, &line, &time_ms)) continue;
+    if (Field(line, "id") == id) {
+      request.emplace(time_ms, std::move(line));
+    } else if (!line.contains("id")) {
+      beliefs.emplace(time_ms, std::move(line));
+    }
+  }
+  std::vector<std::string> story;
+  if (request.empty()) return story;
+  for (const auto& item : request) story.push_back(Format(item.second));
+  std::set<std::string> involved = Involved(request);
+  auto from = beliefs.lower_bound(request.begin()->first - kBefore.millis());
+  auto to = beliefs.upper_bound(request.rbegin()->first);
+  for (auto it = from; it != to; ++it) {
+    if (Concerns(it->second, involved)) {
+      story.push_back("  " + Format(it->second));
+    }
+  }
+  return story;
+}
+
+int RunExplain(const std::string& id) {
+  std::vector<std::string> story = ExplainRequest(id, &std::cin);
+  if (story.empty()) {
+    std::cerr << "explain: no line names request \"" << id
+              << "\"; served requests are not logged\n";
+    return kExitFailed;
+  }
+  for (const std::string& line : story) std::cout << line << "\n";
+  return kExitOk;
+}
+
+}  // namespace fireflycart
--- a/fireflycart/ctl/main.cc
+++ b/fireflycart/ctl/main.cc
@@ -7,6 +7,7 @@
 //   fireflycart status                VMs, versions and coordinators
 //   fireflycart audit                 the accepted changes, newest first
 //   fireflycart load                  a load with a check of its history
+//   fireflycart explain ID < LOGS     why a request failed, from logs of VMs
 
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 #include "absl/strings/str_split.h"
 #include "fireflycart/core/error.h"
 #include "fireflycart/ctl/commands.h"
+#include "fireflycart/ctl/explain.h"
 #include "fireflycart/ctl/load_generator.h"
 #include "fireflycart/net/address.h"
 #include "fireflycart/net/flag_environment.h"
@@ -60,7 +62,8 @@
     "  fireflycart show          the configuration in force\n"
     "  fireflycart status        VMs, versions and coordinators\n"
     "  fireflycart audit         the accepted changes, newest first\n"
-    "  fireflycart load          a load with a check of its history\n\n"
+    "  fireflycart load          a load with a check of its history\n"
+    "  fireflycart explain ID    why a request failed; reads logs of VMs\n\n"
     "FILE may be - for standard input. Each flag can be set by a variable:\n"
     "--servers by FIREFLYCART_SERVERS.\n"
     "Exit codes: 0 done, 1 failed, 2 faulty command line, 3 invalid\n"
@@ -134,12 +137,13 @@
 int Run(const std::vector<char*>& arguments) {
   if (arguments.size() < 2) return Fail(kUsage);
   std::string command = arguments[1];
-  bool takes_file =
-      command == "check" || command == "diff" || command == "submit";
-  size_t wanted = takes_file ? 3 : 2;
+  bool takes_argument = command == "check" || command == "diff" ||
+                        command == "submit" || command == "explain";
+  size_t wanted = takes_argument ? 3 : 2;
   if (arguments.size() != wanted) return Fail(kUsage);
-  std::string file = takes_file ? arguments[2] : "";
+  std::string file = takes_argument ? arguments[2] : "";
   if (command == "check") return RunCheck(file);
+  if (command == "explain") return RunExplain(file);
   CommandOptions options;
   options.servers = absl::GetFlag(FLAGS_servers);
   options.token = absl::GetFlag(FLAGS_operator_token);
