--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -46,14 +46,14 @@
     Mutant(
         "promotion before all replicas hold",
         "proxy/failover.cc",
-        "if (!all_hold || !HasUsableToken(context)) return;",
-        "(void)all_hold;\n  if (!HasUsableToken(context)) return;",
+        "if (!HoldReplicas(pool, context)) return;",
+        "HoldReplicas(pool, context);",
     ),
     Mutant(
         "successor with the shortest log",
         "proxy/failover.cc",
-        "if (successor_ == UpstreamId() || best < received) {",
-        "if (successor_ == UpstreamId() || received < best) {",
+        "if (successor_ == UpstreamId() || best < received || is_as_good) {",
+        "if (successor_ == UpstreamId() || received < best || is_as_good) {",
     ),
     Mutant(
         "lost write sent again by the owner",
@@ -101,9 +101,33 @@
     Mutant(
         "promotion without a token of its own",
         "proxy/failover.cc",
-        "return lease_.MayUseOldToken(term_);",
+        "return is_fleet_confirmed_ && lease_.MayUseOldToken(term_);",
         "return true;",
     ),
+    Mutant(
+        "old token used without asking the other VMs",
+        "proxy/failover.cc",
+        "return is_fleet_confirmed_ && lease_.MayUseOldToken(term_);",
+        "return lease_.MayUseOldToken(term_);",
+    ),
+    Mutant(
+        "loss of the store not told to the next readers",
+        "proxy/proxy_reducer.cc",
+        "fleet_.TellReaders(&context_);",
+        "",
+    ),
+    Mutant(
+        "reads sent to replicas that lag too far",
+        "proxy/group_dispatch.cc",
+        "return now - lag < evidence_.ReachedAt(floor);",
+        "return lag < Duration();",
+    ),
+    Mutant(
+        "few groups placed on weak VMs",
+        "proxy/fleet.cc",
+        "return groups <= kMostGroups * strong.size() ? strong : vms;",
+        "return groups > kMostGroups * 1000 * strong.size() ? strong : vms;",
+    ),
     Mutant(
         "held replicas are not resumed",
         "proxy/failover.cc",
