Split placement and the ring of VMs from the fleet; read the change over

Each header is named after what is in it again: group_placement, vm_ring, fleet. The list of VMs is taken in before news is looked for, not inside the condition. Stand-ins share their main function. The soak loses fields that nothing reads and names the first version of routes once. Comments say what the code does: failed sendings, how many VMs follow the store, what a confirmed fleet means. No change of behaviour is meant.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -1,104 +1,22 @@
-// Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): a VM's score
-// for a group is -weight / ln(hash), and the highest score wins. A VM takes at
-// most its share of the groups, rounded up, so that few groups on many VMs do
-// not meet on one. Weak VMs own none as long as the strong ones can carry all:
-// hashing alone would give most of few groups to the many weak ones.
+// What a VM is believed to be follows from its answers to calls and probes.
+// Each change of the usable VMs places the groups anew and draws the contacts
+// anew.
 
 #include "fireflycart/core/proxy/fleet.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
-#include <set>
 #include <utility>
 
+#include "fireflycart/core/proxy/group_placement.h"
+#include "fireflycart/core/proxy/vm_ring.h"
+
 namespace fireflycart::proxy {
 namespace {
 
 constexpr char kPart[] = "fleet";
-// Groups that a strong VM may own before weak ones take some. A group of 250
-// statements/s cost 6% of a core on the users' bench; strong VMs have 50%.
-constexpr size_t kMostGroups = 4;
-
-double Score(const GroupId& group, const VmRecord& vm) {
-  uint64_t seed = XXH3_64bits(group.value().data(), group.value().size());
-  uint64_t hash =
-      XXH3_64bits_withSeed(vm.vm.value().data(), vm.vm.value().size(), seed);
-  constexpr double kSteps = 9007199254740992.0;  // 2^53, exact in a double.
-  double uniform = (static_cast<double>(hash >> 11) + 0.5) / kSteps;
-  return -static_cast<double>(std::max(vm.cpu_permille, 1)) / std::log(uniform);
-}
-
-// The order in which VMs follow the store.
-uint64_t ReaderRank(const VmId& vm) {
-  return XXH3_64bits(vm.value().data(), vm.value().size());
-}
-
-// The VMs that are at least half as strong as the strongest, if they are enough
-// for the groups; else all.
-std::vector<VmRecord> Candidates(size_t groups,
-                                 const std::vector<VmRecord>& vms) {
-  int strongest = 0;
-  for (const VmRecord& vm : vms) {
-    strongest = std::max(strongest, vm.cpu_permille);
-  }
-  std::vector<VmRecord> strong;
-  for (const VmRecord& vm : vms) {
-    if (2 * vm.cpu_permille >= strongest) strong.push_back(vm);
-  }
-  return groups <= kMostGroups * strong.size() ? strong : vms;
-}
 
 }  // namespace
 
-std::vector<VmId> ContactsOf(const VmId& self,
-                             const std::vector<VmRecord>& vms) {
-  std::vector<std::pair<uint64_t, VmId>> ring;
-  ring.reserve(vms.size());
-  for (const VmRecord& vm : vms) {
-    if (vm.vm != self) ring.emplace_back(ReaderRank(vm.vm), vm.vm);
-  }
-  std::sort(ring.begin(), ring.end());
-  auto next = std::upper_bound(ring.begin(), ring.end(),
-                               std::make_pair(ReaderRank(self), self));
-  auto start = static_cast<size_t>(next - ring.begin());
-  std::vector<VmId> contacts;
-  for (size_t distance = 1; distance <= ring.size(); distance *= 2) {
-    contacts.push_back(ring[(start + distance - 1) % ring.size()].second);
-  }
-  return contacts;
-}
-
-std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
-                                    const std::vector<VmRecord>& all) {
-  std::vector<VmRecord> vms = Candidates(groups.size(), all);
-  double total = 0;
-  for (const VmRecord& vm : vms) total += std::max(vm.cpu_permille, 1);
-  std::map<VmId, int> room;
-  for (const VmRecord& vm : vms) {
-    double share = std::max(vm.cpu_permille, 1) / total;
-    room[vm.vm] =
-        static_cast<int>(std::ceil(share * static_cast<double>(groups.size())));
-  }
-  std::map<GroupId, VmId> owners;
-  for (const GroupId& group : groups) {
-    const VmRecord* best = nullptr;
-    double best_score = 0;
-    for (const VmRecord& vm : vms) {
-      if (room[vm.vm] <= 0) continue;
-      double score = Score(group, vm);
-      if (best != nullptr && score <= best_score) continue;
-      best = &vm;
-      best_score = score;
-    }
-    if (best == nullptr) continue;
-    room[best->vm]--;
-    owners[group] = best->vm;
-  }
-  return owners;
-}
-
 Fleet::Fleet(VmRecord self, KnowledgeSource* knowledge)
     : self_(std::move(self)), knowledge_(knowledge) {}
 
@@ -266,26 +184,26 @@
 }
 
 bool Fleet::IsReader() const {
-  uint64_t own = ReaderRank(self_.vm);
+  uint64_t own = RankOf(self_.vm);
   size_t before = 0;
-  size_t deaf = 0;
+  size_t cut_off = 0;
   for (const auto& item : vms_) {
     if (!IsUsable(item.first)) continue;
     if (!item.second.hears_store) {
-      deaf++;
-    } else if (ReaderRank(item.first) < own) {
+      cut_off++;
+    } else if (RankOf(item.first) < own) {
       before++;
     }
   }
-  // What took the store from some may have taken it from their followers.
-  return before < kReaders + std::min(deaf, kReaders);
+  // An outage that met some readers may have met those that come next, too.
+  return before < kReaders + std::min(cut_off, kReaders);
 }
 
 void Fleet::TellReaders(ProxyContext* context) {
   std::map<uint64_t, const VmRecord*> next;
   for (const auto& item : vms_) {
     if (!IsUsable(item.first) || !item.second.hears_store) continue;
-    next[ReaderRank(item.first)] = &item.second.record;
+    next[RankOf(item.first)] = &item.second.record;
     if (next.size() > kNextReaders) next.erase(std::prev(next.end()));
   }
   for (const auto& item : next) Tell(*item.second, context);
@@ -338,8 +256,8 @@
   return true;
 }
 
-// Sees to one VM that is down or holds calls unanswered; false if it needs no
-// watching.
+// Probes a VM that is down or leaves calls unanswered when that is due; false
+// if it is neither.
 bool Fleet::Watch(Vm* vm, ProxyContext* context) {
   if (vm->is_down) {
     if (context->now() >= vm->next_probe) {
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -9,9 +9,7 @@
 // and one that misses the probe is passed over until it answers again. Views
 // may differ between VMs, which costs performance only.
 //
-// Each VM keeps in touch with few others, its contacts: those at distances 1,
-// 2, 4 and so on along a ring, so that news reaches all in as many steps as
-// there are contacts.
+// Each VM keeps in touch with few others, its contacts; see vm_ring.h.
 //
 // Cost: one probe per period to a contact, and one to each VM that is silent
 // while calls to it are open, whatever the size of the fleet.
@@ -52,8 +50,8 @@
   // It doubles with each failure, so that many lost VMs cost little.
   static constexpr Duration kDownProbeMax = Duration::Millis(1600);
   static constexpr int kProbeDoublings = 2;
-  // Another VM passes this one over no sooner than kSilentAfter and
-  // kProbeTimeout after it last answered.
+  // A VM that gets no answers from this one passes it over after kSilentAfter
+  // and kProbeTimeout, so one that was heard within less still relies on it.
   static constexpr Duration kConfirmed = Duration::Millis(250);
   static constexpr Duration kConfirmPeriod = Duration::Millis(100);
   // VMs that follow the platform's store for all. Two may be cut off at once.
@@ -73,8 +71,8 @@
   std::string AddressOf(const VmId& vm) const;
   bool IsUsable(const VmId& vm) const;
   std::vector<VmRecord> Records() const;
-  // True if this VM is one of the kReaders; others take over from VMs that do
-  // not hear the store.
+  // True if this VM is to follow the store: one of the first kReaders that hear
+  // it, and of as many more as are known not to hear it, up to twice as many.
   bool IsReader() const;
   // Tells those that would follow the store next of this VM's own hearing.
   void TellReaders(ProxyContext* context);
@@ -138,16 +136,6 @@
   TimePoint next_probe_;
 };
 
-// The VMs at distances 1, 2, 4 and so on behind this one, in the order of their
-// hashes.
-std::vector<VmId> ContactsOf(const VmId& self,
-                             const std::vector<VmRecord>& vms);
-
-// Places groups on VMs by weighted rendezvous hashing with bounded loads: each
-// group goes to its best VM that has room for one more by its processor share.
-std::map<GroupId, VmId> PlaceGroups(const std::vector<GroupId>& groups,
-                                    const std::vector<VmRecord>& all);
-
 }  // namespace fireflycart::proxy
 
 #endif  // FIREFLYCART_CORE_PROXY_FLEET_H_
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr char kPart[] = "statement";
-// Sendings of one statement whose answers were lost. Refusals do not count:
-// they cost nothing at the upstream, and their time is bounded.
+// Sendings of one statement that fail with their connection. Refusals do not
+// count: the statement did not run, and their time is bounded.
 constexpr int kMaxAttempts = 4;
 // Pause after an upstream said that its queue is full.
 constexpr Duration kBusyPause = Duration::Millis(8);
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -82,7 +82,8 @@
 }
 
 void ProxyReducer::ApplyChanges() {
-  bool has_news = applied_changes_ != follower_.changes() || ApplyVms();
+  bool has_new_vms = ApplyVms();
+  bool has_news = has_new_vms || applied_changes_ != follower_.changes();
   if (applied_changes_ != follower_.changes()) {
     applied_changes_ = follower_.changes();
     ApplyDirectory();
@@ -96,7 +97,8 @@
   ConfirmFleet();
 }
 
-// Many VMs start at the same moment: their records are taken in together.
+// Takes in the list of VMs if it changed. Many VMs start at the same moment, so
+// it is done in steps; true if it was done now.
 bool ProxyReducer::ApplyVms() {
   if (applied_vm_changes_ == follower_.vm_changes()) return false;
   if (context_.now() < next_vms_) {
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -28,12 +28,13 @@
 class StoreFollower {
  public:
   // A follower asks again after this, each table at its own third of the time.
-  // So a VM that the store turned away silently knows it within a third and the
-  // slack, early enough for others to learn routes within 3 s.
+  // So a VM that the store leaves unanswered knows it within a third and the
+  // slack, and others can take over and learn routes within 3 s.
   static constexpr Duration kFollowWait = Duration::Millis(4000);
   // The store answers within 4 ms, and up to fifty times slower when loaded.
   static constexpr Duration kFollowSlack = Duration::Millis(400);
-  // A VM that takes over from others makes sure first that it is heard.
+  // First wait of a VM that takes over, and wait while the store failed: shows
+  // soon whether the store answers.
   static constexpr Duration kFirstWait = Duration::Millis(200);
   // A VM that no news of the store reached for so long follows it itself. More
   // than readers need for an answer and news to spread.
@@ -60,7 +61,7 @@
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_; }
   const VmList& vms() const { return vms_; }
-  // What a peer lacks that knows this version.
+  // What a peer with this version lacks: changes, or the whole list.
   VmList VmsAfter(uint64_t version) const;
   bool has_upstreams() const { return upstreams_.version != 0; }
   bool has_vms() const { return vms_.version != 0; }
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/group_placement_test.cc
@@ -1,6 +1,6 @@
 // Tests of the placement of groups on VMs.
 
-#include "fireflycart/core/proxy/fleet.h"
+#include "fireflycart/core/proxy/group_placement.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -30,16 +30,14 @@
   return groups;
 }
 
-class FleetTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(FleetTest);
+class GroupPlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupPlacementTest);
   CPPUNIT_TEST(Place_FewGroupsOnManyVms_NoVmHasTwo);
   CPPUNIT_TEST(Place_StrongVms_OwnMore);
   CPPUNIT_TEST(Place_FewGroups_WeakVmsOwnNone);
   CPPUNIT_TEST(Place_StrongVmsLost_WeakOnesOwn);
   CPPUNIT_TEST(Place_VmLeaves_FewGroupsMove);
   CPPUNIT_TEST(Place_NoVm_NoOwner);
-  CPPUNIT_TEST(Contacts_ManyVms_FewAndAllAreReached);
-  CPPUNIT_TEST(Contacts_OneVm_None);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,29 +85,6 @@
     CPPUNIT_ASSERT_EQUAL(size_t{8}, used.size());
   }
 
-  void Contacts_ManyVms_FewAndAllAreReached() {
-    std::vector<VmRecord> vms = Vms(300, 120);
-    std::set<VmId> reached = {vms[0].vm};
-    std::vector<VmId> told = {vms[0].vm};
-    for (int step = 0; step < 9; step++) {
-      std::vector<VmId> next;
-      for (const VmId& vm : told) {
-        std::vector<VmId> contacts = ContactsOf(vm, vms);
-        CPPUNIT_ASSERT_EQUAL(size_t{9}, contacts.size());
-        for (const VmId& contact : contacts) {
-          if (reached.insert(contact).second) next.push_back(contact);
-        }
-      }
-      told = next;
-    }
-    CPPUNIT_ASSERT_EQUAL(vms.size(), reached.size());
-  }
-
-  void Contacts_OneVm_None() {
-    std::vector<VmRecord> vms = Vms(1, 120);
-    CPPUNIT_ASSERT(ContactsOf(vms[0].vm, vms).empty());
-  }
-
   void Place_VmLeaves_FewGroupsMove() {
     std::vector<VmRecord> vms = Vms(30, 250);
     std::map<GroupId, VmId> before = PlaceGroups(Groups(300), vms);
@@ -128,7 +103,7 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupPlacementTest);
 
 }  // namespace
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -49,7 +49,7 @@
   WorkStage stage = WorkStage::kQueued;
   bool is_late = false;
   int attempts = 0;            // Sendings, refused ones included.
-  int losses = 0;              // Sendings whose answer was lost.
+  int losses = 0;              // Sendings that failed with their connection.
   TimePoint not_before;        // Pause after a refusal.
   std::set<UpstreamId> avoid;  // Refused it, or are behind what it needs.
   ConnectionId connection;     // While it is sent.
--- a/fireflycart/ctl/explain.cc
+++ b/fireflycart/ctl/explain.cc
@@ -92,28 +92,28 @@
       beliefs.emplace(time_ms, std::move(line));
     }
   }
-  std::vector<std::string> story;
-  if (request.empty()) return story;
-  for (const auto& item : request) story.push_back(Format(item.second));
+  std::vector<std::string> lines;
+  if (request.empty()) return lines;
+  for (const auto& item : request) lines.push_back(Format(item.second));
   std::set<std::string> involved = Involved(request);
   auto from = beliefs.lower_bound(request.begin()->first - kBefore.millis());
   auto to = beliefs.upper_bound(request.rbegin()->first);
   for (auto it = from; it != to; ++it) {
     if (Concerns(it->second, involved)) {
-      story.push_back("  " + Format(it->second));
+      lines.push_back("  " + Format(it->second));
     }
   }
-  return story;
+  return lines;
 }
 
 int RunExplain(const std::string& id) {
-  std::vector<std::string> story = ExplainRequest(id, &std::cin);
-  if (story.empty()) {
+  std::vector<std::string> lines = ExplainRequest(id, &std::cin);
+  if (lines.empty()) {
     std::cerr << "explain: no line names request \"" << id
               << "\"; served requests are not logged\n";
     return kExitFailed;
   }
-  for (const std::string& line : story) std::cout << line << "\n";
+  for (const std::string& line : lines) std::cout << line << "\n";
   return kExitOk;
 }
 
--- a/fireflycart/ctl/explain.h
+++ b/fireflycart/ctl/explain.h
@@ -1,4 +1,4 @@
-// The story of one request, from the structured logs of all VMs.
+// Collects what the structured logs of all VMs say about one request.
 //
 //   std::ifstream logs("all.log");
 //   for (const std::string& line : ExplainRequest("5c0e7a21", &logs)) ...
@@ -29,7 +29,7 @@
 std::vector<std::string> ExplainRequest(const std::string& id,
                                         std::istream* logs);
 
-// Prints the story of a request from standard input; returns the exit code.
+// Explains a request from the logs on standard input; returns the exit code.
 int RunExplain(const std::string& id);
 
 }  // namespace fireflycart
--- a/fireflycart/ctl/testing/explain_test.cc
+++ b/fireflycart/ctl/testing/explain_test.cc
@@ -1,4 +1,4 @@
-// Tests of the story of one request.
+// Tests of explaining a request from logs.
 
 #include "fireflycart/ctl/explain.h"
 
@@ -24,26 +24,26 @@
 class ExplainTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ExplainTest);
   CPPUNIT_TEST(Request_Logged_LinesInOrderThenBeliefs);
-  CPPUNIT_TEST(Request_NotLogged_NoStory);
+  CPPUNIT_TEST(Request_NotLogged_NoLines);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void Request_Logged_LinesInOrderThenBeliefs() {
     std::istringstream logs(kLogs);
-    std::vector<std::string> story = ExplainRequest("r1", &logs);
-    CPPUNIT_ASSERT_EQUAL(size_t{3}, story.size());
+    std::vector<std::string> lines = ExplainRequest("r1", &logs);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, lines.size());
     CPPUNIT_ASSERT_EQUAL(std::string("4990 vm-2 statement.not_served "
                                      "cause=queue_wait group=g id=r1"),
-                         story[0]);
+                         lines[0]);
     CPPUNIT_ASSERT_EQUAL(std::string("5000 vm-1 entry.statement_failed "
                                      "group=g id=r1 outcome=busy"),
-                         story[1]);
+                         lines[1]);
     CPPUNIT_ASSERT_EQUAL(
         std::string("  4000 vm-2 failover.started cause=primary_lost group=g"),
-        story[2]);
+        lines[2]);
   }
 
-  void Request_NotLogged_NoStory() {
+  void Request_NotLogged_NoLines() {
     std::istringstream logs(kLogs);
     CPPUNIT_ASSERT(ExplainRequest("r9", &logs).empty());
   }
--- a/fireflycart/standins/platform_main.cc
+++ b/fireflycart/standins/platform_main.cc
@@ -8,7 +8,6 @@
 //
 // A lost answer leaves the request open until the caller gives up.
 
-#include <iostream>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -16,8 +15,6 @@
 #include <vector>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "fireflycart/core/error.h"
 #include "fireflycart/net/address.h"
 #include "fireflycart/net/http_server.h"
@@ -26,6 +23,7 @@
 #include "fireflycart/net/steady_clock.h"
 #include "fireflycart/net/stop_signal.h"
 #include "fireflycart/standins/platform_model.h"
+#include "fireflycart/standins/standin_main.h"
 
 ABSL_FLAG(std::string, listen, "", "IP:PORT of the platform.");
 
@@ -127,13 +125,6 @@
 }  // namespace fireflycart
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage("Stand-in for the platform.");
-  absl::ParseCommandLine(argc, argv);
-  fireflycart::BlockStopSignals();
-  try {
-    return fireflycart::Run();
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return fireflycart::RunStandin(argc, argv, "Stand-in for the platform.",
+                                 fireflycart::Run);
 }
--- a/fireflycart/standins/upstream_main.cc
+++ b/fireflycart/standins/upstream_main.cc
@@ -22,8 +22,6 @@
 #include <vector>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "absl/strings/str_split.h"
 #include "fireflycart/core/error.h"
 #include "fireflycart/net/address.h"
@@ -31,6 +29,7 @@
 #include "fireflycart/net/json_types.h"
 #include "fireflycart/net/steady_clock.h"
 #include "fireflycart/net/stop_signal.h"
+#include "fireflycart/standins/standin_main.h"
 #include "fireflycart/standins/upstream_group_model.h"
 
 ABSL_FLAG(std::string, members, "",
@@ -270,13 +269,6 @@
 }  // namespace fireflycart
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage("Stand-in for one database group.");
-  absl::ParseCommandLine(argc, argv);
-  fireflycart::BlockStopSignals();
-  try {
-    return fireflycart::Run();
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return fireflycart::RunStandin(argc, argv, "Stand-in for one database group.",
+                                 fireflycart::Run);
 }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -124,7 +124,7 @@
     ),
     Mutant(
         "few groups placed on weak VMs",
-        "proxy/fleet.cc",
+        "proxy/group_placement.cc",
         "return groups <= kMostGroups * strong.size() ? strong : vms;",
         "return groups > kMostGroups * 1000 * strong.size() ? strong : vms;",
     ),
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -20,9 +20,9 @@
 import sys
 import time
 
-from soak.callers import Caller, History, RouteWatcher, Session
+from soak.callers import Caller, Failed, History, RouteWatcher, Session
 from soak.faults import Faults, random_faults, tour
-from soak.fleet import LONG, PORTS, VMS, Fleet, wait_until
+from soak.fleet import FIRST_ROUTES, LONG, PORTS, VMS, Fleet, wait_until
 
 CALLERS = 8
 FAULT_SECONDS = 14
@@ -38,7 +38,7 @@
         await fleet.wait_ready(vm)
         await wait_until(lambda vm=vm: serves(fleet, vm), f"a write at vm-{vm}")
     newest = f"v{fleet.routes}"
-    if fleet.routes > 3:
+    if fleet.routes > FIRST_ROUTES:
         for vm in range(VMS):
             await wait_until(lambda vm=vm: starts_session(fleet, vm, newest),
                              f"route {newest} at vm-{vm}")
@@ -48,7 +48,7 @@
     """Whether a session starts."""
     try:
         session = await Session.open((fleet.ip(vm), PORTS["session"]), database)
-    except Exception:  # pylint: disable=broad-except
+    except (OSError, Failed):
         return False
     session.close()
     return True
@@ -62,7 +62,7 @@
             await session.query("probe", "WRITE probe data")
         finally:
             session.close()
-    except Exception:  # pylint: disable=broad-except
+    except (OSError, Failed):
         return False
     return True
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,7 +9,7 @@
 import itertools
 import time
 
-from .fleet import PORTS, VMS
+from .fleet import FIRST_ROUTES, PORTS, VMS
 
 PROMISES = {"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGNODE", "TOOMANY"}
 # Routes of the stand-in's configuration, and their maximum age in seconds.
@@ -35,7 +35,7 @@
         self.refused = set()     # (item, number): nothing of it may be kept.
         self.unknown = 0
         self.reads = 0
-        self.cuts = []           # (VM, time) of statements that were cut off.
+        self.cuts = []           # (VM, its start, time) of statements that were cut off.
 
     def count(self):
         """Writes that were acknowledged."""
@@ -252,8 +252,8 @@
             await asyncio.sleep(0.05)
             vm = self.random.randrange(VMS)
             starts = self.fleet.daemons[vm].starts
-            known = self.known.get((vm, starts), 3)
-            number = self.random.randint(max(known - 1, 4), max(known + 1, 4))
+            known = self.known.get((vm, starts), FIRST_ROUTES)
+            number = max(self.random.randint(known - 1, known + 1), FIRST_ROUTES + 1)
             there = await self.is_there(vm, number)
             if self.fleet.daemons[vm].starts != starts or there is None:
                 continue
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -100,11 +100,9 @@
         vm = self.random.randrange(VMS)
         async with self.vm_locks[vm]:
             self.note(f"pause vm-{vm}")
-            self.fleet.daemons[vm].is_paused = True
             self.fleet.signal(vm, signal.SIGSTOP)
             await self.lasts(0.1, 3)
             self.fleet.signal(vm, signal.SIGCONT)
-            self.fleet.daemons[vm].is_paused = False
 
     async def kill(self):
         """Kills a daemon and starts it again."""
@@ -143,7 +141,6 @@
         self.note(f"stop vm-{vm}")
         began, starts = time.monotonic(), daemon.starts
         was_calm = self.unplanned == 0 and began - self.calm_since > 4
-        daemon.is_stopping = True
         self.fleet.signal(vm, signal.SIGTERM)
         try:
             code = await asyncio.wait_for(daemon.process.wait(), LONG)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -23,6 +23,7 @@
 UPSTREAM_PORTS = (7001, 7002, 7003)
 UPSTREAMS = tuple(f"up-{port}" for port in UPSTREAM_PORTS)
 VMS = 3
+FIRST_ROUTES = 3  # Version of the stand-in's routes; route "vN" comes with N.
 LONG = 30  # Seconds after which waiting for a recovery counts as a failure.
 
 
@@ -48,13 +49,11 @@
 
 
 class Daemon:
-    """One daemon and what was done to it."""
+    """One daemon, over its restarts."""
 
     def __init__(self):
         self.process = None
-        self.starts = 0      # Grows with each start.
-        self.is_paused = False
-        self.is_stopping = False
+        self.starts = 0  # Grows with each start.
 
     @property
     def is_running(self):
@@ -79,7 +78,7 @@
         self.upstream_links = [Link((f"{self.net}.0.2", port), (self.platform[0], port))
                                for port in UPSTREAM_PORTS]
         self.standin = None
-        self.routes = 3  # Version of the routes.
+        self.routes = FIRST_ROUTES  # Version of the routes.
 
     @property
     def links(self):
@@ -123,7 +122,6 @@
         ip, store = self.ip(index), "%s:%d" % self.store_links[index].address
         daemon = self.daemons[index]
         daemon.starts += 1
-        daemon.is_stopping = False
         with open(f"{self.logs}/vm-{index}.log", "ab") as log:
             daemon.process = await asyncio.create_subprocess_exec(
                 f"{self.build}/fireflycart/daemon/fireflycartd", f"--vm=vm-{index}",
@@ -136,20 +134,22 @@
                 f"--store_address={store}", f"--promotion_address={store}",
                 stdout=log, stderr=log)
 
+    async def readiness(self, index):
+        """The status that the daemon gives the balancer; 0 if it does not answer."""
+        status, _ = await asyncio.to_thread(
+            fetch, f"{self.ip(index)}:{PORTS['ready']}", "/api/readiness")
+        return status
+
     async def wait_listening(self, index):
         """Waits until the daemon answers at all."""
         async def answers():
-            status, _ = await asyncio.to_thread(
-                fetch, f"{self.ip(index)}:{PORTS['ready']}", "/api/readiness")
-            return status != 0
+            return await self.readiness(index) != 0
         await wait_until(answers, f"vm-{index} to listen")
 
     async def wait_ready(self, index):
         """Waits until the daemon takes callers."""
         async def is_ready():
-            status, _ = await asyncio.to_thread(
-                fetch, f"{self.ip(index)}:{PORTS['ready']}", "/api/readiness")
-            return status == 200
+            return await self.readiness(index) == 200
         await wait_until(is_ready, f"vm-{index}")
 
     def metrics(self, index):
