Pass on no commit that the successor of the primary may lack

Ruled out: the order of the logs (the successor had the longest one when it was chosen) and the read's position (it was the position at which all were held).

Change: while a promotion is on its way, an acknowledgement of the old primary counts only if the successor has the position; in a planned change, only while every other replica is known to be held. Otherwise the outcome is unknown. A hold counts only if the status came on the present control connection, which a restart breaks, and replicas that lost their hold are held again until the promotion takes effect.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -69,11 +69,31 @@
 }
 
 bool Failover::IsHeld(const PooledUpstream& upstream) const {
-  return upstream.has_status &&
+  return upstream.is_status_of_this_connection() &&
          upstream.status_sent.sequence > started_.sequence &&
          !upstream.is_down && upstream.status.held_term > term_;
 }
 
+bool Failover::AreReplicasHeld(const UpstreamPool& pool,
+                               ProxyContext* context) const {
+  for (const auto& item : pool.upstreams()) {
+    if (!MustHold(item.first) || !MayAcknowledge(item.second, context)) {
+      continue;
+    }
+    if (!IsHeld(item.second)) return false;
+  }
+  return true;
+}
+
+bool Failover::IsCommitKept(LogPosition position, const UpstreamPool& pool,
+                            ProxyContext* context) const {
+  bool is_promoting = stage_ == FailoverStage::kPromotionRequested ||
+                      stage_ == FailoverStage::kAwaitingNewPrimary;
+  if (!is_promoting || position.term > term_) return true;
+  if (cause_ == FailoverCause::kLeaving) return AreReplicasHeld(pool, context);
+  return !(held_position_ < position);
+}
+
 bool Failover::MustHold(const UpstreamId& id) const {
   if (id == old_primary_) return false;
   return cause_ != FailoverCause::kLeaving || id != successor_;
@@ -312,6 +332,8 @@
     GiveUp("the promotion did not take effect in time", pool, context);
     return;
   }
+  // A replica that has restarted is held again.
+  HoldReplicas(pool, context);
   SendCommand(successor_, CommandKind::kStatus, pool, context);
 }
 
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -105,6 +105,13 @@
   // kind may run there after this position.
   LogPosition held_position() const { return held_position_; }
 
+  // True if the log of the upstream that takes over contains the commit at this
+  // position, which the old primary has acknowledged. Otherwise its outcome is
+  // unknown. A replica that restarts after it was held receives the log again,
+  // so the old primary can acknowledge commits that the successor lacks.
+  bool IsCommitKept(LogPosition position, const UpstreamPool& pool,
+                    ProxyContext* context) const;
+
   // Records an acknowledged position. An upstream below it is not promoted,
   // except after kShortLogTimeout or as successor of a leaving primary.
   void OnAcknowledged(LogPosition position) {
@@ -116,6 +123,7 @@
                       ProxyContext* context) const;
   bool IsHeld(const PooledUpstream& upstream) const;
   bool MustHold(const UpstreamId& id) const;
+  bool AreReplicasHeld(const UpstreamPool& pool, ProxyContext* context) const;
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -66,11 +66,9 @@
       OnStatementOrBeginFailed(work, upstream, answer, context);
       return;
     }
-    if (work->call.access == Access::kWrite && spec_.sync_replicas > 0) {
-      leadership_.OnConfirmed(command.at);
-      failover_.OnAcknowledged(answer.position);
-    }
-    Finish(work, context);
+    bool is_lost = work->call.access == Access::kWrite &&
+                   !OnCommitted(work, command, answer, context);
+    if (!is_lost) Finish(work, context);
     return;
   }
   Transaction& transaction = transactions_[work->transaction()];
@@ -82,19 +80,31 @@
   transaction.idle_since = context->now();
   if (work->call.access == Access::kWrite) transaction.has_written = true;
   if (work->call.access == Access::kCommit) {
-    if (transaction.has_written && spec_.sync_replicas > 0) {
-      leadership_.OnConfirmed(command.at);
-      failover_.OnAcknowledged(answer.position);
-    }
-    if (!transaction.has_written) work->reply.position = LogPosition();
+    bool has_written = transaction.has_written;
+    if (!has_written) work->reply.position = LogPosition();
     connection->is_pinned = false;
     transactions_.erase(work->transaction());
-    Finish(work, context);
+    bool is_lost = has_written && !OnCommitted(work, command, answer, context);
+    if (!is_lost) Finish(work, context);
     return;
   }
   Finish(work, context);
 }
 
+bool GroupOwner::OnCommitted(Work* work, const SentCommand& command,
+                             const UpstreamAnswer& answer,
+                             ProxyContext* context) {
+  if (!failover_.IsCommitKept(answer.position, pool_, context)) {
+    Fail(work, Outcome::kUnknown, "acknowledged_by_replaced_primary", context);
+    return false;
+  }
+  if (spec_.sync_replicas > 0) {
+    leadership_.OnConfirmed(command.at);
+    failover_.OnAcknowledged(answer.position);
+  }
+  return true;
+}
+
 void GroupOwner::OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
                                ProxyContext* context) {
   PooledConnection* connection = pool_.Find(work->connection);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -135,6 +135,10 @@
   void OnWorkConnectionLost(Work* work, bool was_sent, ProxyContext* context);
   void OnControlAnswer(const UpstreamId& upstream, const SentCommand& command,
                        const UpstreamAnswer& answer);
+  // Handles the success of a statement or transaction that writes. Returns
+  // false if its commit may be lost in the change of the primary.
+  bool OnCommitted(Work* work, const SentCommand& command,
+                   const UpstreamAnswer& answer, ProxyContext* context);
   void AbortTransaction(const TransactionKey& key, bool close,
                         ProxyContext* context);
   void Finish(Work* work, ProxyContext* context);
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -202,6 +202,7 @@
   if (connection == nullptr) return;
   connection->is_open = true;
   PooledUpstream& upstream = upstreams_[connection->upstream];
+  if (connection->is_control) upstream.control_opened = context->instant();
   upstream.failed_opens = 0;
   upstream.last_answer = context->now();
   upstream.applied = position;
@@ -248,7 +249,10 @@
   connections_.erase(found);
   PooledUpstream& upstream = upstreams_[removed.upstream];
   if (removed.is_control) {
-    if (upstream.control == id) upstream.control = ConnectionId();
+    if (upstream.control == id) {
+      upstream.control = ConnectionId();
+      upstream.control_opened = Instant();
+    }
   } else {
     upstream.connections--;
   }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -58,11 +58,12 @@
   TimePoint unregistered_at;
   TimePoint leaving_since;  // When its record was first marked as leaving.
   ConnectionId control;
-  int running = 0;       // Statements sent and not yet answered.
-  int connections = 0;   // Data connections, opening ones included.
-  int failed_opens = 0;  // Consecutive.
-  bool is_down = false;  // It does not answer.
-  TimePoint next_open;   // Earliest next attempt to connect.
+  Instant control_opened;  // Sequence 0: the control connection is not open.
+  int running = 0;         // Statements sent and not yet answered.
+  int connections = 0;     // Data connections, opening ones included.
+  int failed_opens = 0;    // Consecutive.
+  bool is_down = false;    // It does not answer.
+  TimePoint next_open;     // Earliest next attempt to connect.
   TimePoint last_answer;
   bool has_status = false;
   UpstreamStatus status;
@@ -70,6 +71,13 @@
   TimePoint held_since;  // When its answers first reported the hold.
   LogPosition applied;   // Position in the last answer.
   TimePoint applied_at;
+
+  // True if the status came on the present control connection. A restart of the
+  // upstream, which ends a hold, breaks that connection.
+  bool is_status_of_this_connection() const {
+    return has_status && control_opened.sequence != 0 &&
+           status_sent.sequence >= control_opened.sequence;
+  }
 };
 
 class UpstreamPool {
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreNotSentThere);
   CPPUNIT_TEST(Upstream_RepeatedlyBusy_StatementIsServedWithinTimeout);
   CPPUNIT_TEST(Replica_RecreatedEmpty_IsNotPromoted);
+  CPPUNIT_TEST(HeldReplica_RestartsBeforePromotionTakesEffect_NoCommitIsLost);
+  CPPUNIT_TEST(HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Connections_BreakBeforeAnswers_NothingRunsTwiceAndRefusalsHold);
   CPPUNIT_TEST(Owner_KilledRepeatedly_WritesRunAtMostOnce);
@@ -480,6 +482,36 @@
     ExpectInvariantsHold();
   }
 
+  // A restart ends the hold, so the old primary can acknowledge again through
+  // that replica while the successor, which lacks the commit, takes over.
+  void HeldReplica_RestartsBeforePromotionTakesEffect_NoCommitIsLost() {
+    world_->Run(Duration::Seconds(3));
+    UpstreamId old = world_->primary();
+    world_->CutPrimaryFromReplicas();
+    RunUntilLogged("failover.promotion_ordered");
+    RestartReplicaNextTo(old, "up-c");
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(UpstreamId("up-b"), world_->primary());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(1));
+    ExpectInvariantsHold();
+  }
+
+  void HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost() {
+    world_->Run(Duration::Seconds(3));
+    UpstreamId old = world_->primary();
+    world_->Drain(old);
+    RunUntilLogged("failover.promotion_ordered");
+    // The successor receives nothing from now on.
+    world_->Cut(old.value(), "up-b");
+    RestartReplicaNextTo(old, "up-c");
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(UpstreamId("up-b"), world_->primary());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(1));
+    ExpectInvariantsHold();
+  }
+
   void Answers_Lost_NothingRunsTwice() {
     world_->Run(Duration::Seconds(2));
     for (int i = 0; i < 10; i++) {
@@ -529,6 +561,29 @@
     world_ = std::make_unique<SessionWorld>(options, kSeed);
   }
 
+  // Runs until a VM has logged the event, at most for kMaxWait.
+  void RunUntilLogged(const std::string& event) {
+    constexpr Duration kMaxWait = Duration::Seconds(3);
+    world_->TakeLog();
+    TimePoint end = world_->now() + kMaxWait;
+    while (world_->now() < end) {
+      world_->Run(Duration::Millis(1));
+      for (const std::string& line : world_->TakeLog()) {
+        if (line.find(event) != std::string::npos) return;
+      }
+    }
+    CPPUNIT_FAIL("not logged: " + event);
+  }
+
+  // Restarts a replica and lets it receive the log of the primary.
+  void RestartReplicaNextTo(const UpstreamId& primary,
+                            const std::string& replica) {
+    world_->CrashUpstream(UpstreamId(replica));
+    world_->Run(Duration::Millis(50));
+    world_->Heal(primary.value(), replica);
+    world_->RestartUpstream(UpstreamId(replica));
+  }
+
   int64_t PromoteMs() const { return options_.database.promote_time.millis(); }
 
   static int IndexOf(const VmId& vm) { return vm.value().back() - '0'; }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -135,6 +135,18 @@
         "if (may_hold) pool->SendControl(item.first, command, context);",
         "(void)may_hold;",
     ),
+    Mutant(
+        "acknowledgement of a replaced primary passed on",
+        "proxy/failover.cc",
+        "  return !(held_position_ < position);",
+        "  return true;",
+    ),
+    Mutant(
+        "hold of a restarted replica still counted",
+        "proxy/failover.cc",
+        "  return upstream.is_status_of_this_connection() &&",
+        "  return upstream.has_status &&",
+    ),
     Mutant(
         "successor of a leaving primary not awaited",
         "proxy/failover.cc",
