Admit and refuse queued statements by an estimate of their wait

At an overload every request waited 400 ms in vain, three times over. Work of one priority was served in the order of arrival and counted as in time until its target had passed, so at an overload it started just before its target and ended after it.

Change: core/admission gets ServiceTimes (moving averages by kind, load that arrives) and QueueOutlook, which estimates when each queued statement will be served and names those that cannot be served in their time. These are refused within 50 ms; the others stay, also if they will be late. Within a priority the earliest target goes first, and work counts as late once it can no longer end in time by its expected service time. Writes that wait for a lost primary count with the time that the last replacement took. The pause after BUSY grows from 8 to 32 ms, half of it random. The line not_served names the state of each upstream and the estimate. The model of the database gets slots.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -5,7 +5,7 @@
 // answer delays the replacement, since it might still acknowledge commits of
 // the old primary.
 //
-// For a leaving primary, all replicas but the successor are held. The promotion
+// In a planned change, all replicas but the successor are held. The promotion
 // waits until the successor has what was acknowledged before; later commits are
 // acknowledged only by the successor.
 
@@ -62,6 +62,12 @@
   lease_.Acquire(true, term, context);
 }
 
+TimePoint Failover::expected_end() const {
+  bool is_known =
+      is_active() && !is_planned() && replacement_time_ != Duration();
+  return is_known ? started_.time + replacement_time_ : TimePoint();
+}
+
 bool Failover::MayAcknowledge(const PooledUpstream& upstream,
                               ProxyContext* context) const {
   if (upstream.is_registered) return true;
@@ -90,13 +96,13 @@
   bool is_promoting = stage_ == FailoverStage::kPromotionRequested ||
                       stage_ == FailoverStage::kAwaitingNewPrimary;
   if (!is_promoting || position.term > term_) return true;
-  if (cause_ == FailoverCause::kLeaving) return AreReplicasHeld(pool, context);
+  if (is_planned()) return AreReplicasHeld(pool, context);
   return !(held_position_ < position);
 }
 
 bool Failover::MustHold(const UpstreamId& id) const {
   if (id == old_primary_) return false;
-  return cause_ != FailoverCause::kLeaving || id != successor_;
+  return !is_planned() || id != successor_;
 }
 
 void Failover::SendCommand(const UpstreamId& id, CommandKind kind,
@@ -161,7 +167,7 @@
     GiveUp("not every replica could be held in time", pool, context);
     return;
   }
-  if (cause_ == FailoverCause::kLeaving) {
+  if (is_planned()) {
     PooledUpstream* old = pool->FindUpstream(old_primary_);
     if (old == nullptr || old->is_down) {
       // The primary stopped early, so it is replaced like a lost one.
@@ -175,7 +181,7 @@
   if (!RenewToken(context)) return;
   has_sent_hold_ = true;
   if (!HoldReplicas(pool, context)) return;
-  if (cause_ == FailoverCause::kLeaving) {
+  if (is_planned()) {
     if (!HasCaughtUp(pool, context)) return;
   } else {
     ChooseSuccessor(pool, context);
@@ -214,7 +220,7 @@
     bool is_candidate = item.first != old_primary_ && upstream.has_status &&
                         upstream.is_registered && !upstream.is_down &&
                         !upstream.status.is_primary;
-    if (cause_ == FailoverCause::kLeaving) {
+    if (is_planned()) {
       is_candidate = is_candidate && !upstream.record.leaving;
     } else {
       is_candidate = is_candidate && IsHeld(upstream);
@@ -235,8 +241,7 @@
     }
   }
   bool may_wait = context->now() - started_.time < kShortLogTimeout;
-  bool is_short =
-      cause_ != FailoverCause::kLeaving && best < acknowledged_ && may_wait;
+  bool is_short = !is_planned() && best < acknowledged_ && may_wait;
   if (successor_ != UpstreamId() && is_short) {
     context->Log(LogLevel::kWarning, kPart, "replicas_too_short",
                  {{"group", group_.value()},
@@ -373,6 +378,7 @@
        {"cause", FailoverCauseName(cause_)},
        {"took_ms", std::to_string((context->now() - started_.time).millis())}});
   if (has_sent_hold_) Resume(pool, context);
+  if (!is_planned()) replacement_time_ = context->now() - started_.time;
   stage_ = FailoverStage::kIdle;
   held_position_ = LogPosition();
   lease_.Release(term_ + 1, context);
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -6,8 +6,9 @@
 //
 // A held replica receives nothing more of the log. A lost primary is replaced
 // once every replica is held, so that the old primary can acknowledge nothing
-// more. A leaving primary goes on serving while all replicas but its successor
-// are held, so that whatever it acknowledges is in the successor's log.
+// more. In a planned change the primary goes on serving while all replicas but
+// its successor are held, so that whatever it acknowledges is in the
+// successor's log.
 //
 // Only the holder of the duty lease sends commands, so that two VMs never hold
 // and resume the same replicas.
@@ -98,6 +99,11 @@
 
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
   FailoverCause cause() const { return cause_; }
+  // True if the old primary serves until the successor leads.
+  bool is_planned() const { return cause_ == FailoverCause::kLeaving; }
+  // When writes are expected to be served again, if the primary is being
+  // replaced and an earlier replacement was measured; otherwise zero.
+  TimePoint expected_end() const;
   const UpstreamId& successor() const { return successor_; }
 
   // The successor's log position while all replicas are held; unknown at other
@@ -158,6 +164,7 @@
   bool is_fleet_reachable_ = false;
   CallId promotion_;
   TimePoint promotion_requested_at_;
+  Duration replacement_time_;  // Of the last lost primary; zero: none yet.
   TimePoint retry_at_;
   std::map<UpstreamId, TimePoint> command_sent_at_;
   std::map<UpstreamId, TimePoint> excluded_until_;
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -18,8 +18,10 @@
 // flight. Refusals do not count: the statement did not run, and their time is
 // bounded.
 constexpr int kMaxConnectionLosses = 4;
-// Delay before a retry after an upstream reported a full queue.
+// Delay before a retry after an upstream reported a full queue, doubled with
+// each refusal up to the maximum.
 constexpr Duration kBusyRetryDelay = Duration::Millis(8);
+constexpr int kMaxBusyDoublings = 2;
 // Delay before a retry after an upstream reported that it is not the primary.
 constexpr Duration kNotPrimaryRetryDelay = Duration::Millis(20);
 
@@ -28,6 +30,17 @@
          (work.call.access == Access::kCommit && !has_written);
 }
 
+// Half of the delay is random, so that refused statements do not return at the
+// same moment.
+Duration BusyPause(int refusals, ProxyContext* context) {
+  int64_t millis =
+      (kBusyRetryDelay * (int64_t{1} << std::min(refusals, kMaxBusyDoublings)))
+          .millis();
+  auto jitter = static_cast<int64_t>(
+      context->Random(static_cast<uint64_t>(millis / 2 + 1)));
+  return Duration::Millis(millis / 2 + jitter);
+}
+
 }  // namespace
 
 void GroupOwner::OnStatementAnswer(Work* work, const SentCommand& command,
@@ -61,6 +74,10 @@
   work->reply.detail = answer.detail;
   work->reply.outcome = answer.outcome;
   bool ok = answer.outcome == Outcome::kDone;
+  if (ok) {
+    service_times_.OnServed(ServiceKindOf(work->call),
+                            context->now() - work->sent.time, context->now());
+  }
   if (!work->in_transaction()) {
     if (!ok) {
       OnStatementOrBeginFailed(work, upstream, answer, context);
@@ -128,7 +145,7 @@
                                           const UpstreamId& upstream,
                                           const UpstreamAnswer& answer,
                                           ProxyContext* context) {
-  bool may_retry = context->now() < work->refuse_after;
+  bool may_retry = context->now() < work->deadline;
   Duration pause;
   switch (answer.outcome) {
     case Outcome::kBehind:
@@ -147,7 +164,7 @@
       pause = kNotPrimaryRetryDelay;
       break;
     case Outcome::kBusy:
-      pause = kBusyRetryDelay;
+      pause = BusyPause(work->refusals++, context);
       break;
     case Outcome::kNoStatement:
       pool_.Close(work->connection, context);
@@ -297,7 +314,8 @@
         std::to_string((context->now() - work->arrived.time).millis())},
        {"attempts", std::to_string(work->attempts)},
        {"queued", std::to_string(queue_.size())},
-       {"primary", primary_.value()}});
+       {"primary", primary_.value()},
+       {"upstreams", FormatUpstreams(context)}});
   context->Emit(CountStatement{spec_.id, work->call.priority, outcome, cause,
                                context->now() - work->arrived.time});
   StatementNumber number = work->number;
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -89,9 +89,7 @@
 
 bool GroupOwner::DispatchPrimary(ProxyContext* context) {
   if (queue_.IsEmpty(Lane::kPrimary)) return false;
-  // In a planned change the old primary serves until the successor leads.
-  bool is_blocked =
-      failover_.is_active() && failover_.cause() != FailoverCause::kLeaving;
+  bool is_blocked = failover_.is_active() && !failover_.is_planned();
   if (is_blocked) return DispatchDuringFailover(context);
   PooledUpstream* primary = Primary();
   if (primary == nullptr || !pool_.HasSlot(*primary)) return false;
@@ -207,6 +205,10 @@
       pool_.Take(upstream->record.id, work->call.values, context);
   if (connection == nullptr) return false;
   queue_.Remove(work);
+  if (context->now() > work->latest_start) {
+    late_starts_[static_cast<size_t>(LaneFor(work->call))].OnArrival(
+        work->expected_service, context->now());
+  }
   work->attempts++;
   work->connection = connection->id;
   work->sent = context->instant();
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -160,8 +160,7 @@
   std::vector<StatementNumber> due;
   for (const auto& item : work_) {
     const Work* work = item.second.get();
-    TimePoint limit = work->is_queued() ? work->refuse_after : work->deadline;
-    if (context->now() >= limit) due.push_back(item.first);
+    if (context->now() >= work->deadline) due.push_back(item.first);
   }
   for (StatementNumber number : due) {
     Work* work = FindWork(number);
@@ -216,6 +215,7 @@
   for (const PooledConnection& lost : pool_.MarkDown(id, cause, context)) {
     OnConnectionLost(lost, context);
   }
+  next_review_ = context->now();
 }
 
 void GroupOwner::CheckUnanswered(ProxyContext* context) {
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr char kPart[] = "group";
+// Most statements take less than this multiple of the average service time.
+constexpr int64_t kServiceTimeMargin = 2;
 
 }  // namespace
 
@@ -82,15 +84,14 @@
   work->origin = origin;
   work->call = std::move(call);
   work->arrived = context->instant();
+  work->expected_service =
+      service_times_.Expected(ServiceKindOf(work->call), context->now());
   work->target_deadline = context->now() + work->call.target_left;
+  work->latest_start =
+      work->target_deadline - work->expected_service * kServiceTimeMargin;
   work->deadline = context->now() + work->call.time_left;
-  // A refusal is useful only while the caller still has time to retry
-  // elsewhere: after more than half of its time in the queue it comes too late.
-  Duration max_queue_time =
-      Duration::Millis(work->call.time_left.millis() * 2 / 5);
-  work->refuse_after =
-      context->now() + std::max(work->call.target_left, max_queue_time);
-  if (work->deadline < work->refuse_after) work->refuse_after = work->deadline;
+  arrivals_[static_cast<size_t>(LaneFor(work->call))].OnArrival(
+      work->expected_service, context->now());
   work_[work->number] = std::move(owned);
   bool continues = work->in_transaction() && !work->call.opens_transaction;
   if (continues) {
@@ -99,7 +100,7 @@
     Fail(work, Outcome::kBusy, "queue_full", context);
   } else {
     queue_.Add(work);
-    context->WakeAtCoarse(work->refuse_after);
+    context->WakeAtCoarse(work->deadline);
   }
   Reevaluate(context);
 }
@@ -214,6 +215,7 @@
   failover_.Step(&pool_, context);
   KeepLeadershipConfirmed(context);
   Dispatch(context);
+  ReviewQueue(context);
   Deactivate(context);
 }
 
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -1,6 +1,7 @@
 // Serves the statements of one database group: queues them by priority, selects
 // an upstream for each, keeps a transaction on its connection, confirms that
-// reads are current, and replaces the primary when it fails or leaves.
+// reads are current, and replaces the primary when it fails or leaves. The
+// decisions about load are in core/admission.
 //
 //   GroupOwner owner(spec, &reply_handler);
 //   owner.SetUpstreams(records, &context);
@@ -15,12 +16,15 @@
 #ifndef FIREFLYCART_CORE_PROXY_GROUP_OWNER_H_
 #define FIREFLYCART_CORE_PROXY_GROUP_OWNER_H_
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "fireflycart/core/admission/queue_outlook.h"
+#include "fireflycart/core/admission/service_times.h"
 #include "fireflycart/core/proxy/failover.h"
 #include "fireflycart/core/proxy/leadership_tracker.h"
 #include "fireflycart/core/proxy/upstream_pool.h"
@@ -116,6 +120,14 @@
   LogPosition MinPositionAtPrimary(const Work& work) const;
   bool MayStartAtPrimary(const Work& work, ProxyContext* context);
   void Requeue(Work* work, Duration pause, ProxyContext* context);
+
+  // Defined in group_load.cc.
+  void ReviewQueue(ProxyContext* context);
+  LaneSnapshot LaneSnapshotOf(Lane lane, ProxyContext* context);
+  double ConcurrencyOf(Lane lane, ProxyContext* context);
+  TimePoint AvailableAt(const Work& work, ProxyContext* context) const;
+  std::string FormatUpstreams(ProxyContext* context) const;
+
   Duration MaxConfirmationAge(const Work& work) const;
   bool IsPrimaryCurrent(const Work& work) const;
   void KeepLeadershipConfirmed(ProxyContext* context);
@@ -188,6 +200,11 @@
   Instant probe_sent_;
   bool is_probe_pending_ = false;
   bool has_requested_lease_ = false;
+  ServiceTimes service_times_;
+  std::array<ArrivalLoad, kLanes> arrivals_;
+  std::array<ArrivalLoad, kLanes> late_starts_;
+  QueueOutlook queue_outlook_;
+  TimePoint next_review_;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/testing/work_queue_test.cc
+++ b/fireflycart/core/proxy/testing/work_queue_test.cc
@@ -70,7 +70,8 @@
     std::vector<Work*> expected;
     for (auto& work : works_) expected.push_back(work.get());
     auto key = [now](const Work* work) {
-      return std::make_tuple(now > work->target_deadline, work->call.priority,
+      return std::make_tuple(now > work->latest_start, work->call.priority,
+                             work->target_deadline.millis(),
                              work->arrived.sequence);
     };
     std::sort(expected.begin(), expected.end(),
@@ -89,6 +90,7 @@
     work->call.priority = priority;
     work->call.consistency = ReadConsistency::kStrong;
     work->target_deadline = Now(target_ms);
+    work->latest_start = work->target_deadline;
     work->arrived.sequence = works_.size() + 1;
     queue_.Add(work.get());
     works_.push_back(std::move(work));
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -44,13 +44,17 @@
   WorkOrigin origin;
   StatementCall call;
   Instant arrived;
-  TimePoint target_deadline;  // After it the work counts as late.
-  TimePoint refuse_after;     // Refused if still queued by then.
+  Duration expected_service;  // Zero if unknown.
+  TimePoint target_deadline;
+  // Work that starts after this time probably misses its target, so it counts
+  // as late.
+  TimePoint latest_start;
   TimePoint deadline;
   WorkStage stage = WorkStage::kQueued;
   bool is_late = false;
   int attempts = 0;           // Times it was sent, refusals included.
   int connection_losses = 0;  // Connections lost while it was sent.
+  int refusals = 0;           // Consecutive, for lack of a free slot.
   TimePoint not_before;       // Earliest retry after a refusal.
   std::set<UpstreamId> excluded_upstreams;  // Refused it as too far behind.
   ConnectionId connection;                  // Set while it is sent.
--- a/fireflycart/core/proxy/work_queue.cc
+++ b/fireflycart/core/proxy/work_queue.cc
@@ -26,7 +26,7 @@
   std::map<Key, Work*>& waiting = lanes_[static_cast<size_t>(lane)];
   for (auto it = waiting.begin(); it != waiting.end();) {
     Work* work = it->second;
-    if (!work->is_late && now > work->target_deadline) {
+    if (!work->is_late && now > work->latest_start) {
       it = waiting.erase(it);
       work->is_late = true;
       waiting[KeyOf(*work)] = work;
@@ -38,12 +38,18 @@
   return nullptr;
 }
 
-std::vector<Work*> WorkQueue::All() const {
+std::vector<Work*> WorkQueue::AllOf(Lane lane) const {
   std::vector<Work*> all;
-  for (const auto& lane : lanes_) {
-    for (const auto& item : lane) all.push_back(item.second);
+  for (const auto& item : lanes_[static_cast<size_t>(lane)]) {
+    all.push_back(item.second);
   }
   return all;
 }
 
+std::vector<Work*> WorkQueue::All() const {
+  std::vector<Work*> all = AllOf(Lane::kPrimary);
+  for (Work* work : AllOf(Lane::kAny)) all.push_back(work);
+  return all;
+}
+
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/work_queue.h
+++ b/fireflycart/core/proxy/work_queue.h
@@ -1,12 +1,17 @@
 // Statements queued at the owner of a group, in the order in which they are to
-// be served: those in time before late ones, then by priority, then by arrival.
+// be served: those in time before late ones, then by priority, then by the
+// earliest target deadline.
+//
+// Load pattern: more work of one priority arrives than the upstreams can run.
+// Work that can no longer meet its target gives way to work that can, and work
+// with a distant target waits out a short peak.
 //
 //   queue.Add(work);
 //   Work* next = queue.First(Lane::kPrimary, now, may_start);
 //
-// Work past its target deadline is moved behind all work that can still meet
-// its own, and late work keeps that order too: it is served when no work in
-// time can start.
+// Work past its latest start is moved behind all work that can still meet its
+// target, and late work keeps that order too: it is served when no work in time
+// can start.
 
 #ifndef FIREFLYCART_CORE_PROXY_WORK_QUEUE_H_
 #define FIREFLYCART_CORE_PROXY_WORK_QUEUE_H_
@@ -40,14 +45,17 @@
   bool IsEmpty(Lane lane) const {
     return lanes_[static_cast<size_t>(lane)].empty();
   }
-  // Returns all queued work.
+  // Returns all queued work, each lane in the order of service.
   std::vector<Work*> All() const;
+  std::vector<Work*> AllOf(Lane lane) const;
 
  private:
-  using Key = std::tuple<bool, int, uint64_t>;  // Late, priority, arrival.
+  // Late, priority, target deadline, arrival.
+  using Key = std::tuple<bool, int, int64_t, uint64_t>;
 
   static Key KeyOf(const Work& work) {
-    return Key(work.is_late, work.call.priority, work.arrived.sequence);
+    return Key(work.is_late, work.call.priority, work.target_deadline.millis(),
+               work.arrived.sequence);
   }
   std::map<Key, Work*>& LaneOf(const Work& work);
 
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -63,7 +63,10 @@
 }
 
 void DatabaseModel::Close(ConnectionId connection) {
-  connections_.erase(connection);
+  auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  if (found->second.has_slot) upstreams_[found->second.upstream].running--;
+  connections_.erase(found);
 }
 
 std::vector<DatabaseOutput> DatabaseModel::Advance(TimePoint now) {
@@ -99,11 +102,18 @@
     answer.position = upstream.log.back().position;
   } else {
     if (!connection->is_started) {
+      Upstream& upstream = upstreams_[connection->upstream];
+      bool needs_slot = IsStatement(command) && options_.slots > 0;
+      if (needs_slot && upstream.running >= options_.slots) return;
+      if (needs_slot) upstream.running++;
+      connection->has_slot = needs_slot;
       connection->is_started = true;
       connection->ready_at =
-          IsStatement(command) ? now + options_.statement_time : now;
+          IsStatement(command) ? now + StatementTimeOf(upstream) : now;
     }
     if (now < connection->ready_at) return;
+    if (connection->has_slot) upstreams_[connection->upstream].running--;
+    connection->has_slot = false;
     answer = IsStatement(command) ? RunStatement(connection, command, now)
                                   : RunOwn(connection, command, now);
     if (connection->awaits_replica) return;
@@ -147,6 +157,9 @@
     busy_answers_--;
     return fail(Outcome::kBusy);
   }
+  if (now < upstream.applied_at && !in_transaction) {
+    return fail(Outcome::kBusy);
+  }
   std::string text = command.text;
   if (command.kind == CommandKind::kExecute) {
     auto found = connection->prepared.find(command.name);
@@ -238,6 +251,9 @@
       if (!reads && !upstream.is_primary) {
         return Failed(Outcome::kReadOnly, connection->state);
       }
+      if (now < upstream.applied_at) {
+        return Failed(Outcome::kBusy, connection->state);
+      }
       connection->state = TransactionState::kOpen;
       connection->is_read_only = reads;
       return answer;
@@ -286,16 +302,29 @@
   }
   size_t applied = AppliedOf(upstream, now);
   if (applied > 0) answer.position = upstream.log[applied - 1].position;
+  if (applied < upstream.log.size()) {
+    answer.status.lag = upstream.log.back().at + ApplyLagOf(upstream) - now;
+  }
   return answer;
 }
 
+Duration DatabaseModel::ApplyLagOf(const Upstream& upstream) const {
+  bool has_own = upstream.own_apply_lag != Duration();
+  Duration lag = has_own ? upstream.own_apply_lag : options_.apply_lag;
+  return options_.replication_delay + lag;
+}
+
+Duration DatabaseModel::StatementTimeOf(const Upstream& upstream) const {
+  bool has_own = upstream.own_statement_time != Duration();
+  return has_own ? upstream.own_statement_time : options_.statement_time;
+}
+
 size_t DatabaseModel::AppliedOf(const Upstream& upstream, TimePoint now) const {
   size_t applied = upstream.log.size();
-  if (upstream.is_primary) return applied;
-  while (applied > 0 && now - upstream.log[applied - 1].at <
-                            options_.replication_delay + options_.apply_lag) {
-    applied--;
-  }
+  if (upstream.is_primary && now >= upstream.applied_at) return applied;
+  Duration lag = ApplyLagOf(upstream);
+  size_t least = std::min(upstream.applied, upstream.log.size());
+  while (applied > least && now - upstream.log[applied - 1].at < lag) applied--;
   return applied;
 }
 
@@ -305,6 +334,9 @@
     bool receives =
         replica.is_running && !replica.is_primary && replica.held_term == 0;
     if (receives) Follow(&replica, item.first, now);
+    // A longer lag does not undo what was applied.
+    replica.applied = std::max(std::min(replica.applied, replica.log.size()),
+                               AppliedOf(replica, now));
   }
 }
 
@@ -367,6 +399,9 @@
       upstream.term = NewestTerm() + 1;
       upstream.is_primary = true;
       upstream.held_term = 0;
+      if (options_.applies_before_leading && !upstream.log.empty()) {
+        upstream.applied_at = upstream.log.back().at + ApplyLagOf(upstream);
+      }
       observer_->OnPromoted(it->upstream, upstream.log);
     }
     it = promotions_.erase(it);
@@ -403,6 +438,7 @@
   Upstream& crashed = upstreams_[upstream];
   crashed.is_running = false;
   crashed.held_term = 0;
+  crashed.running = 0;
   for (auto it = connections_.begin(); it != connections_.end();) {
     if (it->second.upstream != upstream) {
       ++it;
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -8,7 +8,7 @@
 //   model.Execute(connection, command);
 //   for (const DatabaseOutput& output : model.Advance(now)) Send(output);
 //
-// Limits: every statement takes the same time; slots are not modelled.
+// Limits: every statement at an upstream takes the same time.
 
 #ifndef FIREFLYCART_STANDINS_DATABASE_MODEL_H_
 #define FIREFLYCART_STANDINS_DATABASE_MODEL_H_
@@ -33,6 +33,11 @@
   Duration promote_time = Duration::Millis(600);
   // A primary that can reach its successor steps down after it.
   Duration step_down = Duration::Millis(1000);
+  // Statements that an upstream runs at the same time; others wait. 0: any.
+  int slots = 0;
+  // A promoted upstream leads at once, but refuses statements until it has
+  // applied what it had received.
+  bool applies_before_leading = false;
 };
 
 // A commit in an upstream's log.
@@ -94,6 +99,13 @@
   // That many coming statements are refused: all slots are busy.
   void RefuseBusy(int count) { busy_answers_ = count; }
   void SetApplyLag(Duration lag) { options_.apply_lag = lag; }
+  // The same for one upstream.
+  void SetApplyLag(const UpstreamId& upstream, Duration lag) {
+    upstreams_[upstream].own_apply_lag = lag;
+  }
+  void SetStatementTime(const UpstreamId& upstream, Duration time) {
+    upstreams_[upstream].own_statement_time = time;
+  }
 
   UpstreamId primary() const;
   const std::vector<LogEntry>& LogOf(const UpstreamId& upstream) const;
@@ -112,6 +124,11 @@
     uint64_t term = 1;
     uint64_t held_term = 0;
     std::vector<LogEntry> log;
+    Duration own_apply_lag;       // Zero: that of the group.
+    Duration own_statement_time;  // Zero: that of the group.
+    TimePoint applied_at;         // Promoted: when the log is applied.
+    size_t applied = 0;           // Entries that were applied at some time.
+    int running = 0;
     TimePoint reaches_successor_since;
     bool reaches_successor = false;
   };
@@ -125,6 +142,7 @@
     std::deque<proxy::UpstreamCommand> commands;
     TimePoint ready_at;  // The first command is done then.
     bool is_started = false;
+    bool has_slot = false;
     bool awaits_replica = false;
     proxy::LogPosition awaited;
   };
@@ -135,6 +153,8 @@
   void StepDown(TimePoint now);
   bool IsReplicated(const UpstreamId& primary, proxy::LogPosition position);
   size_t AppliedOf(const Upstream& upstream, TimePoint now) const;
+  Duration ApplyLagOf(const Upstream& upstream) const;
+  Duration StatementTimeOf(const Upstream& upstream) const;
   void RunFirst(ConnectionId id, Connection* connection, TimePoint now,
                 std::vector<DatabaseOutput>* outputs);
   proxy::UpstreamAnswer RunStatement(Connection* connection,
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -179,8 +179,12 @@
 
 void SessionWorld::EndOperation(Caller* caller, Outcome outcome) {
   bool writes = !caller->texts.empty();
+  auto priority = static_cast<size_t>(caller->consistency);
+  Duration took = now_ - caller->started;
   if (outcome == Outcome::kDone) {
     counts_.done++;
+    bool is_in_target = took <= options_.target;
+    (is_in_target ? counts_.in_target : counts_.late)[priority]++;
     TimePoint& last = writes ? last_write_ : last_read_;
     int64_t& gap = writes ? counts_.write_gap : counts_.read_gap;
     gap = std::max(gap, (now_ - last).millis());
@@ -191,12 +195,14 @@
     }
   } else if (GuaranteesNoEffect(outcome)) {
     counts_.refused++;
+    counts_.refused_wait += took.millis();
     for (const std::string& text : caller->texts) refused_writes_.insert(text);
   } else if (outcome == Outcome::kFailed) {
     counts_.failed++;
   } else {
     counts_.unknown++;
   }
+  if (outcome != Outcome::kDone) counts_.not_served[priority]++;
   caller->texts.clear();
   caller->pending_statements.clear();
   caller->next_action = now_ + options_.pause;
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -82,7 +82,7 @@
     route.group = kGroup;
     route.max_age = options_.max_age;
     route.timeout = timeout;
-    route.target = Duration::Millis(200);
+    route.target = options_.target;
     route.priority = rule;
     routes_.routes[route.database] = route;
   }
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -13,6 +13,7 @@
 #ifndef FIREFLYCART_STANDINS_TESTING_SESSION_WORLD_H_
 #define FIREFLYCART_STANDINS_TESTING_SESSION_WORLD_H_
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -39,6 +40,7 @@
   // A third of the callers uses each consistency.
   bool mixed_consistencies = true;
   Duration max_age = Duration::Millis(1000);
+  Duration target = Duration::Millis(200);
 };
 
 // Outcomes of the callers' operations.
@@ -48,6 +50,12 @@
   int unknown = 0;  // Outcome unknown, or the connection broke.
   int failed = 0;
   int writes = 0;  // Acknowledged writing operations.
+  // By priority, which is the number of the route's read consistency.
+  std::array<int, proxy::kReadConsistencies> in_target = {};
+  std::array<int, proxy::kReadConsistencies> late = {};
+  std::array<int, proxy::kReadConsistencies> not_served = {};
+  // Time that operations spent before they were refused, in ms.
+  int64_t refused_wait = 0;
   // Longest time without a successful operation that writes, or that only
   // reads, in ms.
   int64_t write_gap = 0;
@@ -88,6 +96,7 @@
   PreparedStoreModel& store() { return store_; }
   const SessionCounts& counts() const { return counts_; }
   void ResetGaps();
+  void ResetCounts() { counts_ = SessionCounts(); }
   UpstreamId primary() const { return database_->primary(); }
   VmId owner() const;
   const proxy::ProxyReducer* vm(int index) const;
