Change the primary when replicas apply the log too late for the reads

All reads go to the primary, whose slots do not suffice, while two thirds of the group's slots are idle.

Failover carries it out as it does for a leaving primary. The log tells inputs, duration and write gap.

A position of a primary that has not applied what it received no longer counts as covering acknowledged commits. Without that, reads were stale in the test where a promoted upstream applies the log before it serves ("6391 ms: stale read s4788 at up-c lacks write WRITE c139-3580").

Low load, a deaf replica, a successor that crashes half way, replicas late again after the change and a promoted upstream that applies the log first have tests of their own.

--- a/fireflycart/core/admission/queue_outlook.cc
+++ b/fireflycart/core/admission/queue_outlook.cc
@@ -1,8 +1,8 @@
 // The wait of a statement is the service time ahead of it, divided by the
 // number of statements that run at the same time. Work in time is served
 // first, so late work waits for the concurrency that arriving work leaves, or
-// that late work got recently. A hopeless statement does not count as work ahead of others, since it
-// is going to be refused.
+// that late work got recently. A hopeless statement does not count as work
+// ahead of others, since it is going to be refused.
 
 #include "fireflycart/core/admission/queue_outlook.h"
 
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -34,6 +34,8 @@
       return "replication_stalled";
     case FailoverCause::kLeaving:
       return "primary_leaving";
+    case FailoverCause::kReplicasLate:
+      return "replicas_late";
   }
   return "unknown";
 }
@@ -62,6 +64,14 @@
   lease_.Acquire(true, term, context);
 }
 
+void Failover::StartChangeTo(const UpstreamId& successor,
+                             const UpstreamId& old_primary, uint64_t term,
+                             ProxyContext* context) {
+  if (is_active() || context->now() < retry_at_) return;
+  Start(FailoverCause::kReplicasLate, old_primary, term, context);
+  successor_ = successor;
+}
+
 TimePoint Failover::expected_end() const {
   bool is_known =
       is_active() && !is_planned() && replacement_time_ != Duration();
@@ -174,6 +184,10 @@
       cause_ = FailoverCause::kLost;
       successor_ = UpstreamId();
     } else if (successor_ == UpstreamId()) {
+      if (cause_ == FailoverCause::kReplicasLate) {
+        GiveUp("the successor cannot take over", pool, context);
+        return;
+      }
       ChooseSuccessor(pool, context);
       if (successor_ == UpstreamId()) return;
     }
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -31,6 +31,8 @@
   kNoPrimary,  // No upstream is the primary.
   kStalled,    // The primary's commits reach no replica.
   kLeaving,    // The primary is about to stop.
+  // The replicas apply the log too late; see core/admission/lag_relief.h.
+  kReplicasLate,
 };
 
 const char* FailoverCauseName(FailoverCause cause);
@@ -72,6 +74,10 @@
 
   void Start(FailoverCause cause, const UpstreamId& old_primary, uint64_t term,
              ProxyContext* context);
+  // Starts a planned change to that replica, which is given up if the replica
+  // cannot take over.
+  void StartChangeTo(const UpstreamId& successor, const UpstreamId& old_primary,
+                     uint64_t term, ProxyContext* context);
   void Step(UpstreamPool* pool, ProxyContext* context);
   bool OnStore(const StoreAnswered& answer, ProxyContext* context) {
     return lease_.OnStore(answer, context);
@@ -100,7 +106,10 @@
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
   FailoverCause cause() const { return cause_; }
   // True if the old primary serves until the successor leads.
-  bool is_planned() const { return cause_ == FailoverCause::kLeaving; }
+  bool is_planned() const {
+    return cause_ == FailoverCause::kLeaving ||
+           cause_ == FailoverCause::kReplicasLate;
+  }
   // When writes are expected to be served again, if the primary is being
   // replaced and an earlier replacement was measured; otherwise zero.
   TimePoint expected_end() const;
@@ -123,6 +132,7 @@
   void OnAcknowledged(LogPosition position) {
     if (acknowledged_ < position) acknowledged_ = position;
   }
+  LogPosition acknowledged() const { return acknowledged_; }
 
  private:
   bool MayAcknowledge(const PooledUpstream& upstream,
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -119,6 +119,15 @@
     leadership_.OnConfirmed(command.at);
     failover_.OnAcknowledged(answer.position);
   }
+  if (measures_write_gap_) {
+    measures_write_gap_ = false;
+    Duration gap = context->now() - last_commit_at_;
+    context->Log(LogLevel::kInfo, kPart, "write_gap",
+                 {{"group", spec_.id.value()},
+                  {"primary", primary_.value()},
+                  {"gap_ms", std::to_string(gap.millis())}});
+  }
+  last_commit_at_ = context->now();
   return true;
 }
 
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -262,6 +262,7 @@
   }
   next_status_ = context->now() + kStatusPeriod;
   context->WakeAt(next_status_);
+  ConsiderLagRelief(context);
   CheckStalled(context);
   UpstreamCommand status;
   for (const auto& item : pool_.upstreams()) {
--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -11,7 +11,12 @@
 namespace fireflycart::proxy {
 namespace {
 
+constexpr char kPart[] = "load";
 constexpr Duration kReviewPeriod = Duration::Millis(50);
+// A status older than this does not show that a replica receives the log.
+constexpr Duration kMaxReplicaStatusAge = Duration::Millis(500);
+// A primary that was confirmed within this time is not in doubt.
+constexpr Duration kMaxConfirmationAge = Duration::Millis(600);
 // Concurrency that is assumed if no upstream seems usable: the state of the
 // upstreams may be unknown for a moment, and estimates should then admit.
 constexpr double kMinConcurrency = 0.5;
@@ -23,7 +28,10 @@
 }  // namespace
 
 void GroupOwner::ReviewQueue(ProxyContext* context) {
-  if (queue_.size() == 0) return;
+  if (queue_.size() == 0) {
+    read_wait_ = Duration();
+    return;
+  }
   if (context->now() < next_review_) {
     context->WakeAtCoarse(next_review_);
     return;
@@ -32,6 +40,7 @@
   context->WakeAtCoarse(next_review_);
   for (Lane lane : {Lane::kPrimary, Lane::kAny}) {
     LaneOutlook outlook = queue_outlook_.Review(LaneSnapshotOf(lane, context));
+    if (lane == Lane::kAny) read_wait_ = outlook.wait;
     for (const HopelessStatement& statement : outlook.hopeless) {
       Work* work = FindWork(statement.number);
       if (work == nullptr) continue;
@@ -120,4 +129,98 @@
   return text;
 }
 
+bool GroupOwner::IsGroupSteady(ProxyContext* context) {
+  const PooledUpstream* primary = Primary();
+  bool is_confirmed =
+      leadership_.IsConfirmedSince(context->now() - kMaxConfirmationAge);
+  bool may_change = is_assigned_ && primary != nullptr && is_confirmed &&
+                    !failover_.is_active() &&
+                    previous_primary_position_.known();
+  if (!may_change) return false;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool is_steady = upstream.is_registered && !upstream.record.leaving &&
+                     !upstream.is_down && upstream.status.held_term == 0 &&
+                     upstream.is_status_of_this_connection();
+    if (!is_steady) return false;
+  }
+  return true;
+}
+
+LagReliefSnapshot GroupOwner::LagSnapshot(ProxyContext* context) {
+  LagReliefSnapshot snapshot;
+  snapshot.now = context->now();
+  snapshot.is_steady = IsGroupSteady(context);
+  if (!snapshot.is_steady) return snapshot;
+  snapshot.primary_received = previous_primary_position_;
+  snapshot.read_wait = read_wait_;
+  for (const Work* work : queue_.AllOf(Lane::kAny)) {
+    const StatementCall& call = work->call;
+    bool is_shortest = snapshot.read_target == Duration() ||
+                       call.target_left < snapshot.read_target;
+    if (is_shortest) snapshot.read_target = call.target_left;
+    snapshot.max_read_age = std::max(snapshot.max_read_age, call.max_age);
+  }
+  uint64_t term = Primary()->status.term;
+  for (const auto& item : pool_.upstreams()) {
+    if (item.first == primary_) continue;
+    const PooledUpstream& upstream = item.second;
+    LaggingReplica replica;
+    replica.id = item.first;
+    replica.is_candidate =
+        upstream.status.term == term && !upstream.status.is_primary &&
+        context->now() - upstream.status_sent.time <= kMaxReplicaStatusAge;
+    replica.received = upstream.status.received;
+    replica.announced_lag = upstream.status.lag;
+    snapshot.replicas.push_back(replica);
+  }
+  return snapshot;
+}
+
+void GroupOwner::ConsiderLagRelief(ProxyContext* context) {
+  LagReliefSnapshot snapshot = LagSnapshot(context);
+  LagReliefDecision decision = lag_relief_.Decide(snapshot);
+  if (decision.reason != LagReliefReason::kRelieves) return;
+  const PooledUpstream* successor = pool_.FindUpstream(decision.successor);
+  context->Log(
+      LogLevel::kWarning, kPart, "lag_relief_started",
+      {{"group", spec_.id.value()},
+       {"reason", LagReliefReasonName(decision.reason)},
+       {"from", primary_.value()},
+       {"to", decision.successor.value()},
+       {"lag_ms", std::to_string(successor->status.lag.millis())},
+       {"read_wait_ms", std::to_string(snapshot.read_wait.millis())},
+       {"read_target_ms", std::to_string(snapshot.read_target.millis())},
+       {"max_read_age_ms", std::to_string(snapshot.max_read_age.millis())},
+       {"change_ms", std::to_string(lag_relief_.change_time().millis())},
+       {"queued", std::to_string(queue_.size())}});
+  failover_.StartChangeTo(decision.successor, primary_, Primary()->status.term,
+                          context);
+  if (!failover_.is_active()) return;
+  lag_relief_.OnChangeStarted(context->now());
+  relief_successor_ = decision.successor;
+  relief_started_ = context->now();
+  measures_write_gap_ = false;
+}
+
+// A change has ended when the new primary has applied what it had received, or
+// when it was given up.
+void GroupOwner::CheckLagReliefEnded(ProxyContext* context) {
+  if (!lag_relief_.is_changing() || failover_.is_active()) return;
+  const PooledUpstream* primary = Primary();
+  bool leads = primary != nullptr && primary_ == relief_successor_;
+  bool serves = leads && !(primary->applied < primary->status.received);
+  bool is_over = context->now() - relief_started_ > LagRelief::kMaxChangeTime;
+  if (leads && !serves && !is_over) return;
+  lag_relief_.OnChangeEnded(serves, context->now());
+  measures_write_gap_ = leads;
+  context->Log(
+      LogLevel::kInfo, kPart, "lag_relief_ended",
+      {{"group", spec_.id.value()},
+       {"primary", primary_.value()},
+       {"serves", serves ? "yes" : "no"},
+       {"took_ms", std::to_string((context->now() - relief_started_).millis())},
+       {"next_after_ms", std::to_string(lag_relief_.interval().millis())}});
+}
+
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -170,7 +170,7 @@
   bool is_control = connection->is_control;
   SentCommand command =
       pool_.OnAnswered(event.connection, event.answer, context);
-  if (upstream == primary_) {
+  if (upstream == primary_ && HasAppliedLog(event.answer.position)) {
     leadership_.OnPrimaryPosition(command.at, event.answer.position);
   }
   if (is_control) {
@@ -183,6 +183,15 @@
   Reevaluate(context);
 }
 
+// False for a promoted primary that has not applied yet what it received: its
+// position does not cover the acknowledged commits then.
+bool GroupOwner::HasAppliedLog(LogPosition position) const {
+  auto found = pool_.upstreams().find(primary_);
+  if (found == pool_.upstreams().end()) return false;
+  return !(position < failover_.acknowledged()) ||
+         !(position < found->second.status.received);
+}
+
 bool GroupOwner::OnStore(const StoreAnswered& answer, ProxyContext* context) {
   if (!failover_.OnStore(answer, context)) return false;
   Reevaluate(context);
@@ -213,6 +222,7 @@
   UpdatePrimary(context);
   CheckFailover(context);
   failover_.Step(&pool_, context);
+  CheckLagReliefEnded(context);
   KeepLeadershipConfirmed(context);
   Dispatch(context);
   ReviewQueue(context);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -23,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflycart/core/admission/lag_relief.h"
 #include "fireflycart/core/admission/queue_outlook.h"
 #include "fireflycart/core/admission/service_times.h"
 #include "fireflycart/core/proxy/failover.h"
@@ -103,6 +104,7 @@
   };
 
   // Defined in group_dispatch.cc.
+  bool HasAppliedLog(LogPosition position) const;
   void Dispatch(ProxyContext* context);
   bool DispatchPrimary(ProxyContext* context);
   bool DispatchDuringFailover(ProxyContext* context);
@@ -126,6 +128,10 @@
   LaneSnapshot LaneSnapshotOf(Lane lane, ProxyContext* context);
   double ConcurrencyOf(Lane lane, ProxyContext* context);
   TimePoint AvailableAt(const Work& work, ProxyContext* context) const;
+  void ConsiderLagRelief(ProxyContext* context);
+  void CheckLagReliefEnded(ProxyContext* context);
+  LagReliefSnapshot LagSnapshot(ProxyContext* context);
+  bool IsGroupSteady(ProxyContext* context);
   std::string FormatUpstreams(ProxyContext* context) const;
 
   Duration MaxConfirmationAge(const Work& work) const;
@@ -205,6 +211,12 @@
   std::array<ArrivalLoad, kLanes> late_starts_;
   QueueOutlook queue_outlook_;
   TimePoint next_review_;
+  Duration read_wait_;  // Expected wait of a queued read that is in time.
+  LagRelief lag_relief_;
+  UpstreamId relief_successor_;
+  TimePoint relief_started_;
+  TimePoint last_commit_at_;
+  bool measures_write_gap_ = false;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/standins/testing/session_load_test.cc
+++ b/fireflycart/standins/testing/session_load_test.cc
@@ -16,10 +16,109 @@
 
 class SessionLoadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionLoadTest);
+  CPPUNIT_TEST(Replicas_ApplyLate_ChangeOfPrimaryRelievesReads);
+  CPPUNIT_TEST(Replicas_ApplyLateAtLowLoad_PrimaryStays);
+  CPPUNIT_TEST(Replicas_LateAgainAfterChange_ChangesAreRare);
+  CPPUNIT_TEST(Replicas_LateAndDeaf_PrimaryStays);
+  CPPUNIT_TEST(Successor_CrashesDuringChange_NothingIsLost);
+  CPPUNIT_TEST(Successor_AppliesBeforeLeading_ChangesBecomeRare);
   CPPUNIT_TEST(Overload_AllPriorities_UrgentIsServedAndNothingWaitsInVain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Both replicas are too far behind for the reads, whose load fits three
+  // upstreams and not one.
+  void Replicas_ApplyLate_ChangeOfPrimaryRelievesReads() {
+    MakeWorld(ReadLoad());
+    world_->Run(kWarmUp);
+    SetReplicasLate();
+    world_->ResetGaps();
+    // Time to see the overload, and the change itself.
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+    // As for a leaving primary: less than 100 ms, not counting the callers'
+    // own pauses.
+    int64_t write_gap = world_->counts().write_gap;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(write_gap) + " ms", write_gap <= 200);
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(10));
+    Print("replicas late");
+    // Two upstreams carry the load, so nearly all is in target.
+    ExpectShareInTarget(90);
+    CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+    ExpectInvariantsHold();
+  }
+
+  void Replicas_ApplyLateAtLowLoad_PrimaryStays() {
+    SessionWorldOptions options = ReadLoad();
+    options.callers = 80;
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    SetReplicasLate();
+    world_->Run(Duration::Seconds(10));
+    CPPUNIT_ASSERT_EQUAL(0, world_->promotions());
+    ExpectInvariantsHold();
+  }
+
+  // Every replica is late, the old primary included.
+  void Replicas_LateAgainAfterChange_ChangesAreRare() {
+    MakeWorld(ReadLoad());
+    world_->Run(kWarmUp);
+    world_->database().SetApplyLag(Duration::Seconds(15));
+    constexpr int kSeconds = 30;
+    world_->Run(Duration::Seconds(kSeconds));
+    int64_t interval_s = proxy::LagRelief::kMinInterval.millis() / 1000;
+    CPPUNIT_ASSERT(world_->promotions() >= 1);
+    CPPUNIT_ASSERT(world_->promotions() <= kSeconds / interval_s + 1);
+    ExpectInvariantsHold();
+  }
+
+  // A replica that receives nothing would lose commits as primary.
+  void Replicas_LateAndDeaf_PrimaryStays() {
+    MakeWorld(ReadLoad());
+    world_->Run(kWarmUp);
+    SetReplicasLate();
+    world_->Cut(world_->primary().value(), "up-b");
+    world_->Run(Duration::Millis(500));
+    world_->Run(Duration::Seconds(5));
+    CPPUNIT_ASSERT(world_->primary() != UpstreamId("up-b"));
+    world_->HealAll();
+    world_->Run(Duration::Seconds(3));
+    ExpectInvariantsHold();
+  }
+
+  void Successor_CrashesDuringChange_NothingIsLost() {
+    MakeWorld(ReadLoad());
+    world_->Run(kWarmUp);
+    UpstreamId old = world_->primary();
+    SetReplicasLate();
+    UpstreamId successor = RunUntilPromotionOrdered();
+    world_->CrashUpstream(successor);
+    world_->ResetGaps();
+    world_->Run(Duration::Seconds(6));
+    CPPUNIT_ASSERT_EQUAL(old, world_->primary());
+    // The attempt is given up when the promotion does not take effect.
+    CPPUNIT_ASSERT(world_->counts().write_gap <=
+                   proxy::Failover::kPromotionEffectTimeout.millis() + 500);
+    world_->RestartUpstream(successor);
+    world_->Run(Duration::Seconds(3));
+    ExpectInvariantsHold();
+  }
+
+  // A change brings nothing then, which the owner learns from the first one.
+  void Successor_AppliesBeforeLeading_ChangesBecomeRare() {
+    SessionWorldOptions options = ReadLoad();
+    options.database.applies_before_leading = true;
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    world_->database().SetApplyLag(Duration::Seconds(15));
+    world_->Run(Duration::Seconds(60));
+    // With intervals that double from kMinInterval, and kMaxChangeTime each.
+    CPPUNIT_ASSERT(world_->promotions() >= 1);
+    CPPUNIT_ASSERT(world_->promotions() <= 4);
+    ExpectInvariantsHold();
+  }
+
   // One and a half times what the primary can run: about 490 operations a
   // second, a third of them urgent. The urgent ones alone need three quarters
   // of the primary.
@@ -65,6 +164,31 @@
     world_ = std::make_unique<SessionWorld>(options, kSeed);
   }
 
+  void SetReplicasLate() {
+    for (const char* id : {"up-a", "up-b", "up-c"}) {
+      if (UpstreamId(id) == world_->primary()) continue;
+      world_->database().SetApplyLag(UpstreamId(id), Duration::Seconds(15));
+    }
+  }
+
+  UpstreamId RunUntilPromotionOrdered() {
+    constexpr Duration kMaxWait = Duration::Seconds(5);
+    const std::string field = " successor=";
+    TimePoint end = world_->now() + kMaxWait;
+    while (world_->now() < end) {
+      world_->Run(Duration::Millis(1));
+      for (const std::string& line : world_->TakeLog()) {
+        if (line.find("failover.promotion_ordered") == std::string::npos) {
+          continue;
+        }
+        size_t start = line.find(field) + field.size();
+        return UpstreamId(line.substr(start, line.find(' ', start) - start));
+      }
+    }
+    CPPUNIT_FAIL("no promotion was ordered");
+    return UpstreamId();
+  }
+
   void Print(const std::string& name) {
     const SessionCounts& counts = world_->counts();
     std::cout << "\n" << name << ":";
@@ -78,6 +202,20 @@
               << counts.refused << " refused\n";
   }
 
+  void ExpectShareInTarget(int percent) {
+    const SessionCounts& counts = world_->counts();
+    int in_target = 0;
+    int all = 0;
+    for (size_t i = 0; i < proxy::kReadConsistencies; i++) {
+      in_target += counts.in_target[i];
+      all += counts.in_target[i] + counts.late[i] + counts.not_served[i];
+    }
+    CPPUNIT_ASSERT(all > 0);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(in_target) + " of " + std::to_string(all) + " in target",
+        in_target * 100 >= all * percent);
+  }
+
   void ExpectInvariantsHold() {
     world_->CheckEffects();
     CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -22,6 +22,7 @@
                  "standins/testing/fireflycart_failure_test")
 SESSION_RANDOM_TEST = "standins/testing/fireflycart_session_random_test"
 SESSION_FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
+                         "standins/testing/fireflycart_session_load_test",
                          "standins/testing/fireflycart_session_failure_test")
 
 
@@ -135,6 +136,24 @@
         "if (may_hold) pool->SendControl(item.first, command, context);",
         "(void)may_hold;",
     ),
+    Mutant(
+        "no change of the primary for late replicas",
+        "proxy/group_load.cc",
+        "if (decision.reason != LagReliefReason::kRelieves) return;",
+        "if (decision.reason != LagReliefReason::kNotSteady) return;",
+    ),
+    Mutant(
+        "fixed wait before a refusal",
+        "admission/queue_outlook.cc",
+        "    if (end_ms > static_cast<double>(time_left.millis())) {",
+        "    if (end_ms < 0) {",
+    ),
+    Mutant(
+        "positions of a primary that has not applied its log",
+        "proxy/group_owner.cc",
+        "if (upstream == primary_ && HasAppliedLog(event.answer.position)) {",
+        "if (upstream == primary_) {",
+    ),
     Mutant(
         "acknowledgement of a replaced primary passed on",
         "proxy/failover.cc",
@@ -337,7 +356,7 @@
     build = os.path.join(tree, "build")
     configure = ["cmake", "-S", tree, "-B", build, "-G", "Ninja"]
     subprocess.run(configure, check=True, capture_output=True)
-    is_session = mutant.file.startswith("proxy/")
+    is_session = mutant.file.startswith(("proxy/", "admission/"))
     focused_tests = SESSION_FOCUSED_TESTS if is_session else FOCUSED_TESTS
     random_test = SESSION_RANDOM_TEST if is_session else RANDOM_TEST
     targets = [os.path.basename(t) for t in (*focused_tests, random_test)]
