Keep VMs without tables from owning groups, and tell them where peers are

These start without routes, upstreams and a list of VMs, but their old entries are still in the list, so the others place two of the six groups on them. Their replies are misdirected, which counted as a lost call: the VM was marked down, answered the next probe, was made owner again, and so on, 198 times within 5 s; the two groups changed their owner until the store answered again. A VM without a list could not even ask a peer for the tables, as it knew no peer's address.

Change: a misdirected reply is an answer, so the VM is not marked down, but it owns no group until its heartbeat shows routes and upstreams.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -39,6 +39,7 @@
   vm.is_down = false;
   vm.is_leaving = false;
   vm.reaches_store = true;
+  vm.can_own = true;
   vm.open_calls = 0;
   context->Log(LogLevel::kInfo, kPart, is_new ? "vm_known" : "vm_restarted",
                {{"peer", record.vm.value()}, {"address", record.address}});
@@ -52,11 +53,15 @@
 
 void Fleet::Recompute() {
   std::vector<VmRecord> usable;
+  std::vector<VmRecord> able_to_own;
   if (!is_leaving_) usable.push_back(self_);
+  if (!is_leaving_) able_to_own.push_back(self_);
   for (const auto& item : vms_) {
-    if (IsUsable(item.first)) usable.push_back(item.second.record);
+    if (!IsUsable(item.first)) continue;
+    usable.push_back(item.second.record);
+    if (item.second.can_own) able_to_own.push_back(item.second.record);
   }
-  owners_ = PlaceGroups(groups_, usable);
+  owners_ = PlaceGroups(groups_, able_to_own);
   contacts_ = ContactsOf(self_.vm, usable);
   version_++;
 }
@@ -160,6 +165,31 @@
   SetDown(&vm, true, "call_failed", context);
 }
 
+void Fleet::OnMisdirected(const VmId& id, ProxyContext* context) {
+  OnCallAnswered(id, context);
+  auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  SetCanOwn(&found->second, false, context);
+  // Its heartbeat tells when it has the tables, and ours tells it that this VM
+  // has them.
+  Probe(&found->second, context);
+}
+
+void Fleet::SetCanOwn(Vm* vm, bool can_own, ProxyContext* context) {
+  if (vm->can_own == can_own) return;
+  vm->can_own = can_own;
+  context->Log(LogLevel::kInfo, kPart,
+               can_own ? "vm_has_tables" : "vm_lacks_tables",
+               {{"peer", vm->record.vm.value()}});
+  Recompute();
+}
+
+HeartbeatCall Fleet::MakeCall() const {
+  HeartbeatCall call{heartbeat_handler_->MakeHeartbeat()};
+  call.heartbeat.address = self_.address;
+  return call;
+}
+
 void Fleet::OnLeaving(const VmId& id, ProxyContext* context) {
   auto found = vms_.find(id);
   if (found == vms_.end() || found->second.is_leaving) return;
@@ -176,6 +206,9 @@
     if (heartbeat.is_leaving) OnLeaving(id, context);
     if (vm.reaches_store != heartbeat.reaches_store) version_++;
     vm.reaches_store = heartbeat.reaches_store;
+    bool has_tables =
+        heartbeat.known.routes != 0 && heartbeat.known.upstreams != 0;
+    SetCanOwn(&vm, has_tables, context);
     if (vm.is_down) {
       vm.next_probe = context->now();
       context->WakeAt(vm.next_probe);
@@ -212,8 +245,7 @@
 
 void Fleet::SendHeartbeat(const VmRecord& record, ProxyContext* context) {
   context->Emit(CallPeer{context->NextCall(), record.vm, record.address,
-                         kProbeTimeout,
-                         HeartbeatCall{heartbeat_handler_->MakeHeartbeat()}});
+                         kProbeTimeout, MakeCall()});
 }
 
 void Fleet::NotifyContacts(ProxyContext* context) {
@@ -229,7 +261,7 @@
   CallId call = context->NextCall();
   probes_[call] = vm->record.vm;
   context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
-                         HeartbeatCall{heartbeat_handler_->MakeHeartbeat()}});
+                         MakeCall()});
 }
 
 bool Fleet::OnReply(const PeerReplied& reply, ProxyContext* context) {
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -9,6 +9,10 @@
 // probed, and one that does not answer the probe is not used until it answers
 // again. The views of two VMs may differ, which costs performance only.
 //
+// Load pattern: all VMs start at the same moment and the store refuses some of
+// them. A VM without routes answers, so it is not down, but it owns no group
+// until its heartbeat shows that it has the tables.
+//
 // Each VM regularly probes only a few others, its contacts; see vm_ring.h.
 //
 // Cost: one probe per period to a contact, and one to each VM that leaves open
@@ -97,6 +101,9 @@
   void OnCallAnswered(const VmId& vm, ProxyContext* context);
   // The call was not sent, or its answer was lost.
   void OnCallFailed(const VmId& vm, ProxyContext* context);
+  // The VM answered that it cannot serve a group: it has just started and has
+  // no routes or upstreams yet.
+  void OnMisdirected(const VmId& vm, ProxyContext* context);
   void OnLeaving(const VmId& vm, ProxyContext* context);
   // The VM sent a heartbeat, in a call or in the reply to a probe.
   void OnHeartbeat(const VmId& vm, const Heartbeat& heartbeat,
@@ -112,6 +119,8 @@
     bool is_down = false;
     bool is_leaving = false;
     bool reaches_store = true;
+    // It has routes and upstreams, as far as is known.
+    bool can_own = true;
     int open_calls = 0;
     TimePoint unanswered_since;  // Since when open calls have had no answer.
     TimePoint last_answer_at;
@@ -126,6 +135,8 @@
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
+  void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
+  HeartbeatCall MakeCall() const;
 
   VmRecord self_;
   HeartbeatHandler* heartbeat_handler_;
--- a/fireflycart/core/proxy/forwarder.cc
+++ b/fireflycart/core/proxy/forwarder.cc
@@ -48,7 +48,10 @@
     result.reply = *body;
     return result;
   }
-  return OnCallLost(std::move(open_call), PeerCallError::kNotSent, context);
+  result = OnCallLost(std::move(open_call), PeerCallError::kNotSent, context);
+  result.has_call_failed = false;
+  result.is_misdirected = true;
+  return result;
 }
 
 Forwarder::Result Forwarder::OnCallLost(OpenCall open_call, PeerCallError error,
--- a/fireflycart/core/proxy/forwarder.h
+++ b/fireflycart/core/proxy/forwarder.h
@@ -41,6 +41,7 @@
     VmId vm;
     bool is_own_call = false;
     bool has_call_failed = false;  // The call itself, not the statement.
+    bool is_misdirected = false;   // The VM answered that it cannot serve it.
     StatementCall call;            // kRetry.
     StatementReply reply;          // kAnswer.
   };
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -104,6 +104,9 @@
   Duration store_age;  // Since the last known answer of the store to any VM.
   bool reaches_store = false;
   bool is_leaving = false;
+  // Of the sender, in calls: a VM that has started while the store refuses it
+  // knows the address of no peer. Empty in replies.
+  std::string address;
 };
 struct HeartbeatCall {
   Heartbeat heartbeat;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -269,6 +269,8 @@
   if (!result.is_own_call) return;
   if (result.has_call_failed) {
     fleet_.OnCallFailed(result.vm, &context_);
+  } else if (result.is_misdirected) {
+    fleet_.OnMisdirected(result.vm, &context_);
   } else {
     fleet_.OnCallAnswered(result.vm, &context_);
     if (result.reply.is_leaving) fleet_.OnLeaving(result.vm, &context_);
@@ -430,18 +432,19 @@
 void ProxyReducer::OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) {
   follower_.OnPeerStoreAge(heartbeat.store_age, &context_);
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
+  std::string address = fleet_.AddressOf(vm);
+  if (address.empty()) address = heartbeat.address;
+  if (address.empty()) return;
   newer_peer_ = vm;
+  newer_peer_address_ = address;
   RequestSnapshot();
 }
 
 void ProxyReducer::RequestSnapshot() {
   if (snapshot_call_ != CallId() || newer_peer_ == VmId()) return;
-  std::string address = fleet_.AddressOf(newer_peer_);
-  if (!address.empty()) {
-    snapshot_call_ = context_.NextCall();
-    context_.Emit(CallPeer{snapshot_call_, newer_peer_, address,
-                           kSnapshotTimeout, SnapshotCall{follower_.known()}});
-  }
+  snapshot_call_ = context_.NextCall();
+  context_.Emit(CallPeer{snapshot_call_, newer_peer_, newer_peer_address_,
+                         kSnapshotTimeout, SnapshotCall{follower_.known()}});
   newer_peer_ = VmId();
 }
 
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -142,6 +142,7 @@
   std::unordered_map<uint64_t, GroupId> connection_groups_;
   CallId snapshot_call_;
   VmId newer_peer_;  // Has newer data; receives the next snapshot request.
+  std::string newer_peer_address_;
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
   TimePoint next_fleet_update_;
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -25,6 +25,12 @@
     return *this;
   }
 
+  // Leaves the value unchanged if the message ends before the field.
+  template <typename T>
+  Unpacker& TakeOptional(T* value) {
+    return next_ < json_.size() ? Take(value) : *this;
+  }
+
   template <typename Enum>
   Unpacker& TakeEnum(int count, Enum* value) {
     int number = json_.at(next_++).get<int>();
@@ -169,13 +175,15 @@
 }
 
 Json ToJson(const Heartbeat& f) {
-  return Json::array(
-      {ToJson(f.known), f.store_age.millis(), f.reaches_store, f.is_leaving});
+  return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
+                      f.is_leaving, f.address});
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
   FromJson(fields.Next(), &f->known);
   fields.Take(&f->store_age).Take(&f->reaches_store).Take(&f->is_leaving);
+  // Earlier versions send no address.
+  fields.TakeOptional(&f->address);
 }
 
 }  // namespace
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(Vm_StopsWhileCallersStillConnect_NoStatementIsInterrupted);
   CPPUNIT_TEST(Vms_CutFromOwner_ContinueServing);
   CPPUNIT_TEST(AllVms_KilledAtOnce_ServiceResumes);
+  CPPUNIT_TEST(AllVms_RestartWhileStoreRefusesSome_ServiceResumesOnAll);
   CPPUNIT_TEST(Store_DownWhilePrimaryCrashes_OldTokenIsUsed);
   CPPUNIT_TEST(Owner_CutFromVmsAndStoreAsPrimaryCrashes_KeepsOldToken);
   CPPUNIT_TEST(Store_HistoryLost_AllRoutesAreReadAgain);
@@ -351,6 +352,33 @@
     ExpectInvariantsHold();
   }
 
+  // The VMs that the store refuses know no address of a peer after a restart,
+  // and must neither own groups nor leave their callers without routes.
+  void AllVms_RestartWhileStoreRefusesSome_ServiceResumesOnAll() {
+    SessionWorldOptions options;
+    options.vms = 6;
+    MakeWorld(options);
+    world_->Run(Duration::Seconds(3));
+    for (int vm = 0; vm < options.vms; vm++) world_->KillVm(vm);
+    world_->Run(Duration::Millis(500));
+    for (const char* vm : {"vm-1", "vm-4"}) world_->Cut(vm, "store");
+    for (int vm = 0; vm < options.vms; vm++) world_->StartVm(vm);
+    world_->Run(Duration::Millis(300));
+    world_->TakeLog();
+    world_->ResetGaps();
+    world_->Run(Duration::Seconds(2));
+    for (int vm = 0; vm < options.vms; vm++) {
+      CPPUNIT_ASSERT_EQUAL(uint64_t{2},
+                           world_->vm(vm)->gauges().routes_version);
+    }
+    for (const std::string& line : world_->TakeLog()) {
+      CPPUNIT_ASSERT_MESSAGE(line,
+                             line.find("fleet.vm_lost") == std::string::npos);
+    }
+    CPPUNIT_ASSERT(world_->counts().write_gap < 500);
+    ExpectInvariantsHold();
+  }
+
   void Store_DownWhilePrimaryCrashes_OldTokenIsUsed() {
     world_->Run(Duration::Seconds(4));
     for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "store");
