Refuse at once what a VM that is cut off cannot serve

Change: a group of which a VM reaches no upstream, or only a primary that no replica has confirmed for 600 ms, has no capacity, and its queued statements are refused at the next review. The status requests show when that changes.

--- a/fireflycart/core/admission/queue_outlook.cc
+++ b/fireflycart/core/admission/queue_outlook.cc
@@ -15,8 +15,8 @@
 constexpr Duration kEndlessWait = Duration::Seconds(3600);
 
 Duration WaitFor(double ahead_ms, double concurrency) {
-  if (ahead_ms <= 0) return Duration();
   if (concurrency <= 0) return kEndlessWait;
+  if (ahead_ms <= 0) return Duration();
   double ms = ahead_ms / concurrency;
   return std::min(Duration::Millis(static_cast<int64_t>(ms)), kEndlessWait);
 }
--- a/fireflycart/core/admission/queue_outlook.h
+++ b/fireflycart/core/admission/queue_outlook.h
@@ -36,7 +36,8 @@
 
 struct LaneSnapshot {
   TimePoint now;
-  // Statements that the usable upstreams run at the same time for this lane.
+  // Statements that the usable upstreams run at the same time for this lane;
+  // 0: none can serve it.
   double concurrency = 0;
   // Load that arrives in the lane, in statements running at the same time.
   double arrival_load = 0;
--- a/fireflycart/core/admission/testing/queue_outlook_test.cc
+++ b/fireflycart/core/admission/testing/queue_outlook_test.cc
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(Review_UpstreamAvailableInTime_Keeps);
   CPPUNIT_TEST(Review_LateWorkUnderOverload_KeepsFew);
   CPPUNIT_TEST(Review_LateWorkWithSpareSlots_KeepsAll);
-  CPPUNIT_TEST(Review_NoUpstream_RefusesAllThatFollow);
+  CPPUNIT_TEST(Review_NoUpstream_RefusesAll);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,10 +77,10 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Hopeless());
   }
 
-  void Review_NoUpstream_RefusesAllThatFollow() {
+  void Review_NoUpstream_RefusesAll() {
     lane_.concurrency = 0;
-    Queue(10, Duration::Millis(10), false);
-    CPPUNIT_ASSERT_EQUAL(size_t{9}, Hopeless());
+    Queue(10, Duration(), false);
+    CPPUNIT_ASSERT_EQUAL(size_t{10}, Hopeless());
   }
 
  private:
--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -73,6 +73,7 @@
 }
 
 double GroupOwner::ConcurrencyOf(Lane lane, ProxyContext* context) {
+  if (IsCutOff(context)) return 0;
   const PooledUpstream* primary = Primary();
   double at_primary = primary == nullptr ? 0 : InFlightLimit(*primary);
   if (lane == Lane::kPrimary) return std::max(at_primary, kMinConcurrency);
@@ -93,6 +94,20 @@
   return concurrency;
 }
 
+// True if this VM can serve nothing: it reaches no upstream, or only a primary
+// that no replica has confirmed for a while. The status requests show when
+// that changes.
+bool GroupOwner::IsCutOff(ProxyContext* context) const {
+  bool reaches_primary = false;
+  for (const auto& item : pool_.upstreams()) {
+    if (item.second.is_down) continue;
+    if (item.first != primary_) return false;
+    reaches_primary = true;
+  }
+  return !reaches_primary ||
+         !leadership_.IsConfirmedSince(context->now() - kMaxConfirmationAge);
+}
+
 // Reads are served at the successor while the primary is being replaced.
 TimePoint GroupOwner::AvailableAt(const Work& work,
                                   ProxyContext* context) const {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -127,6 +127,7 @@
   void ReviewQueue(ProxyContext* context);
   LaneSnapshot LaneSnapshotOf(Lane lane, ProxyContext* context);
   double ConcurrencyOf(Lane lane, ProxyContext* context);
+  bool IsCutOff(ProxyContext* context) const;
   TimePoint AvailableAt(const Work& work, ProxyContext* context) const;
   void ConsiderLagRelief(ProxyContext* context);
   void CheckLagReliefEnded(ProxyContext* context);
--- a/fireflycart/standins/testing/session_load_test.cc
+++ b/fireflycart/standins/testing/session_load_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(Successor_CrashesDuringChange_NothingIsLost);
   CPPUNIT_TEST(Successor_AppliesBeforeLeading_ChangesBecomeRare);
   CPPUNIT_TEST(Overload_AllPriorities_UrgentIsServedAndNothingWaitsInVain);
+  CPPUNIT_TEST(Vm_CutFromReplicasAndPeers_RefusesAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,6 +144,30 @@
     ExpectInvariantsHold();
   }
 
+  // The primary cannot be confirmed from there, so nothing can be served, and
+  // callers have to learn that while they can still go elsewhere.
+  void Vm_CutFromReplicasAndPeers_RefusesAtOnce() {
+    SessionWorldOptions options = ReadLoad();
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    for (const char* peer : {"vm-1", "vm-2"}) world_->Cut("vm-0", peer);
+    for (const char* id : {"up-a", "up-b", "up-c"}) {
+      if (UpstreamId(id) != world_->primary()) world_->Cut("vm-0", id);
+    }
+    // Time to see that peers and replicas do not answer.
+    world_->Run(Duration::Seconds(2));
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(5));
+    Print("cut off");
+    const SessionCounts& counts = world_->counts();
+    CPPUNIT_ASSERT(counts.refused > 0);
+    CPPUNIT_ASSERT(counts.refused_wait <=
+                   counts.refused * options.target.millis());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(2));
+    ExpectInvariantsHold();
+  }
+
  private:
   // About 300 operations a second with 0.9 statements for the primary and one
   // that replicas may serve. An upstream runs 400 statements a second: 4 slots,
