Tell a VM at once that it is taken for lost

The store refuses the owner of a group and serves others. Another VM takes the owner for lost, owns the group, gets a new token and orders the promotion. The owner, for which all contacts answer, uses its old token at the same time.

Change: a VM that marks another one as lost sends it a heartbeat at once that says so, and so do its probes.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -109,6 +109,7 @@
 }
 
 bool Fleet::IsFullyReachable(TimePoint now) const {
+  if (now < doubted_until_) return false;
   for (const VmId& contact : contacts_) {
     auto found = vms_.find(contact);
     bool is_recent = found != vms_.end() &&
@@ -129,6 +130,8 @@
   vm->is_down = is_down;
   vm->failed_probes = 0;
   if (is_down) watched_.insert(vm->record.vm);
+  // If it is alive, it must know at once that others may act in its place.
+  if (is_down) SendHeartbeat(*vm, context);
   context->Log(LogLevel::kWarning, kPart, is_down ? "vm_lost" : "vm_regained",
                {{"peer", vm->record.vm.value()}, {"cause", cause}});
   Recompute();
@@ -184,9 +187,10 @@
   Recompute();
 }
 
-HeartbeatCall Fleet::MakeCall() const {
+HeartbeatCall Fleet::MakeCall(const Vm& to) const {
   HeartbeatCall call{heartbeat_handler_->MakeHeartbeat()};
   call.heartbeat.address = self_.address;
+  call.heartbeat.takes_receiver_for_lost = to.is_down;
   return call;
 }
 
@@ -201,6 +205,9 @@
 void Fleet::OnHeartbeat(const VmId& id, const Heartbeat& heartbeat,
                         ProxyContext* context) {
   auto found = vms_.find(id);
+  if (heartbeat.takes_receiver_for_lost) {
+    doubted_until_ = context->now() + kDoubtTime;
+  }
   if (found != vms_.end()) {
     Vm& vm = found->second;
     if (heartbeat.is_leaving) OnLeaving(id, context);
@@ -234,24 +241,24 @@
 }
 
 void Fleet::NotifyStoreReaders(ProxyContext* context) {
-  std::map<uint64_t, const VmRecord*> next;
+  std::map<uint64_t, const Vm*> next;
   for (const auto& item : vms_) {
     if (!IsUsable(item.first) || !item.second.reaches_store) continue;
-    next[RankOf(item.first)] = &item.second.record;
+    next[RankOf(item.first)] = &item.second;
     if (next.size() > kNextStoreReaders) next.erase(std::prev(next.end()));
   }
   for (const auto& item : next) SendHeartbeat(*item.second, context);
 }
 
-void Fleet::SendHeartbeat(const VmRecord& record, ProxyContext* context) {
-  context->Emit(CallPeer{context->NextCall(), record.vm, record.address,
-                         kProbeTimeout, MakeCall()});
+void Fleet::SendHeartbeat(const Vm& vm, ProxyContext* context) {
+  context->Emit(CallPeer{context->NextCall(), vm.record.vm, vm.record.address,
+                         kProbeTimeout, MakeCall(vm)});
 }
 
 void Fleet::NotifyContacts(ProxyContext* context) {
   for (const VmId& contact : contacts_) {
     auto found = vms_.find(contact);
-    if (found != vms_.end()) SendHeartbeat(found->second.record, context);
+    if (found != vms_.end()) SendHeartbeat(found->second, context);
   }
 }
 
@@ -261,7 +268,7 @@
   CallId call = context->NextCall();
   probes_[call] = vm->record.vm;
   context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
-                         MakeCall()});
+                         MakeCall(*vm)});
 }
 
 bool Fleet::OnReply(const PeerReplied& reply, ProxyContext* context) {
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflycart/core/proxy/duty_lease.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
 
@@ -59,6 +60,8 @@
   // still counts this VM as usable.
   static constexpr Duration kContactMaxAge = Duration::Millis(250);
   static constexpr Duration kContactProbePeriod = Duration::Millis(100);
+  // A VM that took this one for lost may be replacing a primary for this long.
+  static constexpr Duration kDoubtTime = DutyLease::kLeaseDuration;
   // VMs that follow the platform's store for all. Two may be cut off from it at
   // once.
   static constexpr size_t kStoreReaders = 3;
@@ -88,7 +91,8 @@
   void NotifyContacts(ProxyContext* context);
   // Probes the contacts that did not answer within kContactProbePeriod.
   void ProbeStaleContacts(ProxyContext* context);
-  // True if all contacts answered within kContactMaxAge and no VM is down.
+  // True if all contacts answered within kContactMaxAge, no VM is down, and no
+  // VM has taken this one for lost within kDoubtTime.
   bool IsFullyReachable(TimePoint now) const;
   // Grows whenever owners or store readers may have changed.
   uint64_t version() const { return version_; }
@@ -131,12 +135,12 @@
 
   bool Watch(Vm* vm, ProxyContext* context);
   void Probe(Vm* vm, ProxyContext* context);
-  void SendHeartbeat(const VmRecord& record, ProxyContext* context);
+  void SendHeartbeat(const Vm& vm, ProxyContext* context);
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
-  HeartbeatCall MakeCall() const;
+  HeartbeatCall MakeCall(const Vm& to) const;
 
   VmRecord self_;
   HeartbeatHandler* heartbeat_handler_;
@@ -149,6 +153,7 @@
   std::map<GroupId, VmId> owners_;
   uint64_t version_ = 1;
   TimePoint next_probe_;
+  TimePoint doubted_until_;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -107,6 +107,9 @@
   // Of the sender, in calls: a VM that has started while the store refuses it
   // knows the address of no peer. Empty in replies.
   std::string address;
+  // In calls: the sender takes the receiver for lost, so it or another VM may
+  // own the receiver's groups by now.
+  bool takes_receiver_for_lost = false;
 };
 struct HeartbeatCall {
   Heartbeat heartbeat;
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -176,14 +176,14 @@
 
 Json ToJson(const Heartbeat& f) {
   return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
-                      f.is_leaving, f.address});
+                      f.is_leaving, f.address, f.takes_receiver_for_lost});
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
   FromJson(fields.Next(), &f->known);
   fields.Take(&f->store_age).Take(&f->reaches_store).Take(&f->is_leaving);
-  // Earlier versions send no address.
-  fields.TakeOptional(&f->address);
+  // Earlier versions send neither of these.
+  fields.TakeOptional(&f->address).TakeOptional(&f->takes_receiver_for_lost);
 }
 
 }  // namespace
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(AllVms_RestartWhileStoreRefusesSome_ServiceResumesOnAll);
   CPPUNIT_TEST(Store_DownWhilePrimaryCrashes_OldTokenIsUsed);
   CPPUNIT_TEST(Owner_CutFromVmsAndStoreAsPrimaryCrashes_KeepsOldToken);
+  CPPUNIT_TEST(Owner_TakenForLostWhileStoreRefusesIt_KeepsOldToken);
   CPPUNIT_TEST(Store_HistoryLost_AllRoutesAreReadAgain);
   CPPUNIT_TEST(Store_AnswersLost_DutyLeaseIsReadAgain);
   CPPUNIT_TEST(Vm_CutFromStore_ReceivesRoutesFromPeers);
@@ -411,6 +412,27 @@
     }
   }
 
+  // The store refuses the owner alone. Another VM takes the owner for lost,
+  // gets a new token and replaces the primary; the owner sees all VMs answer.
+  void Owner_TakenForLostWhileStoreRefusesIt_KeepsOldToken() {
+    for (int freeze_ms : {350, 450, 550, 700, 900}) {
+      SessionWorldOptions options;
+      options.vms = 4;
+      options.database.promote_time = Duration::Millis(1500);
+      MakeWorld(options);
+      world_->Run(Duration::Seconds(4));
+      VmId owner = world_->owner();
+      world_->Cut(owner.value(), "store");
+      world_->Run(Duration::Millis(500));
+      world_->FreezeVm(IndexOf(owner), Duration::Millis(freeze_ms));
+      world_->CrashUpstream(world_->primary());
+      world_->Run(Duration::Seconds(5));
+      world_->HealAll();
+      world_->Run(Duration::Seconds(1));
+      ExpectInvariantsHold();
+    }
+  }
+
   void Store_HistoryLost_AllRoutesAreReadAgain() {
     world_->Run(Duration::Seconds(2));
     for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "store");
