Ask a VM that lacks the tables until it has them

A VM sends heartbeats to its contacts only, so a VM that heard the first one at the peer's start and is no contact kept its different view for good. Two owners are safe but for the tokens: with the store's answers lost, both replaced the primary, the second with an older token.

Change: a VM that is known to lack the tables is probed until it has them.

Test: Peer_LacksTablesAndIsSilent_IsAskedUntilItHasThem fails with the change taken out.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -178,9 +178,18 @@
   Probe(&found->second, context);
 }
 
+// Probes the VM again after a while.
+void Fleet::AskAgain(Vm* vm, ProxyContext* context) {
+  watched_.insert(vm->record.vm);
+  vm->next_probe = context->now() + kFirstReprobeDelay;
+  context->WakeAt(vm->next_probe);
+}
+
 void Fleet::SetCanOwn(Vm* vm, bool can_own, ProxyContext* context) {
   if (vm->can_own == can_own) return;
   vm->can_own = can_own;
+  // A VM that is no contact sends no heartbeats of its own accord.
+  if (!can_own) AskAgain(vm, context);
   context->Log(LogLevel::kInfo, kPart,
                can_own ? "vm_has_tables" : "vm_lacks_tables",
                {{"peer", vm->record.vm.value()}});
@@ -293,13 +302,14 @@
   vm.last_answer_at = context->now();
   SetDown(&vm, false, "probe_answered", context);
   OnHeartbeat(id, body->heartbeat, context);
+  if (!vm.can_own) AskAgain(&vm, context);
   return true;
 }
 
-// Probes a VM that is down or leaves calls unanswered if a probe is due.
-// Returns false if it is not down and has no open calls.
+// Probes a VM that is down, lacks the tables or leaves calls unanswered if a
+// probe is due. Returns false if none of that is the case.
 bool Fleet::Watch(Vm* vm, ProxyContext* context) {
-  if (vm->is_down) {
+  if (vm->is_down || !vm->can_own) {
     if (context->now() >= vm->next_probe) {
       Probe(vm, context);
     } else {
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -140,6 +140,7 @@
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
+  void AskAgain(Vm* vm, ProxyContext* context);
   HeartbeatCall MakeCall(const Vm& to) const;
 
   VmRecord self_;
