--- a/fireflycart/core/admission/lag_relief.h
+++ b/fireflycart/core/admission/lag_relief.h
@@ -75,7 +75,7 @@
  public:
   // An overload that ends by itself within this time needs no change.
   static constexpr Duration kMinOverload = Duration::Millis(400);
-  // Expected duration of a change before one was measured.
+  // Expected duration of the first change.
   static constexpr Duration kInitialChangeTime = Duration::Millis(1500);
   // Shortest time between two changes, doubled after each change that failed
   // or took longer than kMaxChangeTime.
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -111,7 +111,7 @@
            cause_ == FailoverCause::kReplicasLate;
   }
   // When writes are expected to be served again, if the primary is being
-  // replaced and an earlier replacement was measured; otherwise zero.
+  // replaced and an earlier replacement gives an estimate; otherwise zero.
   TimePoint expected_end() const;
   const UpstreamId& successor() const { return successor_; }
 
