--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -226,6 +226,10 @@
 }
 
 void ProxyReducer::Handle(const StatementReceived& event) {
+  if (has_exited_) {
+    context_.Log(LogLevel::kWarning, kPart, "statement_after_exit",
+                 {{"id", event.statement.id.value()}});
+  }
   session_manager_.OnStatement(event.session, event.statement, &context_);
 }
 
@@ -349,6 +353,7 @@
   }
   if (!is_time_up && !is_done) return;
   has_exited_ = true;
+  session_manager_.LogUnanswered(stop_started_, &context_);
   context_.Log(LogLevel::kInfo, kPart, "stopped",
                {{"took_ms", std::to_string(elapsed.millis())},
                 {"sessions", std::to_string(session_manager_.size())},
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -110,7 +110,11 @@
                                  const CallerStatement& statement,
                                  ProxyContext* context) {
   auto found = sessions_.find(number);
-  if (found == sessions_.end()) return;
+  if (found == sessions_.end()) {
+    context->Log(LogLevel::kWarning, kPart, "statement_dropped",
+                 {{"id", statement.id.value()}, {"cause", "session_closed"}});
+    return;
+  }
   Session* session = &found->second;
   session->statement = statement.id;
   session->received_at = context->now();
@@ -361,6 +365,28 @@
   }
 }
 
+void SessionManager::LogUnanswered(TimePoint stop_requested,
+                                   ProxyContext* context) const {
+  for (const auto& item : sessions_) {
+    const Session& session = item.second;
+    bool is_idle = !session.has_open_statement &&
+                   session.state == TransactionState::kNone;
+    if (is_idle) continue;
+    context->Log(
+        LogLevel::kWarning, kPart, "unanswered_at_exit",
+        {{"id", session.statement.value()},
+         {"database", session.database},
+         {"group", session.route.group.value()},
+         {"has_open_statement", session.has_open_statement ? "yes" : "no"},
+         {"in_transaction",
+          session.state == TransactionState::kNone ? "no" : "yes"},
+         {"received_after_stop_ms",
+          std::to_string((session.received_at - stop_requested).millis())},
+         {"waited_ms",
+          std::to_string((context->now() - session.received_at).millis())}});
+  }
+}
+
 size_t SessionManager::open_statements() const {
   size_t count = 0;
   for (const auto& item : sessions_) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -59,6 +59,9 @@
   void StartDraining(ProxyContext* context);
   // Aborts the open transactions that have no statement running.
   void AbortTransactions(ProxyContext* context);
+  // Logs each session whose statement or transaction ends without an answer,
+  // because the process exits.
+  void LogUnanswered(TimePoint stop_requested, ProxyContext* context) const;
 
   size_t size() const { return sessions_.size(); }
   size_t open_statements() const;
