Answer every statement that a stopping VM has accepted

Callers saw requests that a VM took long after SIGTERM and never answered (rule LOST).

Cause: the stages of a stop were applied once, to the sessions that met their condition at that moment. A session was closed if it was idle at 2.2 s, and a transaction was rolled back if it was idle at half of the grace time. A session that started later, that had only set a value, or a transaction with a statement running at that moment stayed and was served until the exit at 5.5 s, which cut whatever was open, and what came in the 50 ms after it.

Change: each stage stays in force. While the VM drains, a session is closed once it has been idle for 200 ms. From half of the grace time on no session and no operation begins, and a transaction is aborted as soon as its running statement is answered, with an answer that says so ("aborted"; "bad request" before, which callers do not repeat). At the exit every open statement gets an answer with what is known of it, and later ones are refused. So nothing can be taken that has no time left, and nothing is left open.

The simulated callers can now pause within operations, be some milliseconds away, and the world notes the statements that a VM has read.

--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -226,10 +226,6 @@
 }
 
 void ProxyReducer::Handle(const StatementReceived& event) {
-  if (has_exited_) {
-    context_.Log(LogLevel::kWarning, kPart, "statement_after_exit",
-                 {{"id", event.statement.id.value()}});
-  }
   session_manager_.OnStatement(event.session, event.statement, &context_);
 }
 
@@ -318,34 +314,30 @@
   context_.WakeAt(context_.now() + kStopCheckPeriod);
 }
 
+// A planned stop has a fixed schedule. Each stage accepts less than the one
+// before, so that nothing is left unanswered when the process exits.
 void ProxyReducer::AdvanceStop() {
   if (!is_stopping_ || has_exited_) return;
   context_.WakeAt(context_.now() + kStopCheckPeriod);
   Duration elapsed = context_.now() - stop_started_;
   Duration half_limit = Duration::Millis(options_.stop_limit().millis() / 2);
+  Duration exit_at = options_.stop_limit() - kStopMargin;
   if (elapsed >= kTrafficShiftTime && !has_started_draining_) {
     has_started_draining_ = true;
     session_manager_.StartDraining(&context_);
   }
-  if (elapsed >= half_limit && !has_aborted_) {
-    has_aborted_ = true;
-    session_manager_.AbortTransactions(&context_);
+  if (elapsed >= half_limit && !refuses_operations_) {
+    refuses_operations_ = true;
+    session_manager_.RefuseOperations(&context_);
   }
-  bool is_busy = session_manager_.size() != 0;
   std::string busy_groups;
-  for (const auto& item : owners_) {
-    const GroupOwner& owner = *item.second;
-    bool has_work = owner.work_count() != 0 || owner.open_transactions() != 0 ||
-                    owner.is_replacing_primary();
-    if (has_work) busy_groups += item.first.value() + " ";
-    is_busy = is_busy || has_work;
-  }
-  bool is_time_up = elapsed >= options_.stop_limit() - kStopMargin;
-  bool is_done = !is_busy && elapsed >= kTrafficShiftTime;
+  bool is_done =
+      elapsed >= kTrafficShiftTime && !IsBusyWhileStopping(&busy_groups);
+  bool is_time_up = elapsed >= exit_at;
   // The load balancer may send callers until the end if it has no better VM.
   // Accepted callers are served, so the last check for remaining work comes
   // after the listener was closed.
-  bool stops_listening = is_time_up || is_done || elapsed >= half_limit;
+  bool stops_listening = is_time_up || is_done || refuses_operations_;
   if (stops_listening && !has_stopped_listening_) {
     has_stopped_listening_ = true;
     context_.Emit(StopListening{});
@@ -354,6 +346,7 @@
   if (!is_time_up && !is_done) return;
   has_exited_ = true;
   session_manager_.LogUnanswered(stop_started_, &context_);
+  session_manager_.AnswerAll(&context_);
   context_.Log(LogLevel::kInfo, kPart, "stopped",
                {{"took_ms", std::to_string(elapsed.millis())},
                 {"sessions", std::to_string(session_manager_.size())},
@@ -361,6 +354,16 @@
   context_.Emit(Exit{});
 }
 
+bool ProxyReducer::IsBusyWhileStopping(std::string* busy_groups) const {
+  for (const auto& item : owners_) {
+    const GroupOwner& owner = *item.second;
+    bool has_work = owner.work_count() != 0 || owner.open_transactions() != 0 ||
+                    owner.is_replacing_primary();
+    if (has_work) *busy_groups += item.first.value() + " ";
+  }
+  return !busy_groups->empty() || session_manager_.size() != 0;
+}
+
 VmId ProxyReducer::TargetVm(SessionNumber session, const StatementCall& call) {
   bool is_continuation =
       call.transaction != TransactionKind::kNone && !call.opens_transaction;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -129,6 +129,8 @@
   void CheckFleetReachability();
   void OnWake();
   void AdvanceStop();
+  // Appends the groups that this VM still works for.
+  bool IsBusyWhileStopping(std::string* busy_groups) const;
   void TrackConnections(ProxyEffects* effects);
 
   VmRecord self_;
@@ -151,7 +153,7 @@
   bool is_stopping_ = false;
   bool has_started_draining_ = false;
   bool has_stopped_listening_ = false;
-  bool has_aborted_ = false;
+  bool refuses_operations_ = false;
   bool has_exited_ = false;
   TimePoint started_;
   TimePoint stop_started_;
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr char kPart[] = "entry";
+constexpr char kStopping[] = "this VM is stopping";
 
 CallerAnswer MakeAnswer(Outcome outcome, const std::string& detail) {
   CallerAnswer answer;
@@ -30,7 +31,13 @@
 void SessionManager::OnStarted(SessionNumber number,
                                const std::string& database,
                                ProxyContext* context) {
-  sessions_[number].database = database;
+  Session& session = sessions_[number];
+  session.database = database;
+  session.idle_since = context->now();
+  if (stop_stage_ >= StopStage::kRefusing) {
+    RefuseSession(number, Outcome::kBusy, kStopping, context);
+    return;
+  }
   if (router_->routes().version == 0) {
     awaiting_routes_[number] = context->now() + kSessionStartTimeout;
     context->WakeAt(context->now() + kSessionStartTimeout);
@@ -48,11 +55,18 @@
     return;
   }
   Outcome outcome = table.version == 0 ? Outcome::kBusy : Outcome::kNoDatabase;
+  RefuseSession(number, outcome, database, context);
+}
+
+void SessionManager::RefuseSession(SessionNumber number, Outcome outcome,
+                                   const std::string& detail,
+                                   ProxyContext* context) {
   context->Log(LogLevel::kInfo, kPart, "session_refused",
-               {{"database", database},
+               {{"database", sessions_[number].database},
                 {"outcome", OutcomeName(outcome)},
-                {"routes_version", std::to_string(table.version)}});
-  context->Emit(GreetCaller{number, outcome, database});
+                {"detail", detail},
+                {"routes_version", std::to_string(router_->routes().version)}});
+  context->Emit(GreetCaller{number, outcome, detail});
   sessions_.erase(number);
 }
 
@@ -72,28 +86,52 @@
     awaiting_routes_.erase(number);
     Greet(number, context);
   }
+  if (stop_stage_ == StopStage::kDraining) CloseIdle(kIdleBeforeClose, context);
 }
 
 void SessionManager::Answer(SessionNumber number, Session* session,
                             CallerAnswer answer, ProxyContext* context) {
   answer.state = session->state;
+  session->idle_since = context->now();
   context->Emit(AnswerStatement{number, std::move(answer)});
 }
 
-// Called at the end of a caller's operation, that is, a transaction or a single
-// statement. A stopping VM closes the session at this point, and not between
-// the statements that prepare an operation.
-void SessionManager::CloseIfDraining(SessionNumber number,
-                                     ProxyContext* context) {
-  if (!is_draining_) return;
-  auto found = sessions_.find(number);
-  bool is_idle = found != sessions_.end() &&
-                 found->second.state == TransactionState::kNone;
-  if (!is_idle) return;
-  sessions_.erase(found);
+// Answers the last statement of a caller's operation, that is, of a transaction
+// or a single statement. A stopping VM closes the session at this point, and
+// not between the statements that prepare an operation.
+void SessionManager::AnswerLast(SessionNumber number, Session* session,
+                                CallerAnswer answer, ProxyContext* context) {
+  bool closes = stop_stage_ != StopStage::kNone && IsIdle(number, *session);
+  Answer(number, session, std::move(answer), context);
+  if (closes) Close(number, context);
+}
+
+void SessionManager::Close(SessionNumber number, ProxyContext* context) {
+  sessions_.erase(number);
   context->Emit(CloseSession{number});
 }
 
+bool SessionManager::IsIdle(SessionNumber number,
+                            const Session& session) const {
+  return !session.has_open_statement &&
+         session.state == TransactionState::kNone &&
+         awaiting_routes_.count(number) == 0;
+}
+
+void SessionManager::CloseIdle(Duration idle_time, ProxyContext* context) {
+  std::vector<SessionNumber> idle;
+  for (const auto& item : sessions_) {
+    if (!IsIdle(item.first, item.second)) continue;
+    TimePoint close_at = item.second.idle_since + idle_time;
+    if (context->now() >= close_at) {
+      idle.push_back(item.first);
+    } else {
+      context->WakeAtCoarse(close_at);
+    }
+  }
+  for (SessionNumber number : idle) Close(number, context);
+}
+
 void SessionManager::Refuse(SessionNumber number, Session* session,
                             Outcome outcome, const std::string& detail,
                             ProxyContext* context) {
@@ -103,7 +141,7 @@
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
-  Answer(number, session, MakeAnswer(outcome, detail), context);
+  AnswerLast(number, session, MakeAnswer(outcome, detail), context);
 }
 
 void SessionManager::OnStatement(SessionNumber number,
@@ -122,6 +160,7 @@
     Refuse(number, session, Outcome::kBadRequest, statement.text, context);
     return;
   }
+  if (RefuseWhileStopping(number, session, statement, context)) return;
   bool ends_transaction = statement.kind == StatementKind::kRollback ||
                           statement.kind == StatementKind::kCommit;
   if (session->state == TransactionState::kFailed && !ends_transaction) {
@@ -133,6 +172,21 @@
   Forward(number, session, statement, context);
 }
 
+bool SessionManager::RefuseWhileStopping(SessionNumber number, Session* session,
+                                         const CallerStatement& statement,
+                                         ProxyContext* context) {
+  if (stop_stage_ < StopStage::kRefusing) return false;
+  if (session->state == TransactionState::kNone) {
+    Refuse(number, session, Outcome::kBusy, kStopping, context);
+    return true;
+  }
+  bool ends_transaction = statement.kind == StatementKind::kRollback ||
+                          statement.kind == StatementKind::kCommit;
+  if (!session->is_aborted_by_stop || ends_transaction) return false;
+  Refuse(number, session, Outcome::kAborted, kStopping, context);
+  return true;
+}
+
 bool SessionManager::TryAnswerLocally(SessionNumber number, Session* session,
                                       const CallerStatement& statement,
                                       ProxyContext* context) {
@@ -212,6 +266,7 @@
   session->transaction_number++;
   session->is_begun = false;
   session->has_written = false;
+  session->is_aborted_by_stop = false;
   Answer(number, session, CallerAnswer(), context);
 }
 
@@ -228,8 +283,7 @@
   }
   session->state = TransactionState::kNone;
   session->transaction_kind = TransactionKind::kNone;
-  Answer(number, session, CallerAnswer(), context);
-  CloseIfDraining(number, context);
+  AnswerLast(number, session, CallerAnswer(), context);
 }
 
 void SessionManager::Forward(SessionNumber number, Session* session,
@@ -310,8 +364,11 @@
   answer.rows = std::move(reply.rows);
   answer.signature = std::move(reply.signature);
   answer.detail = std::move(reply.detail);
-  Answer(number, session, std::move(answer), context);
-  CloseIfDraining(number, context);
+  bool stays_open = session->state == TransactionState::kOpen;
+  AnswerLast(number, session, std::move(answer), context);
+  if (stays_open && stop_stage_ >= StopStage::kRefusing) {
+    AbortTransaction(number, session, context);
+  }
 }
 
 void SessionManager::OnEnded(SessionNumber number, ProxyContext* context) {
@@ -333,44 +390,75 @@
 }
 
 void SessionManager::StartDraining(ProxyContext* context) {
-  is_draining_ = true;
+  stop_stage_ = StopStage::kDraining;
   context->Log(LogLevel::kInfo, kPart, "closing_sessions",
                {{"sessions", std::to_string(sessions_.size())}});
-  for (auto it = sessions_.begin(); it != sessions_.end();) {
-    const Session& session = it->second;
-    bool is_idle = !session.has_open_statement &&
-                   session.state == TransactionState::kNone &&
-                   awaiting_routes_.count(it->first) == 0;
-    if (!is_idle) {
-      ++it;
-      continue;
-    }
-    context->Emit(CloseSession{it->first});
-    it = sessions_.erase(it);
-  }
+  CloseIdle(kIdleBeforeClose, context);
 }
 
-void SessionManager::AbortTransactions(ProxyContext* context) {
+void SessionManager::RefuseOperations(ProxyContext* context) {
+  stop_stage_ = StopStage::kRefusing;
+  std::map<SessionNumber, TimePoint> waiting;
+  waiting.swap(awaiting_routes_);
+  for (const auto& item : waiting) Greet(item.first, context);
   for (auto& item : sessions_) {
     Session& session = item.second;
-    bool is_idle =
+    bool is_waiting =
         session.state == TransactionState::kOpen && !session.has_open_statement;
-    if (!is_idle) continue;
-    if (session.is_begun) {
+    if (is_waiting) AbortTransaction(item.first, &session, context);
+  }
+  CloseIdle(Duration(), context);
+}
+
+void SessionManager::AbortTransaction(SessionNumber number, Session* session,
+                                      ProxyContext* context) {
+  if (session->is_begun) {
+    router_->RouteEndTransaction(
+        EndTransactionCall{session->route.group, KeyOf(number, context),
+                           session->transaction_number});
+  }
+  session->state = TransactionState::kFailed;
+  session->is_aborted_by_stop = true;
+}
+
+void SessionManager::AnswerAll(ProxyContext* context) {
+  stop_stage_ = StopStage::kAnsweredAll;
+  std::vector<SessionNumber> open;
+  for (const auto& item : sessions_) {
+    if (item.second.has_open_statement) open.push_back(item.first);
+  }
+  for (SessionNumber number : open) {
+    const Session& session = sessions_[number];
+    bool must_roll_back = session.state != TransactionState::kNone &&
+                          session.access != Access::kCommit;
+    if (must_roll_back) {
       router_->RouteEndTransaction(
-          EndTransactionCall{session.route.group, KeyOf(item.first, context),
+          EndTransactionCall{session.route.group, KeyOf(number, context),
                              session.transaction_number});
     }
-    session.state = TransactionState::kFailed;
+    StatementReply reply;
+    reply.outcome = OutcomeIfUnanswered(session);
+    reply.detail = kStopping;
+    OnReply(number, std::move(reply), context);
   }
 }
 
+// What is known of an open statement without the owner's reply.
+Outcome SessionManager::OutcomeIfUnanswered(const Session& session) {
+  bool in_transaction = session.state != TransactionState::kNone;
+  bool may_commit = session.access == Access::kCommit
+                        ? session.has_written
+                        : !in_transaction && session.access == Access::kWrite;
+  if (may_commit) return Outcome::kUnknown;
+  return in_transaction ? Outcome::kAborted : Outcome::kBusy;
+}
+
 void SessionManager::LogUnanswered(TimePoint stop_requested,
                                    ProxyContext* context) const {
   for (const auto& item : sessions_) {
     const Session& session = item.second;
-    bool is_idle = !session.has_open_statement &&
-                   session.state == TransactionState::kNone;
+    bool is_idle =
+        !session.has_open_statement && session.state == TransactionState::kNone;
     if (is_idle) continue;
     context->Log(
         LogLevel::kWarning, kPart, "unanswered_at_exit",
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -9,6 +9,8 @@
 // Statements that need no upstream are answered locally. A transaction begins
 // at an upstream only when its first statement is sent.
 //
+// Every statement that was accepted is answered, also by a VM that stops.
+//
 // Limits: one open statement for each session.
 
 #ifndef FIREFLYCART_CORE_PROXY_SESSION_MANAGER_H_
@@ -40,6 +42,9 @@
   // A caller abandons the start of a session after 2 s, so a session that is
   // still without routes is refused before that.
   static constexpr Duration kSessionStartTimeout = Duration::Millis(1700);
+  // A draining VM closes a session that has done nothing for this long. A
+  // caller prepares and begins an operation within a few round trips.
+  static constexpr Duration kIdleBeforeClose = Duration::Millis(200);
 
   explicit SessionManager(StatementRouter* router) : router_(router) {}
 
@@ -54,11 +59,17 @@
   void OnRoutes(ProxyContext* context);
   void OnWake(ProxyContext* context);
 
-  // Planned stop: closes the sessions that are idle outside a transaction, and
-  // the others as soon as their statement or transaction ends.
+  // Planned stop, in this order. Draining closes the sessions that are idle
+  // outside a transaction, and the others as soon as their statement or
+  // transaction ends; a new session is given kIdleBeforeClose to begin its
+  // operation.
   void StartDraining(ProxyContext* context);
-  // Aborts the open transactions that have no statement running.
-  void AbortTransactions(ProxyContext* context);
+  // Refuses new sessions and operations, and aborts the open transactions, each
+  // once its running statement is answered.
+  void RefuseOperations(ProxyContext* context);
+  // Answers each open statement with what is known of it, and refuses those
+  // that still come.
+  void AnswerAll(ProxyContext* context);
   // Logs each session whose statement or transaction ends without an answer,
   // because the process exits.
   void LogUnanswered(TimePoint stop_requested, ProxyContext* context) const;
@@ -76,17 +87,34 @@
     uint64_t transaction_number = 0;  // Of the current or last one.
     bool is_begun = false;  // Its first statement was sent to the owner.
     bool has_written = false;
+    bool is_aborted_by_stop = false;
     Route route;           // Of the current transaction or statement.
     LogPosition position;  // Of the last commit.
     bool has_open_statement = false;
     StatementId statement;  // Of the open statement, as is access.
     Access access = Access::kRead;
     TimePoint received_at;
+    TimePoint idle_since;  // Since it was accepted or last answered.
   };
 
+  enum class StopStage { kNone, kDraining, kRefusing, kAnsweredAll };
+
   void Answer(SessionNumber number, Session* session, CallerAnswer answer,
               ProxyContext* context);
-  void CloseIfDraining(SessionNumber number, ProxyContext* context);
+  void AnswerLast(SessionNumber number, Session* session, CallerAnswer answer,
+                  ProxyContext* context);
+  // Closes the sessions that have been idle outside a transaction for so long.
+  void CloseIdle(Duration idle_time, ProxyContext* context);
+  void Close(SessionNumber number, ProxyContext* context);
+  bool IsIdle(SessionNumber number, const Session& session) const;
+  // Handles a statement of a stopping VM that serves no more operations; false
+  // if the statement may proceed.
+  bool RefuseWhileStopping(SessionNumber number, Session* session,
+                           const CallerStatement& statement,
+                           ProxyContext* context);
+  void AbortTransaction(SessionNumber number, Session* session,
+                        ProxyContext* context);
+  static Outcome OutcomeIfUnanswered(const Session& session);
   void Refuse(SessionNumber number, Session* session, Outcome outcome,
               const std::string& detail, ProxyContext* context);
   bool TryAnswerLocally(SessionNumber number, Session* session,
@@ -99,12 +127,14 @@
   void Forward(SessionNumber number, Session* session,
                const CallerStatement& statement, ProxyContext* context);
   void Greet(SessionNumber number, ProxyContext* context);
+  void RefuseSession(SessionNumber number, Outcome outcome,
+                     const std::string& detail, ProxyContext* context);
   SessionKey KeyOf(SessionNumber number, ProxyContext* context) const;
 
   StatementRouter* router_;
   std::map<SessionNumber, Session> sessions_;
   std::map<SessionNumber, TimePoint> awaiting_routes_;  // With deadlines.
-  bool is_draining_ = false;
+  StopStage stop_stage_ = StopStage::kNone;
 };
 
 }  // namespace fireflycart::proxy
--- /dev/null
+++ b/fireflycart/standins/testing/session_stop_test.cc
@@ -0,0 +1,100 @@
+// Stops VMs as planned while their callers go on, in virtual time, and checks
+// that each statement that a VM has read is answered.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "fireflycart/standins/testing/session_world.h"
+
+namespace fireflycart::standins {
+namespace {
+
+constexpr uint64_t kSeed = 23;
+constexpr int kVms = 3;
+// The platform ends a process this long after SIGTERM.
+constexpr Duration kGrace = Duration::Seconds(6);
+
+class SessionStopTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionStopTest);
+  CPPUNIT_TEST(Vm_StopsWhileCallersAreMostlyIdle_LateStatementsAreAnswered);
+  CPPUNIT_TEST(Vm_StopsDuringLongTransactions_EveryStatementIsAnswered);
+  CPPUNIT_TEST(Vm_StopsWhileUpstreamsAreSlow_EveryStatementIsAnswered);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A session that is neither idle nor busy when the VM closes sessions: its
+  // caller has connected or set a value, and sends a statement much later.
+  void Vm_StopsWhileCallersAreMostlyIdle_LateStatementsAreAnswered() {
+    SessionWorldOptions options;
+    options.callers = 60;
+    options.pause = Duration::Millis(900);
+    options.statement_pause = Duration::Millis(700);
+    options.database.statement_time = Duration::Millis(120);
+    MakeWorld(options);
+    StopEachVm();
+    ExpectInvariantsHold();
+  }
+
+  void Vm_StopsDuringLongTransactions_EveryStatementIsAnswered() {
+    SessionWorldOptions options;
+    options.callers = 60;
+    options.only_writes = true;
+    options.statement_pause = Duration::Millis(40);
+    options.database.statement_time = Duration::Millis(900);
+    MakeWorld(options);
+    StopEachVm();
+    ExpectInvariantsHold();
+  }
+
+  // Statements take longer than the rest of the stop.
+  void Vm_StopsWhileUpstreamsAreSlow_EveryStatementIsAnswered() {
+    SessionWorldOptions options;
+    options.callers = 60;
+    options.timeout = Duration::Seconds(8);
+    options.database.statement_time = Duration::Millis(4000);
+    MakeWorld(options);
+    StopEachVm();
+    ExpectInvariantsHold();
+  }
+
+ private:
+  void MakeWorld(const SessionWorldOptions& options) {
+    world_ = std::make_unique<SessionWorld>(options, kSeed);
+    // No other VM is ready, so the load balancer uses those that are stopping.
+    world_->IgnoreReadiness();
+  }
+
+  void StopEachVm() {
+    world_->Run(Duration::Seconds(2));
+    for (int vm = 0; vm < kVms; vm++) {
+      world_->StopVm(vm);
+      world_->Run(kGrace);
+      CPPUNIT_ASSERT(world_->HasExited(vm));
+      world_->StartVm(vm);
+      world_->Run(Duration::Seconds(1));
+    }
+  }
+
+  void ExpectInvariantsHold() {
+    world_->PauseCallers(true);
+    world_->Run(Duration::Seconds(10));
+    world_->CheckEffects();
+    if (!world_->problem().empty()) {
+      for (const std::string& line : world_->TakeLog()) {
+        bool is_stop = line.find("node.") != std::string::npos ||
+                       line.find("unanswered") != std::string::npos ||
+                       line.find("dropped") != std::string::npos;
+        if (is_stop) std::cerr << line << "\n";
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+  }
+
+  std::unique_ptr<SessionWorld> world_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionStopTest);
+
+}  // namespace
+}  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -34,6 +34,8 @@
   int vms = 3;
   int callers = 12;
   Duration pause = Duration::Millis(20);  // Between two operations of a caller.
+  Duration statement_pause;  // Between two statements of an operation.
+  Duration caller_latency;   // One way, between a caller and its VM.
   DatabaseOptions database;
   proxy::ReadConsistency consistency = proxy::ReadConsistency::kStrong;
   bool only_writes = false;
@@ -41,6 +43,7 @@
   bool mixed_consistencies = true;
   Duration max_age = Duration::Millis(1000);
   Duration target = Duration::Millis(200);
+  Duration timeout = Duration::Millis(1000);  // Of one statement.
 };
 
 // Outcomes of the callers' operations.
@@ -145,6 +148,12 @@
   void EndProcess(Vm* vm, uint64_t incarnation);
   // Delivers an event, or drops it if the VM is down or was restarted since.
   void Deliver(Vm* vm, uint64_t incarnation, proxy::ProxyEventBody body);
+  // Sends an event from a caller to its VM.
+  void SendFromCaller(Caller* caller, proxy::ProxyEventBody body);
+  // Runs the action when a message of the VM reaches the caller of the session,
+  // unless the caller has left the session by then.
+  void SendToCaller(Vm* vm, proxy::SessionNumber session,
+                    std::function<void(Caller*)> action);
 
   void StepCaller(Caller* caller);
   void Connect(Caller* caller);
--- a/fireflycart/standins/testing/session_world_parts.h
+++ b/fireflycart/standins/testing/session_world_parts.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
   bool has_exited = false;
   bool is_listening = true;
   std::map<uint64_t, Caller*> sessions;
+  std::set<uint64_t> unanswered;  // Sessions with a statement that it has read.
   uint64_t last_session = 0;
 };
 
