Return the queue of an owner that stops

Callers saw writes end as unknown although they had never run: an owner that exits took its queue with it, and the VMs of the callers could not tell what had been sent to an upstream.

Cause: a stopping owner served its queue until the exit and then closed the calls of the other VMs without a reply.

Evidence: Owner_StopsWithFullQueue_WritesOfOtherVmsMove failed before: more writes were unknown than the primary has slots (slow upstreams, 150 callers).

Change: 400 ms before the exit the owner returns what other VMs have queued with it as "misdirected", so that they send it to the next owner, and accepts only statements of transactions that run with it. The VM also cancels what its own callers have queued elsewhere. Nothing of this has run, so a repeat is safe.

--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -7,6 +7,7 @@
 #include "fireflycart/core/proxy/group_owner.h"
 
 #include <utility>
+#include <vector>
 
 namespace fireflycart::proxy {
 namespace {
@@ -140,6 +141,29 @@
   }
 }
 
+void GroupOwner::ReturnQueued(ProxyContext* context) {
+  std::vector<StatementNumber> queued;
+  for (const Work* work : queue_.All()) queued.push_back(work->number);
+  if (queued.empty()) return;
+  context->Log(
+      LogLevel::kInfo, kPart, "queue_returned",
+      {{"group", spec_.id.value()}, {"queued", std::to_string(queued.size())}});
+  for (StatementNumber number : queued) {
+    Work* work = FindWork(number);
+    if (work == nullptr) continue;
+    if (work->origin.is_local) {
+      Fail(work, Outcome::kBusy, "vm_stopping", context);
+      continue;
+    }
+    queue_.Remove(work);
+    WorkOrigin origin = work->origin;
+    work_.erase(number);
+    StatementReply reply;
+    reply.is_misdirected = true;
+    reply_handler_->OnStatementDone(origin, std::move(reply));
+  }
+}
+
 void GroupOwner::OnOpened(const UpstreamOpened& event, ProxyContext* context) {
   pool_.OnOpened(event.connection, event.position, context);
   PooledConnection* connection = pool_.Find(event.connection);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -73,6 +73,10 @@
                     ProxyContext* context);
   void EndTransaction(const TransactionKey& key, ProxyContext* context);
 
+  // Planned stop of this VM. Returns the queued statements of other VMs to
+  // them, and refuses its own, since none of them has run.
+  void ReturnQueued(ProxyContext* context);
+
   void OnOpened(const UpstreamOpened& event, ProxyContext* context);
   void OnClosed(const UpstreamClosed& event, ProxyContext* context);
   void OnAnswered(const UpstreamAnswered& event, ProxyContext* context);
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -18,6 +18,9 @@
 constexpr Duration kStopCheckPeriod = Duration::Millis(100);
 // A stopping VM exits this long before the stop limit, to avoid being killed.
 constexpr Duration kStopMargin = Duration::Millis(500);
+// What still waits in a queue this long before the exit is returned, so that
+// other owners can run it or its caller can repeat it.
+constexpr Duration kReturnQueuedMargin = Duration::Millis(400);
 // Part of the drain time reserved for the announcement to reach this VM and for
 // running statements to finish.
 constexpr Duration kDrainMargin = Duration::Millis(1500);
@@ -330,6 +333,11 @@
     refuses_operations_ = true;
     session_manager_.RefuseOperations(&context_);
   }
+  if (elapsed >= exit_at - kReturnQueuedMargin && !has_returned_queued_) {
+    has_returned_queued_ = true;
+    for (auto& item : owners_) item.second->ReturnQueued(&context_);
+    session_manager_.CancelQueued(&context_);
+  }
   std::string busy_groups;
   bool is_done =
       elapsed >= kTrafficShiftTime && !IsBusyWhileStopping(&busy_groups);
@@ -463,7 +471,10 @@
   origin.is_local = false;
   origin.handle = handle;
   GroupOwner* owner = OwnerFor(call.group);
-  if (owner == nullptr) {
+  bool continues =
+      call.transaction != TransactionKind::kNone && !call.opens_transaction;
+  bool is_too_late = has_exited_ || (has_returned_queued_ && !continues);
+  if (owner == nullptr || is_too_late) {
     StatementReply misdirected;
     misdirected.is_misdirected = true;
     context_.Emit(AnswerPeer{handle, misdirected});
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -421,6 +421,17 @@
   session->is_aborted_by_stop = true;
 }
 
+void SessionManager::CancelQueued(ProxyContext* context) {
+  std::vector<CancelQueuedCall> calls;
+  for (const auto& item : sessions_) {
+    const Session& session = item.second;
+    if (!session.has_open_statement) continue;
+    calls.push_back(CancelQueuedCall{
+        session.route.group, KeyOf(item.first, context), session.statement});
+  }
+  for (const CancelQueuedCall& call : calls) router_->RouteCancelQueued(call);
+}
+
 void SessionManager::AnswerAll(ProxyContext* context) {
   stop_stage_ = StopStage::kAnsweredAll;
   std::vector<SessionNumber> open;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -67,6 +67,8 @@
   // Refuses new sessions and operations, and aborts the open transactions, each
   // once its running statement is answered.
   void RefuseOperations(ProxyContext* context);
+  // Cancels the open statements that no upstream has received yet.
+  void CancelQueued(ProxyContext* context);
   // Answers each open statement with what is known of it, and refuses those
   // that still come.
   void AnswerAll(ProxyContext* context);
--- a/fireflycart/standins/testing/session_stop_test.cc
+++ b/fireflycart/standins/testing/session_stop_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Vm_StopsWhileCallersAreMostlyIdle_LateStatementsAreAnswered);
   CPPUNIT_TEST(Vm_StopsDuringLongTransactions_EveryStatementIsAnswered);
   CPPUNIT_TEST(Vm_StopsWhileUpstreamsAreSlow_EveryStatementIsAnswered);
+  CPPUNIT_TEST(Owner_StopsWithFullQueue_WritesOfOtherVmsMove);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -58,6 +59,27 @@
     ExpectInvariantsHold();
   }
 
+  // Nothing that still waits in the queue of an owner has run, so it can move
+  // to the next owner.
+  void Owner_StopsWithFullQueue_WritesOfOtherVmsMove() {
+    SessionWorldOptions options;
+    options.callers = 150;
+    options.only_writes = true;
+    options.timeout = Duration::Seconds(8);
+    options.database.slots = 2;
+    options.database.statement_time = Duration::Millis(100);
+    MakeWorld(options);
+    world_->Run(Duration::Seconds(3));
+    int owner = world_->owner().value().back() - '0';
+    world_->ResetCounts();
+    world_->StopVm(owner);
+    world_->Run(kGrace);
+    CPPUNIT_ASSERT(world_->HasExited(owner));
+    // At most what the two slots of the primary were running.
+    CPPUNIT_ASSERT(world_->counts().unknown <= options.database.slots);
+    ExpectInvariantsHold();
+  }
+
  private:
   void MakeWorld(const SessionWorldOptions& options) {
     world_ = std::make_unique<SessionWorld>(options, kSeed);
