Ask callers to leave before a session is closed

A write that ends so is not repeated, since it may have run.

Cause: a stopping VM closed an idle session's connection at once. A statement that was on its way met a closed socket, and the caller could not tell whether it had run.

Change: the VM sends an error line, upon which a caller without an open statement closes its session. A caller whose statement crosses the line takes it as the refusal of that statement, which is true, as the VM runs nothing of the session any more; the VM completes the answer with a state in which callers leave the session. After the last statement of an operation the request is part of the answer's message, as many callers begin their next operation at once. The VM exits when its callers have left, within a second.

--- a/fireflycart/core/proxy/proxy_event.h
+++ b/fireflycart/core/proxy/proxy_event.h
@@ -77,6 +77,10 @@
   CallerAnswer answer;
 };
 
+// Asks the caller to leave. The session has no open statement and accepts no
+// more: a statement that crosses this request is refused as busy, and its event
+// is only logged. Ends with SessionEnded once the caller has closed its
+// connection.
 struct CloseSession {
   SessionNumber session;
 };
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -369,7 +369,8 @@
                     owner.is_replacing_primary();
     if (has_work) *busy_groups += item.first.value() + " ";
   }
-  return !busy_groups->empty() || session_manager_.size() != 0;
+  return !busy_groups->empty() || session_manager_.size() != 0 ||
+         session_manager_.IsAwaitingClose(context_.now());
 }
 
 VmId ProxyReducer::TargetVm(SessionNumber session, const StatementCall& call) {
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -97,17 +97,24 @@
 }
 
 // Answers the last statement of a caller's operation, that is, of a transaction
-// or a single statement. A stopping VM closes the session at this point, and
-// not between the statements that prepare an operation.
+// or a single statement. A stopping VM closes the session with this answer, and
+// not between the statements that prepare an operation. The request to close is
+// part of the same message, since many callers begin their next operation as
+// soon as they have the answer.
 void SessionManager::AnswerLast(SessionNumber number, Session* session,
                                 CallerAnswer answer, ProxyContext* context) {
-  bool closes = stop_stage_ != StopStage::kNone && IsIdle(number, *session);
+  answer.closes_session =
+      stop_stage_ != StopStage::kNone && IsIdle(number, *session);
+  bool closes = answer.closes_session;
   Answer(number, session, std::move(answer), context);
-  if (closes) Close(number, context);
+  if (!closes) return;
+  sessions_.erase(number);
+  closing_[number] = context->now();
 }
 
 void SessionManager::Close(SessionNumber number, ProxyContext* context) {
   sessions_.erase(number);
+  closing_[number] = context->now();
   context->Emit(CloseSession{number});
 }
 
@@ -132,6 +139,13 @@
   for (SessionNumber number : idle) Close(number, context);
 }
 
+bool SessionManager::IsAwaitingClose(TimePoint now) const {
+  for (const auto& item : closing_) {
+    if (now - item.second < kCloseTimeout) return true;
+  }
+  return false;
+}
+
 void SessionManager::Refuse(SessionNumber number, Session* session,
                             Outcome outcome, const std::string& detail,
                             ProxyContext* context) {
@@ -149,8 +163,12 @@
                                  ProxyContext* context) {
   auto found = sessions_.find(number);
   if (found == sessions_.end()) {
-    context->Log(LogLevel::kWarning, kPart, "statement_dropped",
-                 {{"id", statement.id.value()}, {"cause", "session_closed"}});
+    auto closed = closing_.find(number);
+    if (closed == closing_.end()) return;
+    Duration since = context->now() - closed->second;
+    context->Log(LogLevel::kInfo, kPart, "statement_crossed_close",
+                 {{"id", statement.id.value()},
+                  {"closed_ms_ago", std::to_string(since.millis())}});
     return;
   }
   Session* session = &found->second;
@@ -372,6 +390,7 @@
 }
 
 void SessionManager::OnEnded(SessionNumber number, ProxyContext* context) {
+  closing_.erase(number);
   auto found = sessions_.find(number);
   if (found == sessions_.end()) return;
   Session& session = found->second;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -45,6 +45,8 @@
   // A draining VM closes a session that has done nothing for this long. A
   // caller prepares and begins an operation within a few round trips.
   static constexpr Duration kIdleBeforeClose = Duration::Millis(200);
+  // A caller that is told of a close leaves within a round trip.
+  static constexpr Duration kCloseTimeout = Duration::Millis(1000);
 
   explicit SessionManager(StatementRouter* router) : router_(router) {}
 
@@ -77,6 +79,9 @@
   void LogUnanswered(TimePoint stop_requested, ProxyContext* context) const;
 
   size_t size() const { return sessions_.size(); }
+  // True if a caller may still send a statement that crosses the close of its
+  // session.
+  bool IsAwaitingClose(TimePoint now) const;
   size_t open_statements() const;
 
  private:
@@ -136,6 +141,9 @@
   StatementRouter* router_;
   std::map<SessionNumber, Session> sessions_;
   std::map<SessionNumber, TimePoint> awaiting_routes_;  // With deadlines.
+  // Sessions that were closed and whose callers have not left yet, with the
+  // times of their closing.
+  std::map<SessionNumber, TimePoint> closing_;
   StopStage stop_stage_ = StopStage::kNone;
 };
 
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -109,6 +109,7 @@
   std::string signature;  // Proves which upstream ran it; may be empty.
   std::string detail;
   TransactionState state = TransactionState::kNone;
+  bool closes_session = false;  // As CloseSession, in the same message.
 };
 
 enum class CommandKind {
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -213,6 +213,18 @@
   caller->vm = nullptr;
 }
 
+void SessionWorld::OnCloseRequest(Caller* caller) {
+  if (caller->vm == nullptr) return;
+  if (caller->is_waiting) {
+    CallerAnswer refused;
+    refused.outcome = Outcome::kBusy;
+    OnAnswer(caller, refused);
+    return;
+  }
+  SendFromCaller(caller, proxy::SessionEnded{caller->session});
+  OnDisconnected(caller);
+}
+
 void SessionWorld::OnDisconnected(Caller* caller) {
   Vm* vm = caller->vm;
   if (vm != nullptr) vm->sessions.erase(caller->session.value());
--- a/fireflycart/standins/testing/session_stop_test.cc
+++ b/fireflycart/standins/testing/session_stop_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Vm_StopsWhileCallersAreMostlyIdle_LateStatementsAreAnswered);
   CPPUNIT_TEST(Vm_StopsDuringLongTransactions_EveryStatementIsAnswered);
   CPPUNIT_TEST(Vm_StopsWhileUpstreamsAreSlow_EveryStatementIsAnswered);
+  CPPUNIT_TEST(Vm_ClosesIdleSessions_CrossingStatementsAreRefused);
   CPPUNIT_TEST(Owner_StopsWithFullQueue_WritesOfOtherVmsMove);
   CPPUNIT_TEST_SUITE_END();
 
@@ -59,6 +60,17 @@
     ExpectInvariantsHold();
   }
 
+  // The message that closes a session and a statement pass each other.
+  void Vm_ClosesIdleSessions_CrossingStatementsAreRefused() {
+    SessionWorldOptions options;
+    options.callers = 100;
+    options.caller_latency = Duration::Millis(3);
+    MakeWorld(options);
+    StopEachVm();
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().unknown);
+    ExpectInvariantsHold();
+  }
+
   // Nothing that still waits in the queue of an owner has run, so it can move
   // to the next owner.
   void Owner_StopsWithFullQueue_WritesOfOtherVmsMove() {
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -268,9 +268,12 @@
 
 void SessionWorld::Reduce(Vm* vm, proxy::ProxyEventBody body) {
   if (const auto* received = std::get_if<proxy::StatementReceived>(&body)) {
-    vm->unanswered.insert(received->session.value());
+    // The close request that it crosses is its answer.
+    bool is_refused = vm->closing.count(received->session.value()) != 0;
+    if (!is_refused) vm->unanswered.insert(received->session.value());
   } else if (const auto* ended = std::get_if<proxy::SessionEnded>(&body)) {
     vm->unanswered.erase(ended->session.value());
+    vm->closing.erase(ended->session.value());
   }
   Perform(vm, vm->reducer->Reduce(proxy::ProxyEvent{now_, std::move(body)}));
 }
@@ -323,6 +326,7 @@
   Vm* vm = vms_[static_cast<size_t>(index)].get();
   vm->reducer.reset();
   vm->unanswered.clear();
+  vm->closing.clear();
   for (auto it = connections_.begin(); it != connections_.end();) {
     if (it->second.first != vm) {
       ++it;
@@ -414,14 +418,18 @@
 
 void SessionWorld::PerformOne(Vm* vm, const proxy::AnswerStatement& e) {
   vm->unanswered.erase(e.session.value());
+  if (e.answer.closes_session) vm->closing.insert(e.session.value());
   proxy::CallerAnswer answer = e.answer;
-  SendToCaller(vm, e.session,
-               [this, answer](Caller* caller) { OnAnswer(caller, answer); });
+  SendToCaller(vm, e.session, [this, answer](Caller* caller) {
+    OnAnswer(caller, answer);
+    if (answer.closes_session) OnCloseRequest(caller);
+  });
 }
 
 void SessionWorld::PerformOne(Vm* vm, const proxy::CloseSession& e) {
+  vm->closing.insert(e.session.value());
   SendToCaller(vm, e.session,
-               [this](Caller* caller) { OnDisconnected(caller); });
+               [this](Caller* caller) { OnCloseRequest(caller); });
 }
 
 void SessionWorld::PerformOne(Vm* vm, const proxy::StopListening& e) {
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -161,6 +161,8 @@
   void SendNext(Caller* caller);
   void OnAnswer(Caller* caller, const proxy::CallerAnswer& answer);
   void EndOperation(Caller* caller, proxy::Outcome outcome);
+  // The VM asks the caller to leave its session.
+  void OnCloseRequest(Caller* caller);
   void OnDisconnected(Caller* caller);
   std::string RouteName(proxy::ReadConsistency consistency) const;
   void WriteRoutes(uint64_t version, Duration timeout);
--- a/fireflycart/standins/testing/session_world_parts.h
+++ b/fireflycart/standins/testing/session_world_parts.h
@@ -26,6 +26,7 @@
   bool is_listening = true;
   std::map<uint64_t, Caller*> sessions;
   std::set<uint64_t> unanswered;  // Sessions with a statement that it has read.
+  std::set<uint64_t> closing;     // Sessions whose callers it asked to leave.
   uint64_t last_session = 0;
 };
 
