--- a/fireflycart/net/address.cc
+++ b/fireflycart/net/address.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include "fireflycart/core/error.h"
+#include "fireflycart/core/short_text.h"
 
 namespace fireflycart {
 namespace {
@@ -13,13 +14,15 @@
 constexpr size_t kMaxPortDigits = 5;
 
 [[noreturn]] void Fail(const std::string& text) {
-  throw Error(ErrorCode::kInvalidArgument, "parse address", text,
+  throw Error(ErrorCode::kInvalidArgument, "parse address", ShortText(text),
               "allowed is an IP address and a port, as in 127.0.0.1:7001");
 }
 
 }  // namespace
 
 IpAddress ParseAddress(const std::string& text) {
+  // The C library that validates the IP address stops at a NUL.
+  if (!IsName(text)) Fail(text);
   size_t colon = text.rfind(':');
   if (colon == std::string::npos) Fail(text);
   std::string port = text.substr(colon + 1);
