Read the VMs' own records within limits, and log those that are skipped

A row under an empty key was taken as the VM that stands for none. Rows that were not taken left no log line.

Cause: the fields were read by get(), which converts any number.

Change: the record is read by bounded_json.h, and a skipped row is logged with its key, field and value.

Why it works: the numbers that placement uses are in a range in which its sums and products fit an int.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -9,12 +9,23 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "fireflycart/core/bounded_json.h"
+#include "fireflycart/core/short_text.h"
+
 namespace fireflycart::proxy {
 namespace {
 
 constexpr char kPart[] = "store";
+// 10,000 cores. Sums over all VMs and twice its value fit an int.
+constexpr int64_t kMaxCpuPermille = 10'000'000;
 constexpr Duration kAnnouncementTimeout = Duration::Millis(1000);
 
+void LogSkipped(StoreTable table, const std::string& problem,
+                ProxyContext* context) {
+  context->Log(LogLevel::kWarning, kPart, "row_skipped",
+               {{"table", StoreTableName(table)}, {"problem", problem}});
+}
+
 }  // namespace
 
 std::string StoreFollower::EncodeVm(const VmRecord& record) {
@@ -25,16 +36,18 @@
   return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-bool StoreFollower::DecodeVm(const std::string& value, VmRecord* record) {
-  nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
-  if (!json.is_object()) return false;
+bool StoreFollower::DecodeVm(const std::string& value, VmRecord* record,
+                             std::string* problem) {
   try {
-    record->address = json.at("address").get<std::string>();
-    record->data_centre =
-        DataCentreId(json.at("data_centre").get<std::string>());
-    record->incarnation = json.at("incarnation").get<uint64_t>();
-    record->cpu_permille = json.at("cpu_permille").get<int>();
-  } catch (const nlohmann::json::exception&) {
+    if (!IsName(record->vm.value())) throw BadDocument("key is not a name");
+    nlohmann::json json = ParseJsonObject(value);
+    record->address = NameField(json, "address");
+    record->data_centre = DataCentreId(TextField(json, "data_centre"));
+    record->incarnation = UnsignedField(json, "incarnation");
+    record->cpu_permille = static_cast<int>(
+        IntegerField(json, "cpu_permille", 0, kMaxCpuPermille));
+  } catch (const BadDocument& e) {
+    *problem = "vm " + ShortText(record->vm.value()) + ": " + e.what();
     return false;
   }
   return true;
@@ -206,9 +219,7 @@
 void StoreFollower::Apply(const Table& table, const StoreAnswered& answer,
                           bool is_whole, ProxyContext* context) {
   for (const std::string& problem : answer.problems) {
-    context->Log(
-        LogLevel::kWarning, kPart, "row_skipped",
-        {{"table", StoreTableName(table.table)}, {"problem", problem}});
+    LogSkipped(table.table, problem, context);
   }
   switch (table.table) {
     case StoreTable::kRoutes:
@@ -220,7 +231,7 @@
       ApplyUpstreams(answer, is_whole, context);
       break;
     case StoreTable::kVms:
-      ApplyVms(answer, is_whole);
+      ApplyVms(answer, is_whole, context);
       break;
     case StoreTable::kDuties:
       break;
@@ -260,7 +271,8 @@
   changes_++;
 }
 
-void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole) {
+void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole,
+                             ProxyContext* context) {
   bool has_changes = is_whole || !answer.rows.empty();
   if (answer.version < vms_.version || !has_changes) return;
   if (is_whole) {
@@ -271,12 +283,14 @@
     VmRecord record;
     record.vm = VmId(row.key);
     record.version = row.version;
-    if (row.is_deleted || !DecodeVm(row.value, &record)) {
-      vms_.records.erase(record.vm);
-      vms_removed_version_ = answer.version;
-    } else {
+    std::string problem;
+    if (!row.is_deleted && DecodeVm(row.value, &record, &problem)) {
       vms_.records[record.vm] = record;
+      continue;
     }
+    vms_.records.erase(record.vm);
+    vms_removed_version_ = answer.version;
+    if (!problem.empty()) LogSkipped(StoreTable::kVms, problem, context);
   }
   vms_.version = answer.version;
   vm_changes_++;
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -49,7 +49,10 @@
 
   // Serializes and parses the value of a row of kVms.
   static std::string EncodeVm(const VmRecord& record);
-  static bool DecodeVm(const std::string& value, VmRecord* record);
+  // Returns false and names the field in *problem if the value is not valid.
+  // Reads all but the VM itself, which is the key of the row.
+  static bool DecodeVm(const std::string& value, VmRecord* record,
+                       std::string* problem);
 
   void Start(const VmRecord& self, ProxyContext* context);
   // Handles the answer to a call of this object; false if the call is not its
@@ -107,7 +110,8 @@
                    ProxyContext* context);
   void ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                       ProxyContext* context);
-  void ApplyVms(const StoreAnswered& answer, bool is_whole);
+  void ApplyVms(const StoreAnswered& answer, bool is_whole,
+                ProxyContext* context);
   void MergeVms(const VmList& vms);
   void AdvanceVersion(StoreTable which, uint64_t version);
   bool MustFollow(ProxyContext* context) const;
