Bound the nesting of messages of peers and of callers' bodies

Callers saw: a message to the peers' address that nests 200,000 arrays, or the body {"group":[[...]]} of a call over HTTP, ended the daemon.

Cause: the JSON library reads CBOR, and writes and copies documents, recursively, so the stack grew with the sender's nesting. An odd row in the table of VMs can name an address whose answers do this.

Change: these three parsers use bounded_json.h.

Why it works: the parser stops at 32 levels, which no message of ours reaches.

--- a/fireflycart/core/configuration.cc
+++ b/fireflycart/core/configuration.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "fireflycart/core/bounded_json.h"
 #include "fireflycart/core/error.h"
 
 namespace fireflycart {
@@ -333,10 +334,13 @@
 
 ConfigurationResult ParseConfiguration(const std::string& text) {
   ConfigurationResult result;
-  Json document = Json::parse(text, nullptr, false);
-  if (document.is_discarded()) {
-    result.problems.push_back(
-        {"", text.substr(0, kMaxExcerptLength), "a JSON object"});
+  Json document;
+  try {
+    document = ParseJson(text);
+  } catch (const BadDocument&) {
+    result.problems.push_back({"", text.substr(0, kMaxExcerptLength),
+                               "a JSON object of at most " +
+                                   std::to_string(kMaxJsonDepth) + " levels"});
     return result;
   }
   Parser(&result).Parse(document);
--- a/fireflycart/core/testing/configuration_test.cc
+++ b/fireflycart/core/testing/configuration_test.cc
@@ -12,6 +12,7 @@
 class ConfigurationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConfigurationTest);
   CPPUNIT_TEST(Parse_NotJson_OneProblem);
+  CPPUNIT_TEST(Parse_NestedDeeply_OneProblem);
   CPPUNIT_TEST(Parse_ManyFaults_AllReportedWithPaths);
   CPPUNIT_TEST(Parse_UnknownField_Reported);
   CPPUNIT_TEST(Difference_Applied_GivesTarget);
@@ -22,6 +23,16 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, ParseConfiguration("{").problems.size());
   }
 
+  void Parse_NestedDeeply_OneProblem() {
+    constexpr size_t kLevels = 200'000;
+    std::string nested = std::string(kLevels, '[') + std::string(kLevels, ']');
+    ConfigurationResult result =
+        ParseConfiguration(R"({"ranks":)" + nested + "}");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, result.problems.size());
+    CPPUNIT_ASSERT(result.problems[0].allowed.find("32 levels") !=
+                   std::string::npos);
+  }
+
   void Parse_ManyFaults_AllReportedWithPaths() {
     ConfigurationResult result = ParseConfiguration(
         R"({"ranks":[{"name":"a","target_ms":0},{"name":"a","target_ms":1}],)"
--- a/fireflycart/daemon/caller_api.cc
+++ b/fireflycart/daemon/caller_api.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "fireflycart/core/bounded_json.h"
 #include "fireflycart/net/json_types.h"
 
 namespace fireflycart {
@@ -52,8 +53,13 @@
 class BodyReader {
  public:
   explicit BodyReader(const std::string& text) {
-    body_ = Json::parse(text, nullptr, false);
-    if (!body_.is_object()) Fail("(body)", text, "a JSON object");
+    try {
+      body_ = ParseJsonObject(text);
+    } catch (const BadDocument&) {
+      Fail("(body)", text,
+           "a JSON object of at most " + std::to_string(kMaxJsonDepth) +
+               " levels");
+    }
   }
 
   std::string ReadText(const char* field, size_t max_bytes, bool required) {
--- a/fireflycart/daemon/testing/fuzz_targets.cc
+++ b/fireflycart/daemon/testing/fuzz_targets.cc
@@ -6,16 +6,21 @@
 #include "fireflycart/core/config_manager.h"
 #include "fireflycart/core/configuration.h"
 #include "fireflycart/core/error.h"
+#include "fireflycart/core/proxy/store_follower.h"
+#include "fireflycart/core/short_text.h"
 #include "fireflycart/daemon/caller_api.h"
 #include "fireflycart/net/address.h"
 #include "fireflycart/net/peer_codec.h"
 #include "fireflycart/net/platform_codec.h"
 #include "fireflycart/net/upstream_codec.h"
+#include "platform/documents.h"
+#include "platform/testing/document_seeds.h"
 
 namespace fireflycart {
 namespace {
 
 constexpr char kPeer[] = "fuzz";
+constexpr size_t kMaxProblem = 512;
 
 void ParseAnyConfiguration(const std::string& input) {
   ConfigurationResult parsed = ParseConfiguration(input);
@@ -40,6 +45,10 @@
                  "a second round trip changes the encoding");
 }
 
+void RoundTrip(const proxy::SnapshotReply& reply) {
+  DecodeAnyPeerReply(EncodePeerReply(reply));
+}
+
 void DecodeAnyUpstreamReply(const std::string& input) {
   EncodeUpstreamReply(DecodeUpstreamReply(input, kPeer));
 }
@@ -56,6 +65,52 @@
   EncodeConfigPointer(DecodeConfigPointer(input));
 }
 
+// A record that was accepted must hold only what a line of the wire protocol
+// and a message to a peer can hold.
+void DecodeAnyUpstream(const std::string& input) {
+  proxy::UpstreamRecord record;
+  std::string problem;
+  bool is_valid = platform::DecodeUpstream("up-1", input, &record, &problem);
+  CheckInvariant(is_valid == problem.empty() && problem.size() <= kMaxProblem,
+                 "fuzz upstream", "the problem is missing or too long");
+  if (!is_valid) throw Error(ErrorCode::kInvalidArgument, "", "", problem);
+  CheckInvariant(IsName(record.group.value()) && IsName(record.address) &&
+                     IsName(record.data_centre.value()) && record.slots > 0,
+                 "fuzz upstream", "a field has a value that is not allowed");
+  proxy::SnapshotReply reply;
+  reply.upstreams.records[record.id] = record;
+  RoundTrip(reply);
+}
+
+void DecodeAnyRoutes(const std::string& input) {
+  proxy::RouteTable routes;
+  std::string problem;
+  bool is_valid = platform::DecodeRoutes(input, &routes, &problem);
+  CheckInvariant(is_valid == problem.empty() && problem.size() <= kMaxProblem,
+                 "fuzz routes", "the problem is missing or too long");
+  if (!is_valid) throw Error(ErrorCode::kInvalidArgument, "", "", problem);
+  proxy::SnapshotReply reply;
+  reply.routes = routes;
+  RoundTrip(reply);
+}
+
+void DecodeAnyVm(const std::string& input) {
+  proxy::VmRecord record;
+  record.vm = VmId("vm-1");
+  std::string problem;
+  bool is_valid = proxy::StoreFollower::DecodeVm(input, &record, &problem);
+  CheckInvariant(is_valid == problem.empty() && problem.size() <= kMaxProblem,
+                 "fuzz vm", "the problem is missing or too long");
+  if (!is_valid) throw Error(ErrorCode::kInvalidArgument, "", "", problem);
+  proxy::VmRecord again;
+  again.vm = record.vm;
+  is_valid = proxy::StoreFollower::DecodeVm(
+      proxy::StoreFollower::EncodeVm(record), &again, &problem);
+  CheckInvariant(is_valid && again.incarnation == record.incarnation &&
+                     again.cpu_permille == record.cpu_permille,
+                 "fuzz vm", "a second round trip changes the record");
+}
+
 void ParseAnyAddress(const std::string& input) { ParseAddress(input); }
 
 void ParseAnyCall(const std::string& input) {
@@ -116,6 +171,12 @@
       {"config_pointer",
        DecodeAnyPointer,
        {EncodeConfigPointer(ConfigPointer())}},
+      {"upstream", DecodeAnyUpstream, {platform::UpstreamSeed()}},
+      {"routes", DecodeAnyRoutes, {platform::RoutesSeed()}},
+      {"vm",
+       DecodeAnyVm,
+       {proxy::StoreFollower::EncodeVm(proxy::VmRecord{
+           VmId("a"), "127.0.0.1:1", DataCentreId("d"), 7, 250, 0})}},
       {"address", ParseAnyAddress, {"127.0.0.1:7001"}},
       {"caller_call",
        ParseAnyCall,
--- a/fireflycart/net/peer_codec.cc
+++ b/fireflycart/net/peer_codec.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "fireflycart/core/bounded_json.h"
 #include "fireflycart/core/error.h"
 #include "fireflycart/net/json_types.h"
 #include "fireflycart/net/proxy_codec.h"
@@ -290,7 +291,7 @@
 Variant Decode(const std::string& bytes, const char* step,
                const std::string& peer) {
   try {
-    Json message = Json::from_cbor(bytes);
+    Json message = ParseCbor(bytes);
     Variant body;
     size_t type = message.at("t").get<size_t>();
     if (!DecodeAlternative(type, message.at("b"), &body)) {
@@ -298,6 +299,8 @@
                   "message type " + std::to_string(type) + " is not known");
     }
     return body;
+  } catch (const BadDocument& e) {
+    throw Error(ErrorCode::kProtocol, step, peer, e.what());
   } catch (const Json::exception& e) {
     throw Error(ErrorCode::kProtocol, step, peer, e.what());
   }
