Let another writer leave odd entries in the soak and in the tour

The stand-in's order "odd" writes entries that nobody of ours wrote into the tables of upstreams, VMs and configuration: nested 61,440 levels, numbers that do not fit, a port out of range, bytes that are no JSON, CR LF in a service and in a key, an empty key, a text of 60 KiB. One takes the place of a replica's entry, which "register" writes again. The soak draws it as odd_entries; the tour has it before the last promotion and waits until all VMs are ready.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -217,6 +217,16 @@
         self.note("store compacts")
         await self.fleet.admin("compact")
 
+    async def odd_entries(self):
+        """Another writer leaves odd entries, one in place of a replica's."""
+        async with self.upstream_lock:
+            primary = (await self.fleet.admin("state"))["primary"]
+            replica = self.random.choice([u for u in UPSTREAMS if u != primary])
+            self.note(f"odd entries, one in place of {replica}")
+            await self.fleet.admin(f"odd?{replica}")
+            await self.lasts(0.5, 3)
+            await self.fleet.admin(f"register?{replica}")
+
     async def routes(self):
         """New routes come, one after the other."""
         for _ in range(self.random.randint(1, 4)):
@@ -227,7 +237,8 @@
 
 
 UNPLANNED = ("delay", "reset", "cut_one_way", "cut", "mute", "isolate", "pause", "kill",
-             "kill_all", "crash", "dark", "break_answers", "store_down", "compact")
+             "kill_all", "crash", "dark", "break_answers", "store_down", "compact",
+             "odd_entries")
 PLANNED = ("stop", "hup", "drain", "routes")
 
 
@@ -275,6 +286,15 @@
     fleet.signal(2, signal.SIGHUP)
     await asyncio.sleep(2)
     await fleet.admin("up")
+    primary = (await fleet.admin("state"))["primary"]
+    replica = next(u for u in UPSTREAMS if u != primary)
+    faults.note(f"odd entries, one in place of {replica}")
+    await fleet.admin(f"odd?{replica}")
+    await asyncio.sleep(1)
+    for vm in range(VMS):
+        await fleet.wait_ready(vm)
+    await fleet.admin(f"register?{replica}")
+    await asyncio.sleep(1)
     leaving = (await fleet.admin("state"))["primary"]
     faults.note(f"drain {leaving}")
     await fleet.admin(f"drain?{leaving}")
