--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_rows_test.cc
@@ -14,8 +14,8 @@
     R"({"address":"10.0.0.2:7","data_centre":"a","incarnation":3,)"
     R"("cpu_permille":250})";
 
-class StoreFollowerTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(StoreFollowerTest);
+class StoreRowsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreRowsTest);
   CPPUNIT_TEST(Vms_OddRow_SkippedWithOneLogLine);
   CPPUNIT_TEST(Vms_OddRowUnderGoodKey_AbsentUntilGoodAgain);
   CPPUNIT_TEST(Vms_OddKey_Skipped);
@@ -183,7 +183,7 @@
   uint64_t version_ = 5;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreRowsTest);
 
 }  // namespace
 }  // namespace fireflycart::proxy
