--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -26,6 +26,16 @@
                {{"table", StoreTableName(table)}, {"problem", problem}});
 }
 
+// Records that an answer of the store was not applied, since a peer has sent
+// newer data meanwhile, or since the versions of the store went back.
+void LogOutOfDate(StoreTable table, uint64_t version, uint64_t in_force,
+                  ProxyContext* context) {
+  context->Log(LogLevel::kWarning, kPart, "answer_out_of_date",
+               {{"table", StoreTableName(table)},
+                {"version", std::to_string(version)},
+                {"in_force", std::to_string(in_force)}});
+}
+
 }  // namespace
 
 std::string StoreFollower::EncodeVm(const VmRecord& record) {
@@ -253,7 +263,12 @@
 void StoreFollower::ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                                    ProxyContext* context) {
   bool has_changes = is_whole || !answer.upstreams.empty();
-  if (answer.version < upstreams_.version || !has_changes) return;
+  if (!has_changes) return;
+  if (answer.version < upstreams_.version) {
+    LogOutOfDate(StoreTable::kUpstreams, answer.version, upstreams_.version,
+                 context);
+    return;
+  }
   if (is_whole) upstreams_.records.clear();
   for (const UpstreamChange& change : answer.upstreams) {
     if (!change.is_present) {
@@ -274,7 +289,11 @@
 void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole,
                              ProxyContext* context) {
   bool has_changes = is_whole || !answer.rows.empty();
-  if (answer.version < vms_.version || !has_changes) return;
+  if (!has_changes) return;
+  if (answer.version < vms_.version) {
+    LogOutOfDate(StoreTable::kVms, answer.version, vms_.version, context);
+    return;
+  }
   if (is_whole) {
     vms_.records.clear();
     vms_removed_version_ = answer.version;
