--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -115,7 +115,7 @@
     row_seen_at_ = context->now();
     has_token_ = true;
     is_token_promoting_ = requested_row_ == RequestedRow::kPromotingRow;
-    token_ = answer.version;
+    token_ = answer.version.number;
     token_term_ = term_;
     granted_at_ = context->now();
     requested_row_ = RequestedRow::kNone;
@@ -130,7 +130,7 @@
 }
 
 void DutyLease::OnRow(const StoreAnswered& answer, ProxyContext* context) {
-  uint64_t version = 0;
+  StoreVersion version;
   std::string value;
   for (const StoreRow& row : answer.rows) {
     if (row.key != group_.value() || row.is_deleted) continue;
@@ -139,7 +139,7 @@
   }
   bool changed = version != row_version_ || row_seen_at_ == TimePoint();
   if (changed) row_seen_at_ = context->now();
-  if (version != token_) has_token_ = false;
+  if (version.number != token_) has_token_ = false;
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -68,7 +68,7 @@
   CallId read_;
   CallId write_;
   bool has_row_ = false;
-  uint64_t row_version_ = 0;
+  StoreVersion row_version_;
   std::string row_value_;
   TimePoint row_seen_at_;  // When this version was first read.
   bool has_token_ = false;
--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -220,10 +220,12 @@
   if (found != vms_.end()) {
     Vm& vm = found->second;
     if (heartbeat.is_leaving) OnLeaving(id, context);
-    if (vm.reaches_store != heartbeat.reaches_store) version_++;
-    vm.reaches_store = heartbeat.reaches_store;
-    bool has_tables =
-        heartbeat.known.routes != 0 && heartbeat.known.upstreams != 0;
+    // A VM that does not tell the era cannot follow the store for others.
+    bool reaches_store = heartbeat.reaches_store && heartbeat.tells_era;
+    if (vm.reaches_store != reaches_store) version_++;
+    vm.reaches_store = reaches_store;
+    bool has_tables = heartbeat.known.routes != 0 &&
+                      heartbeat.known.upstreams != StoreVersion();
     SetCanOwn(&vm, has_tables, context);
     if (vm.is_down) {
       vm.next_probe = context->now();
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -89,8 +89,8 @@
 // Versions of the platform store's tables that a VM has.
 struct KnownVersions {
   uint64_t routes = 0;
-  uint64_t upstreams = 0;
-  uint64_t vms = 0;
+  StoreVersion upstreams;
+  StoreVersion vms;
 
   bool IsAheadOf(const KnownVersions& o) const {
     return routes > o.routes || upstreams > o.upstreams || vms > o.vms;
@@ -110,6 +110,11 @@
   // In calls: the sender takes the receiver for lost, so it or another VM may
   // own the receiver's groups by now.
   bool takes_receiver_for_lost = false;
+  // Newest era of the store that the sender knows; its tables may be older.
+  StoreEra era;
+  // False for an earlier version of the program, which does not notice a new
+  // era, so its tables may be out of date.
+  bool tells_era = true;
 };
 struct HeartbeatCall {
   Heartbeat heartbeat;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -96,6 +96,7 @@
     ApplyRoutesAndUpstreams();
   }
   if (applied_fleet_version_ != fleet_.version()) ApplyPlacement();
+  has_changes = ApplyEra() || has_changes;
   if (has_changes) fleet_.NotifyContacts(&context_);
   if (announced_reaches_store_ != follower_.reaches_store()) {
     announced_reaches_store_ = follower_.reaches_store();
@@ -104,6 +105,13 @@
   CheckFleetReachability();
 }
 
+// True if the store was restored since the last call.
+bool ProxyReducer::ApplyEra() {
+  if (applied_era_ == follower_.era()) return false;
+  applied_era_ = follower_.era();
+  return follower_.restored_at() != TimePoint();
+}
+
 // Applies the list of VMs if it changed; returns true if it was applied. Many
 // VMs start at the same moment, so changes are applied in batches.
 bool ProxyReducer::ApplyVms() {
@@ -288,6 +296,7 @@
 
 void ProxyReducer::Handle(const StoreAnswered& event) {
   if (follower_.OnStore(event, &context_)) return;
+  follower_.OnEra(event.version.era, "store", &context_);
   for (auto& item : owners_) {
     if (item.second->OnStore(event, &context_)) return;
   }
@@ -443,11 +452,16 @@
   heartbeat.store_age = follower_.store_age(context_.now());
   heartbeat.reaches_store = follower_.reaches_store();
   heartbeat.is_leaving = is_stopping_;
+  heartbeat.era = follower_.era();
   return heartbeat;
 }
 
 void ProxyReducer::OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) {
-  follower_.OnPeerStoreAge(heartbeat.store_age, &context_);
+  follower_.OnEra(heartbeat.era, "peer", &context_);
+  // A VM that misses new eras may follow the store without effect.
+  if (heartbeat.tells_era) {
+    follower_.OnPeerStoreAge(heartbeat.store_age, &context_);
+  }
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
   std::string address = fleet_.AddressOf(vm);
   if (address.empty()) address = heartbeat.address;
@@ -516,10 +530,10 @@
   if (follower_.routes().version > call.known.routes) {
     reply.routes = follower_.routes();
   }
-  if (follower_.upstreams().version > call.known.upstreams) {
-    reply.upstreams = follower_.upstreams();
+  if (follower_.known().upstreams > call.known.upstreams) {
+    reply.upstreams = follower_.stored_upstreams();
   }
-  if (follower_.vms().version > call.known.vms) {
+  if (follower_.known().vms > call.known.vms) {
     reply.vms = follower_.VmsAfter(call.known.vms);
   }
   context_.Emit(AnswerPeer{handle, std::move(reply)});
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -124,6 +124,7 @@
   void RequestSnapshot();
   void ApplyChanges();
   bool ApplyVms();
+  bool ApplyEra();
   void ApplyRoutesAndUpstreams();
   void ApplyPlacement();
   void CheckFleetReachability();
@@ -147,6 +148,7 @@
   std::string newer_peer_address_;
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
+  StoreEra applied_era_;
   TimePoint next_fleet_update_;
   uint64_t applied_fleet_version_ = 0;
   bool announced_reaches_store_ = true;
--- a/fireflycart/core/proxy/route.h
+++ b/fireflycart/core/proxy/route.h
@@ -15,6 +15,7 @@
 
 #include "fireflycart/core/clock.h"
 #include "fireflycart/core/ids.h"
+#include "fireflycart/core/proxy/store_version.h"
 
 namespace fireflycart::proxy {
 
@@ -61,11 +62,18 @@
   bool leaving = false;
   bool is_primary = false;  // As the upstream itself reports.
   int64_t started_ms = 0;   // By its wall clock; distinguishes restarts.
+
+  bool operator==(const UpstreamRecord& o) const {
+    return id == o.id && group == o.group && address == o.address &&
+           data_centre == o.data_centre && slots == o.slots &&
+           leaving == o.leaving && is_primary == o.is_primary &&
+           started_ms == o.started_ms;
+  }
 };
 
 // All registered upstreams as of one version of the registry.
 struct UpstreamList {
-  uint64_t version = 0;
+  StoreVersion version;
   std::map<UpstreamId, UpstreamRecord> records;
 };
 
@@ -76,13 +84,20 @@
   DataCentreId data_centre;
   uint64_t incarnation = 0;
   int cpu_permille = 0;  // Of one core.
-  uint64_t version = 0;  // Registry version at which the record was written.
+  StoreVersion version;  // Registry version at which the record was written.
+
+  bool operator==(const VmRecord& o) const {
+    return vm == o.vm && address == o.address && data_centre == o.data_centre &&
+           incarnation == o.incarnation && cpu_permille == o.cpu_permille &&
+           version == o.version;
+  }
 };
 
 // The registered VMs as of one version of the registry.
 struct VmList {
-  uint64_t version = 0;
-  uint64_t after = 0;  // Includes only later changes; 0: all records.
+  StoreVersion version;
+  // Includes only later changes, in the same era; number 0: all records.
+  StoreVersion after;
   std::map<VmId, VmRecord> records;
 };
 
--- a/fireflycart/core/proxy/store.h
+++ b/fireflycart/core/proxy/store.h
@@ -17,6 +17,7 @@
 
 #include "fireflycart/core/clock.h"
 #include "fireflycart/core/proxy/route.h"
+#include "fireflycart/core/proxy/store_version.h"
 
 namespace fireflycart::proxy {
 
@@ -35,18 +36,20 @@
 // Waits up to `wait` for the first change after a version (long polling).
 struct FollowTable {
   StoreTable table = StoreTable::kRoutes;
-  uint64_t after = 0;
+  StoreVersion after;
   Duration wait;
 };
 
 // Replaces one row of kVms or kDuties. With a condition, it is replaced only if
-// it has the expected version; 0 means that the row does not exist.
+// it has the expected version; number 0 means that the row does not exist. If
+// the answer is of another era than the expected version, the condition may
+// have matched another row that has the same number.
 struct WriteRow {
   StoreTable table = StoreTable::kVms;
   std::string key;
   std::string value;
   bool has_condition = false;
-  uint64_t expected_version = 0;
+  StoreVersion expected_version;
 };
 
 struct StoreCall {
@@ -69,7 +72,7 @@
 struct StoreRow {
   std::string key;
   std::string value;
-  uint64_t version = 0;
+  StoreVersion version;
   bool is_deleted = false;
 };
 
@@ -83,9 +86,11 @@
 struct StoreAnswered {
   CallId call;
   StoreStatus status = StoreStatus::kUnknown;
-  uint64_t version = 0;            // Newest version that the answer reflects.
-  std::vector<StoreRow> rows;      // kVms, kDuties.
-  std::vector<RouteTable> routes;  // kRoutes: newest last.
+  // Newest version that the answer reflects. Answers without rows, such as
+  // refusals, may tell the era only.
+  StoreVersion version;
+  std::vector<StoreRow> rows;             // kVms, kDuties.
+  std::vector<RouteTable> routes;         // kRoutes: newest last.
   std::vector<UpstreamChange> upstreams;  // kUpstreams.
   std::vector<std::string> problems;      // Rows that could not be parsed.
 };
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -3,6 +3,11 @@
 // failed follow call is repeated from the same version, since the store keeps
 // changes for a while. While the store does not answer, only one table is
 // retried.
+//
+// A version is compared only within an era. When a newer era is noticed, the
+// open calls are dropped and the tables are read whole, since changes after a
+// version of the older era do not exist, even if the store has that number
+// again. A VM that does not read the store receives the new lists from peers.
 
 #include "fireflycart/core/proxy/store_follower.h"
 
@@ -28,12 +33,12 @@
 
 // Records that an answer of the store was not applied, since a peer has sent
 // newer data meanwhile, or since the versions of the store went back.
-void LogOutOfDate(StoreTable table, uint64_t version, uint64_t in_force,
-                  ProxyContext* context) {
+void LogOutOfDate(StoreTable table, const StoreVersion& version,
+                  const StoreVersion& in_force, ProxyContext* context) {
   context->Log(LogLevel::kWarning, kPart, "answer_out_of_date",
                {{"table", StoreTableName(table)},
-                {"version", std::to_string(version)},
-                {"in_force", std::to_string(in_force)}});
+                {"version", FormatVersion(version)},
+                {"in_force", FormatVersion(in_force)}});
 }
 
 }  // namespace
@@ -89,7 +94,9 @@
 
 void StoreFollower::Step(Table* table, ProxyContext* context) {
   if (table->call != CallId()) return;
-  if (table->is_current && !MustFollow(context)) return;
+  // The lists of a new era come from peers, too.
+  bool may_wait = table->is_current || table->version != StoreVersion();
+  if (may_wait && !MustFollow(context)) return;
   if (IsOtherTableRetrying(*table)) return;
   if (context->now() < table->next) {
     context->WakeAt(table->next);
@@ -156,7 +163,56 @@
   store_answered_at_ = std::max(store_answered_at_, context->now() - age);
 }
 
+void StoreFollower::OnEra(StoreEra era, const char* source,
+                          ProxyContext* context) {
+  if (NoteEra(era, source, context)) StepAll(context);
+}
+
+// Returns true if the store was restored as far as this VM can tell. The first
+// era that a VM hears of is no restore.
+bool StoreFollower::NoteEra(StoreEra era, const char* source,
+                            ProxyContext* context) {
+  if (!(era_ < era)) return false;
+  bool is_first = era_ == StoreEra() && !has_upstreams() && !has_vms() &&
+                  routes_.version == 0;
+  StoreEra before = era_;
+  era_ = era;
+  if (is_first) return false;
+  restored_at_ = context->now();
+  context->Log(LogLevel::kWarning, kPart, "new_era",
+               {{"era", std::to_string(era.value())},
+                {"before", std::to_string(before.value())},
+                {"source", source},
+                {"upstreams", FormatVersion(upstreams_.version())},
+                {"vms", FormatVersion(vms_.version())}});
+  for (Table& table : tables_) {
+    table.call = CallId();
+    table.is_current = false;
+    table.next = TimePoint();
+  }
+  return true;
+}
+
+void StoreFollower::ExpireKeptRecords(ProxyContext* context) {
+  size_t upstreams = upstreams_.kept_count();
+  size_t vms = vms_.kept_count();
+  bool has_expired_upstreams = upstreams_.Expire(context->now());
+  bool has_expired_vms = vms_.Expire(context->now());
+  if (has_expired_upstreams) changes_++;
+  if (has_expired_vms) vm_changes_++;
+  if (has_expired_upstreams || has_expired_vms) {
+    context->Log(LogLevel::kInfo, kPart, "restored_lists_in_force",
+                 {{"era", std::to_string(era_.value())},
+                  {"upstreams_kept",
+                   std::to_string(has_expired_upstreams ? upstreams : 0)},
+                  {"vms_kept", std::to_string(has_expired_vms ? vms : 0)}});
+  }
+  if (upstreams_.kept_count() != 0) context->WakeAt(upstreams_.kept_until());
+  if (vms_.kept_count() != 0) context->WakeAt(vms_.kept_until());
+}
+
 void StoreFollower::OnWake(ProxyContext* context) {
+  ExpireKeptRecords(context);
   Announce(context);
   StepAll(context);
 }
@@ -165,6 +221,7 @@
                             ProxyContext* context) {
   if (announcement_ != CallId() && answer.call == announcement_) {
     announcement_ = CallId();
+    NoteEra(answer.version.era, "store", context);
     is_announced_ = answer.status == StoreStatus::kOk;
     if (!is_announced_) {
       next_announcement_ = context->now() + kRetryDelay * 2;
@@ -172,30 +229,49 @@
                    {{"status", StoreStatusName(answer.status)}});
     }
     Announce(context);
+    StepAll(context);
     return true;
   }
   for (Table& table : tables_) {
     if (table.call == CallId() || table.call != answer.call) continue;
     table.call = CallId();
-    if (answer.status == StoreStatus::kOk) {
-      OnAnswered(table, context);
-      Apply(table, answer, table.is_reading, context);
-      table.version = answer.version;
-      table.is_current = true;
-    } else if (answer.status == StoreStatus::kHistoryLost) {
-      context->Log(LogLevel::kWarning, kPart, "history_lost",
-                   {{"table", StoreTableName(table.table)},
-                    {"after", std::to_string(table.version)}});
-      table.is_current = false;
-    } else {
-      OnFailed(&table, answer.status, context);
-    }
+    NoteEra(answer.version.era, "store", context);
+    OnTableAnswered(&table, answer, context);
     StepAll(context);
     return true;
   }
   return false;
 }
 
+void StoreFollower::OnTableAnswered(Table* table, const StoreAnswered& answer,
+                                    ProxyContext* context) {
+  bool is_ok = answer.status == StoreStatus::kOk;
+  if (!is_ok && answer.status != StoreStatus::kHistoryLost) {
+    OnFailed(table, answer.status, context);
+    return;
+  }
+  if (is_ok) OnAnswered(*table, context);
+  if (is_ok && answer.version.era < era_) {
+    LogOutOfDate(table->table, answer.version, StoreVersion{era_, 0}, context);
+    table->is_current = false;
+    table->next = context->now() + kRetryDelay;
+    return;
+  }
+  bool has_changes_between =
+      table->is_reading || answer.version.era == table->version.era;
+  if (!is_ok || !has_changes_between) {
+    context->Log(LogLevel::kWarning, kPart, "history_lost",
+                 {{"table", StoreTableName(table->table)},
+                  {"after", FormatVersion(table->version)},
+                  {"era", std::to_string(answer.version.era.value())}});
+    table->is_current = false;
+    return;
+  }
+  Apply(*table, answer, table->is_reading, context);
+  table->version = answer.version;
+  table->is_current = true;
+}
+
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
   store_answered_at_ = context->now();
   if (reaches_store()) return;
@@ -222,7 +298,7 @@
     context->Log(LogLevel::kWarning, kPart, "store_lost",
                  {{"table", StoreTableName(table->table)},
                   {"status", StoreStatusName(status)},
-                  {"version", std::to_string(table->version)}});
+                  {"version", FormatVersion(table->version)}});
   }
 }
 
@@ -264,25 +340,33 @@
                                    ProxyContext* context) {
   bool has_changes = is_whole || !answer.upstreams.empty();
   if (!has_changes) return;
-  if (answer.version < upstreams_.version) {
-    LogOutOfDate(StoreTable::kUpstreams, answer.version, upstreams_.version,
+  if (answer.version < upstreams_.version()) {
+    LogOutOfDate(StoreTable::kUpstreams, answer.version, upstreams_.version(),
                  context);
     return;
   }
-  if (is_whole) upstreams_.records.clear();
+  UpstreamList list;
+  std::vector<UpstreamId> removed;
   for (const UpstreamChange& change : answer.upstreams) {
     if (!change.is_present) {
-      upstreams_.records.erase(change.id);
+      list.records.erase(change.id);
+      removed.push_back(change.id);
       continue;
     }
-    upstreams_.records[change.id] = change.record;
+    list.records[change.id] = change.record;
     if (!change.record.leaving) continue;
     context->Log(LogLevel::kInfo, kPart, "upstream_leaving",
                  {{"group", change.record.group.value()},
                   {"upstream", change.id.value()},
-                  {"version", std::to_string(answer.version)}});
+                  {"version", FormatVersion(answer.version)}});
+  }
+  list.version = answer.version;
+  if (is_whole) {
+    upstreams_.SetAll(std::move(list), context->now());
+    ExpireKeptRecords(context);
+  } else {
+    upstreams_.Change(list.records, removed, answer.version);
   }
-  upstreams_.version = answer.version;
   changes_++;
 }
 
@@ -290,78 +374,88 @@
                              ProxyContext* context) {
   bool has_changes = is_whole || !answer.rows.empty();
   if (!has_changes) return;
-  if (answer.version < vms_.version) {
-    LogOutOfDate(StoreTable::kVms, answer.version, vms_.version, context);
+  if (answer.version < vms_.version()) {
+    LogOutOfDate(StoreTable::kVms, answer.version, vms_.version(), context);
     return;
   }
-  if (is_whole) {
-    vms_.records.clear();
-    vms_removed_version_ = answer.version;
-  }
+  VmList list;
+  std::vector<VmId> removed;
   for (const StoreRow& row : answer.rows) {
     VmRecord record;
     record.vm = VmId(row.key);
     record.version = row.version;
     std::string problem;
     if (!row.is_deleted && DecodeVm(row.value, &record, &problem)) {
-      vms_.records[record.vm] = record;
+      list.records[record.vm] = record;
       continue;
     }
-    vms_.records.erase(record.vm);
-    vms_removed_version_ = answer.version;
+    removed.push_back(record.vm);
     if (!problem.empty()) LogSkipped(StoreTable::kVms, problem, context);
   }
-  vms_.version = answer.version;
+  list.version = answer.version;
+  if (is_whole || !removed.empty()) vms_removed_version_ = answer.version;
+  if (is_whole) {
+    vms_.SetAll(std::move(list), context->now());
+    ExpireKeptRecords(context);
+  } else {
+    vms_.Change(list.records, removed, answer.version);
+  }
   vm_changes_++;
 }
 
 void StoreFollower::OnSnapshot(const SnapshotReply& reply,
                                ProxyContext* context) {
+  NoteEra(std::max(reply.upstreams.version.era, reply.vms.version.era), "peer",
+          context);
   ApplyRoutes(reply.routes, "peer", context);
-  if (reply.upstreams.version > upstreams_.version) {
+  if (reply.upstreams.version > upstreams_.version()) {
     context->Log(LogLevel::kInfo, kPart, "upstreams_from_peer",
-                 {{"version", std::to_string(reply.upstreams.version)},
-                  {"before", std::to_string(upstreams_.version)}});
-    upstreams_ = reply.upstreams;
+                 {{"version", FormatVersion(reply.upstreams.version)},
+                  {"before", FormatVersion(upstreams_.version())}});
+    upstreams_.SetAll(reply.upstreams, context->now());
     changes_++;
-    AdvanceVersion(StoreTable::kUpstreams, upstreams_.version);
+    AdvanceVersion(StoreTable::kUpstreams, upstreams_.version());
   }
-  if (reply.vms.version > vms_.version) {
-    MergeVms(reply.vms);
-    AdvanceVersion(StoreTable::kVms, vms_.version);
+  if (reply.vms.version > vms_.version()) {
+    MergeVms(reply.vms, context);
+    AdvanceVersion(StoreTable::kVms, vms_.version());
   }
+  ExpireKeptRecords(context);
+  StepAll(context);
 }
 
-VmList StoreFollower::VmsAfter(uint64_t version) const {
+VmList StoreFollower::VmsAfter(StoreVersion version) const {
   // A list of changes has no removals, so after one the whole list is needed.
-  if (version < vms_removed_version_) return vms_;
+  const VmList& list = vms_.stored();
+  if (version < vms_removed_version_) return list;
   VmList changes;
-  changes.version = vms_.version;
+  changes.version = list.version;
   changes.after = version;
-  for (const auto& item : vms_.records) {
+  for (const auto& item : list.records) {
     if (item.second.version > version) changes.records.insert(item);
   }
   return changes;
 }
 
-void StoreFollower::MergeVms(const VmList& vms) {
-  if (vms.after > vms_.version) return;
-  if (vms.after == 0) {
-    vms_ = vms;
+void StoreFollower::MergeVms(const VmList& vms, ProxyContext* context) {
+  if (vms.after > vms_.version()) return;
+  if (vms.after == StoreVersion()) {
+    vms_.SetAll(vms, context->now());
     vms_removed_version_ = vms.version;
   } else {
-    for (const auto& item : vms.records) vms_.records[item.first] = item.second;
-    vms_.version = vms.version;
+    // Only whole lists begin an era here.
+    if (vms.version.era != vms_.version().era) return;
+    vms_.Change(vms.records, std::vector<VmId>(), vms.version);
   }
   vm_changes_++;
 }
 
 // Follows the table from the version that a peer sent.
-void StoreFollower::AdvanceVersion(StoreTable which, uint64_t version) {
+void StoreFollower::AdvanceVersion(StoreTable which, StoreVersion version) {
   for (Table& table : tables_) {
-    if (table.table != which || table.version >= version) continue;
+    if (table.table != which || !(table.version < version)) continue;
     table.version = version;
-    table.is_current = true;
+    table.is_current = version.era == era_;
   }
 }
 
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -8,9 +8,11 @@
 //   follower.OnSnapshot(reply, &context);        // newer versions of a peer
 //
 // The last known data stay in use while the store does not answer. Routes and
-// upstreams are replaced only by a newer version.
+// upstreams are replaced only by a newer version. After a restore of the store,
+// a new era, the tables are read whole and completed with what was known.
 //
-// Limits: three open calls, one for each table.
+// Limits: one call for each table, besides those that were open as an era
+// began.
 
 #ifndef FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
 #define FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
@@ -21,10 +23,39 @@
 #include <vector>
 
 #include "fireflycart/core/proxy/proxy_context.h"
+#include "fireflycart/core/proxy/restored_list.h"
 #include "fireflycart/core/proxy/route.h"
 
 namespace fireflycart::proxy {
 
+// An upstream that started later is newer, and one that leaves does not return
+// without a new start.
+struct RestoredUpstreamPolicy {
+  static bool MustKeep(const UpstreamRecord& stored,
+                       const UpstreamRecord& known) {
+    bool is_same_start = stored.started_ms == known.started_ms;
+    return stored.started_ms < known.started_ms ||
+           (is_same_start && known.leaving);
+  }
+  static UpstreamRecord Merge(const UpstreamRecord& stored,
+                              const UpstreamRecord& known) {
+    if (stored.started_ms < known.started_ms) return known;
+    UpstreamRecord merged = stored;
+    bool is_same_start = stored.started_ms == known.started_ms;
+    if (is_same_start && known.leaving) merged.leaving = true;
+    return merged;
+  }
+};
+
+struct RestoredVmPolicy {
+  static bool MustKeep(const VmRecord& stored, const VmRecord& known) {
+    return stored.incarnation < known.incarnation;
+  }
+  static VmRecord Merge(const VmRecord& stored, const VmRecord& known) {
+    return MustKeep(stored, known) ? known : stored;
+  }
+};
+
 class StoreFollower {
  public:
   // Period of the follow calls of one table; the three tables are a third of it
@@ -46,6 +77,11 @@
   // Delay after a failed call, doubled with each failure up to the maximum.
   static constexpr Duration kRetryDelay = Duration::Millis(200);
   static constexpr Duration kMaxRetryDelay = Duration::Millis(1600);
+  // After a restore, upstreams write their rows again within 2 s; see
+  // Failover::kUnregisteredTimeout.
+  static constexpr Duration kUpstreamGrace = Duration::Millis(2300);
+  // VMs need longer, since each of them must first receive the list.
+  static constexpr Duration kVmGrace = Duration::Millis(8000);
 
   // Serializes and parses the value of a row of kVms.
   static std::string EncodeVm(const VmRecord& record);
@@ -59,6 +95,8 @@
   // own.
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
   void OnSnapshot(const SnapshotReply& reply, ProxyContext* context);
+  // A peer, or an answer to a call of another object, is of this era.
+  void OnEra(StoreEra era, const char* source, ProxyContext* context);
   void OnWake(ProxyContext* context);
   // Sets whether this VM is one of those that follow the store for all VMs.
   void SetReader(bool is_reader, ProxyContext* context);
@@ -66,16 +104,22 @@
   void OnPeerStoreAge(Duration age, ProxyContext* context);
 
   const RouteTable& routes() const { return routes_; }
-  const UpstreamList& upstreams() const { return upstreams_; }
-  const VmList& vms() const { return vms_; }
+  const UpstreamList& upstreams() const { return upstreams_.merged(); }
+  const VmList& vms() const { return vms_.merged(); }
+  // As the store has them, for peers.
+  const UpstreamList& stored_upstreams() const { return upstreams_.stored(); }
   // The changes after this version, or the whole list if records were removed
   // since.
-  VmList VmsAfter(uint64_t version) const;
-  bool has_upstreams() const { return upstreams_.version != 0; }
-  bool has_vms() const { return vms_.version != 0; }
+  VmList VmsAfter(StoreVersion version) const;
+  bool has_upstreams() const { return upstreams_.version() != StoreVersion(); }
+  bool has_vms() const { return vms_.version() != StoreVersion(); }
   KnownVersions known() const {
-    return KnownVersions{routes_.version, upstreams_.version, vms_.version};
+    return KnownVersions{routes_.version, upstreams_.version(), vms_.version()};
   }
+  // The newest era that is known.
+  StoreEra era() const { return era_; }
+  // When the last restore was noticed; zero if there was none.
+  TimePoint restored_at() const { return restored_at_; }
   bool reaches_store() const;
   bool is_reader() const { return is_reader_; }
   Duration store_age(TimePoint now) const { return now - store_answered_at_; }
@@ -94,7 +138,7 @@
     bool is_reading = false;
     bool is_first_follow = false;  // The next call is the first as reader.
     bool is_current = false;       // Was read; later changes are followed.
-    uint64_t version = 0;
+    StoreVersion version;
     int failures = 0;
     TimePoint next;
   };
@@ -104,6 +148,10 @@
   Duration WaitOf(const Table& table, TimePoint now) const;
   bool IsOtherTableRetrying(const Table& table) const;
   void Announce(ProxyContext* context);
+  bool NoteEra(StoreEra era, const char* source, ProxyContext* context);
+  void ExpireKeptRecords(ProxyContext* context);
+  void OnTableAnswered(Table* table, const StoreAnswered& answer,
+                       ProxyContext* context);
   void Apply(const Table& table, const StoreAnswered& answer, bool is_whole,
              ProxyContext* context);
   void ApplyRoutes(const RouteTable& routes, const char* source,
@@ -112,8 +160,8 @@
                       ProxyContext* context);
   void ApplyVms(const StoreAnswered& answer, bool is_whole,
                 ProxyContext* context);
-  void MergeVms(const VmList& vms);
-  void AdvanceVersion(StoreTable which, uint64_t version);
+  void MergeVms(const VmList& vms, ProxyContext* context);
+  void AdvanceVersion(StoreTable which, StoreVersion version);
   bool MustFollow(ProxyContext* context) const;
   void OnAnswered(const Table& table, ProxyContext* context);
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
@@ -125,11 +173,13 @@
   CallId announcement_;
   bool is_announced_ = false;
   TimePoint next_announcement_;
+  StoreEra era_;
+  TimePoint restored_at_;
   RouteTable routes_;
-  UpstreamList upstreams_;
-  VmList vms_;
+  RestoredList<UpstreamList, RestoredUpstreamPolicy> upstreams_{kUpstreamGrace};
+  RestoredList<VmList, RestoredVmPolicy> vms_{kVmGrace};
   // Version at which a record was last removed.
-  uint64_t vms_removed_version_ = 0;
+  StoreVersion vms_removed_version_;
   bool is_reader_ = true;
   TimePoint store_answered_at_;
   uint64_t changes_ = 0;
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -25,7 +25,7 @@
     Begin();
     lease_.Acquire(true, 4, &context_);
     AnswerRead({});
-    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, LastWrite().expected_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, LastWrite().expected_version.number);
     AnswerWrite(StoreStatus::kOk, 31, {});
     CPPUNIT_ASSERT(lease_.has_token());
     CPPUNIT_ASSERT_EQUAL(uint64_t{31}, lease_.token());
@@ -34,7 +34,7 @@
   void Acquire_OtherIsPromoting_WaitsForLeaseDuration() {
     Begin();
     lease_.Acquire(true, 4, &context_);
-    StoreRow other{kGroup.value(), "vm-9 1 promoting", 20, false};
+    StoreRow other{kGroup.value(), "vm-9 1 promoting", {era_, 20}, false};
     AnswerRead({other});
     for (int i = 0; i < 100 && !HasOpen<WriteRow>(); i++) {
       now_ = now_ + Duration::Millis(50);
@@ -45,17 +45,17 @@
     CPPUNIT_ASSERT(HasOpen<WriteRow>());
     CPPUNIT_ASSERT(now_ - TimePoint::FromMillis(1000) >=
                    DutyLease::kLeaseDuration);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{20}, LastWrite().expected_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{20}, LastWrite().expected_version.number);
   }
 
   void Acquire_Conflict_UsesCurrentRow() {
     Begin();
     lease_.Acquire(true, 4, &context_);
     AnswerRead({});
-    StoreRow other{kGroup.value(), "vm-9 1 idle", 22, false};
+    StoreRow other{kGroup.value(), "vm-9 1 idle", {era_, 22}, false};
     AnswerWrite(StoreStatus::kConflict, 22, {other});
     CPPUNIT_ASSERT(!lease_.has_token());
-    CPPUNIT_ASSERT_EQUAL(uint64_t{22}, LastWrite().expected_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{22}, LastWrite().expected_version.number);
   }
 
   void Acquire_WriteUnanswered_ReadsBeforeWritingAgain() {
@@ -114,7 +114,7 @@
     answer.call = LastCall()->call;
     answered_ = answer.call;
     answer.status = status;
-    answer.version = version;
+    answer.version = {era_, version};
     answer.rows = rows;
     Begin();
     CPPUNIT_ASSERT(lease_.OnStore(answer, &context_));
@@ -136,6 +136,7 @@
   ProxyContext context_{VmId("vm-1"), 1, 7};
   DutyLease lease_{kGroup};
   CallId answered_;
+  StoreEra era_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DutyLeaseTest);
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -38,7 +38,7 @@
     self.cpu_permille = 250;
     fleet_ = std::make_unique<Fleet>(self, &handler_);
     VmList list;
-    list.version = 1;
+    list.version.number = 1;
     list.records[kSelf] = self;
     std::vector<VmRecord> records = {self};
     for (int i = 1; i < kVms; i++) {
@@ -77,7 +77,7 @@
     CPPUNIT_ASSERT(!PeerOwnsSome());
     Heartbeat with_tables;
     with_tables.known.routes = 3;
-    with_tables.known.upstreams = 3;
+    with_tables.known.upstreams.number = 3;
     AnswerProbes(with_tables);
     CPPUNIT_ASSERT(PeerOwnsSome());
   }
--- /dev/null
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -0,0 +1,239 @@
+// Tests of following the store across a restore from an older copy.
+
+#include "fireflycart/core/proxy/store_follower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+
+namespace fireflycart::proxy {
+namespace {
+
+const UpstreamId kUpstream("up-a");
+const VmId kSelf("vm-1");
+
+UpstreamChange MakeChange(const UpstreamId& id, int64_t started_ms,
+                          bool leaving) {
+  UpstreamChange change;
+  change.id = id;
+  change.is_present = true;
+  change.record.id = id;
+  change.record.started_ms = started_ms;
+  change.record.leaving = leaving;
+  return change;
+}
+
+class StoreFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreFollowerTest);
+  CPPUNIT_TEST(NewEra_LowerNumber_ListIsApplied);
+  CPPUNIT_TEST(NewEra_NumberAboveAsked_TableIsReadWhole);
+  CPPUNIT_TEST(NewEra_SeenInRefusal_AllTablesAreReadWhole);
+  CPPUNIT_TEST(NewEra_SeenAtPeer_OpenCallsAreDropped);
+  CPPUNIT_TEST(NewEra_FirstOfAll_IsNoRestore);
+  CPPUNIT_TEST(NewEra_UpstreamWasLeaving_StaysLeavingUntilWritten);
+  CPPUNIT_TEST(NewEra_UpstreamMissing_IsKeptForGraceTime);
+  CPPUNIT_TEST(NewEra_UpstreamStartedLater_LaterStartWins);
+  CPPUNIT_TEST(OlderEra_AnswerArrivesLate_IsNotApplied);
+  CPPUNIT_TEST(OlderEra_SnapshotOfPeer_IsNotApplied);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    now_ = TimePoint::FromMillis(100000);
+    VmRecord self;
+    self.vm = kSelf;
+    self.incarnation = 7;
+    Begin();
+    follower_.Start(self, &context_);
+    Answer(Open<WriteRow>(StoreTable::kVms), StoreStatus::kOk, {kFirst, 90});
+    StoreAnswered upstreams;
+    upstreams.upstreams = {MakeChange(kUpstream, 50, true)};
+    ReadAll({kFirst, 100}, upstreams, true);
+  }
+
+  void NewEra_LowerNumber_ListIsApplied() {
+    StoreAnswered changed;
+    changed.upstreams = {MakeChange(UpstreamId("up-b"), 60, false)};
+    Restore();
+    ReadAll({kSecond, 40}, changed, true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count("up-b"));
+    CPPUNIT_ASSERT(follower_.known().upstreams == (StoreVersion{kSecond, 40}));
+    StoreAnswered next;
+    next.upstreams = {MakeChange(UpstreamId("up-c"), 60, false)};
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kSecond, 41}, next);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count("up-c"));
+  }
+
+  void NewEra_NumberAboveAsked_TableIsReadWhole() {
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kSecond, 500});
+    Open<ReadTable>(StoreTable::kRoutes);
+    Open<ReadTable>(StoreTable::kUpstreams);
+  }
+
+  void NewEra_SeenInRefusal_AllTablesAreReadWhole() {
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kRefused,
+           {kSecond, 0});
+    now_ = now_ + Duration::Seconds(1);
+    Begin();
+    follower_.OnWake(&context_);
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kSecond, 40});
+    Open<ReadTable>(StoreTable::kUpstreams);
+    Open<ReadTable>(StoreTable::kVms);
+  }
+
+  void NewEra_SeenAtPeer_OpenCallsAreDropped() {
+    CallId open = Open<FollowTable>(StoreTable::kUpstreams);
+    Restore();
+    Open<ReadTable>(StoreTable::kUpstreams);
+    StoreAnswered late;
+    late.call = open;
+    late.status = StoreStatus::kOk;
+    late.version = {kFirst, 200};
+    Begin();
+    CPPUNIT_ASSERT(!follower_.OnStore(late, &context_));
+  }
+
+  void NewEra_FirstOfAll_IsNoRestore() {
+    CPPUNIT_ASSERT(follower_.era() == kFirst);
+    CPPUNIT_ASSERT(follower_.restored_at() == TimePoint());
+    Restore();
+    CPPUNIT_ASSERT(follower_.restored_at() == now_);
+  }
+
+  void NewEra_UpstreamWasLeaving_StaysLeavingUntilWritten() {
+    StoreAnswered restored;
+    restored.upstreams = {MakeChange(kUpstream, 50, false)};
+    Restore();
+    ReadAll({kSecond, 40}, restored, true);
+    CPPUNIT_ASSERT(Record().leaving);
+    // The upstream has started again and no longer leaves.
+    StoreAnswered written;
+    written.upstreams = {MakeChange(kUpstream, 70, false)};
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kSecond, 41}, written);
+    CPPUNIT_ASSERT(!Record().leaving);
+  }
+
+  void NewEra_UpstreamMissing_IsKeptForGraceTime() {
+    Restore();
+    ReadAll({kSecond, 40}, StoreAnswered(), true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count("up-a"));
+    Wait(StoreFollower::kUpstreamGrace);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-a"));
+  }
+
+  void NewEra_UpstreamStartedLater_LaterStartWins() {
+    StoreAnswered restored;
+    restored.upstreams = {MakeChange(kUpstream, 30, false)};
+    Restore();
+    ReadAll({kSecond, 40}, restored, true);
+    CPPUNIT_ASSERT_EQUAL(int64_t{50}, Record().started_ms);
+    Wait(StoreFollower::kUpstreamGrace);
+    CPPUNIT_ASSERT_EQUAL(int64_t{30}, Record().started_ms);
+  }
+
+  void OlderEra_AnswerArrivesLate_IsNotApplied() {
+    Restore();
+    StoreAnswered late;
+    late.upstreams = {MakeChange(UpstreamId("up-b"), 60, false)};
+    Answer(Open<ReadTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kFirst, 300}, late);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
+  }
+
+  void OlderEra_SnapshotOfPeer_IsNotApplied() {
+    Restore();
+    ReadAll({kSecond, 40}, StoreAnswered(), true);
+    SnapshotReply reply;
+    reply.upstreams.version = {kFirst, 300};
+    reply.upstreams.records[UpstreamId("up-b")] = UpstreamRecord();
+    Begin();
+    follower_.OnSnapshot(reply, &context_);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
+  }
+
+ private:
+  const StoreEra kFirst{4};
+  const StoreEra kSecond{5};
+
+  void Begin() { context_.Begin(now_, &effects_); }
+
+  void Restore() {
+    Begin();
+    follower_.OnEra(kSecond, "peer", &context_);
+  }
+
+  void Wait(Duration time) {
+    now_ = now_ + time;
+    Begin();
+    follower_.OnWake(&context_);
+  }
+
+  size_t Count(const char* id) const {
+    return follower_.upstreams().records.count(UpstreamId(id));
+  }
+
+  UpstreamRecord Record() const {
+    return follower_.upstreams().records.at(kUpstream);
+  }
+
+  // The last call of that kind on the table.
+  template <typename T>
+  CallId Open(StoreTable table) const {
+    CallId call;
+    for (const ProxyEffect& effect : effects_) {
+      const auto* store_call = std::get_if<StoreCall>(&effect);
+      if (store_call == nullptr) continue;
+      const auto* body = std::get_if<T>(&store_call->body);
+      bool is_open = answered_.count(store_call->call) == 0;
+      if (body != nullptr && body->table == table && is_open) {
+        call = store_call->call;
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(StoreTableName(table), call != CallId());
+    return call;
+  }
+
+  void Answer(CallId call, StoreStatus status, StoreVersion version,
+              StoreAnswered answer = StoreAnswered()) {
+    answered_.insert(call);
+    answer.call = call;
+    answer.status = status;
+    answer.version = version;
+    Begin();
+    CPPUNIT_ASSERT(follower_.OnStore(answer, &context_));
+  }
+
+  // Answers reads of all tables. The list of VMs has this VM if told so.
+  void ReadAll(StoreVersion version, const StoreAnswered& upstreams,
+               bool has_self) {
+    StoreAnswered routes;
+    routes.routes.emplace_back();
+    routes.routes.back().version = 3;
+    StoreAnswered vms;
+    VmRecord self;
+    self.incarnation = 7;
+    std::string value = StoreFollower::EncodeVm(self);
+    if (has_self) vms.rows = {StoreRow{kSelf.value(), value, version, false}};
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk, version,
+           routes);
+    Answer(Open<ReadTable>(StoreTable::kUpstreams), StoreStatus::kOk, version,
+           upstreams);
+    Answer(Open<ReadTable>(StoreTable::kVms), StoreStatus::kOk, version, vms);
+  }
+
+  TimePoint now_;
+  ProxyEffects effects_;
+  ProxyContext context_{kSelf, 7, 3};
+  StoreFollower follower_;
+  std::set<CallId> answered_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
+
+}  // namespace
+}  // namespace fireflycart::proxy
--- a/fireflycart/net/http_client.cc
+++ b/fireflycart/net/http_client.cc
@@ -74,7 +74,7 @@
 
   void Post(const std::string& path, const std::string& body, Duration timeout,
             std::function<void(HttpReply)> on_reply) override {
-    Send(HttpCall{"POST", path, body, {}}, timeout, std::move(on_reply));
+    Send(HttpCall{"POST", path, body, {}, {}}, timeout, std::move(on_reply));
   }
 
   void Send(const HttpCall& call, Duration timeout,
@@ -91,6 +91,7 @@
     }
     parser_ = std::make_unique<ReplyParser>();
     parser_->body_limit(kMaxHttpReplyBytes);
+    reply_fields_ = call.reply_fields;
     on_reply_ = std::move(on_reply);
     auto self = shared_from_this();
     http::async_write(
@@ -133,6 +134,11 @@
     HttpReply reply;
     reply.ok = true;
     reply.status = static_cast<int>(parser_->get().result_int());
+    for (const std::string& name : reply_fields_) {
+      auto found = parser_->get().find(name);
+      if (found == parser_->get().end()) continue;
+      reply.fields.push_back(HttpField{name, std::string(found->value())});
+    }
     reply.body = std::move(parser_->get().body());
     Finish(std::move(reply));
   }
@@ -149,6 +155,7 @@
   beast::flat_buffer buffer_;
   HttpRequestMessage request_;
   std::unique_ptr<ReplyParser> parser_;
+  std::vector<std::string> reply_fields_;
   std::function<void(HttpReply)> on_reply_;
   bool closed_ = false;
 };
--- a/fireflycart/net/http_client.h
+++ b/fireflycart/net/http_client.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "fireflycart/core/clock.h"
+#include "fireflycart/net/http_field.h"
 
 namespace fireflycart {
 
@@ -33,11 +34,7 @@
   bool ok = false;  // False if no complete reply was received.
   int status = 0;
   std::string body;
-};
-
-struct HttpField {
-  std::string name;
-  std::string value;
+  std::vector<HttpField> fields;  // Only those that HttpCall asks for.
 };
 
 // A request other than a POST of JSON.
@@ -46,6 +43,8 @@
   std::string target;  // Path and query, escaped.
   std::string body;
   std::vector<HttpField> fields;
+  // Names of fields of the reply that the caller needs.
+  std::vector<std::string> reply_fields;
 };
 
 class HttpConnection {
--- a/fireflycart/net/http_server.cc
+++ b/fireflycart/net/http_server.cc
@@ -62,6 +62,9 @@
       int64_t seconds = (response.retry_after.millis() + 999) / 1000;
       builder.append_header("Retry-After", std::to_string(seconds));
     }
+    for (const HttpField& field : response.fields) {
+      builder.append_header(field.name, field.value);
+    }
     builder.set_body(response.body);
     if (response.close_connection) {
       builder.connection_close();
--- a/fireflycart/net/http_server.h
+++ b/fireflycart/net/http_server.h
@@ -16,8 +16,10 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fireflycart/core/clock.h"
+#include "fireflycart/net/http_field.h"
 
 namespace fireflycart {
 
@@ -36,6 +38,7 @@
   std::string body;
   Duration retry_after;           // Sent as Retry-After if positive.
   bool close_connection = false;  // Close after this response.
+  std::vector<HttpField> fields;  // Further header fields.
 };
 
 // A response without further fields.
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -1,5 +1,6 @@
 // There is one pair of functions for each type. ToJson writes the fields in a
-// fixed order and FromJson reads them in the same order.
+// fixed order and FromJson reads them in the same order. Eras of the store come
+// last, since earlier versions neither send nor read them; they count as 0.
 
 #include "fireflycart/net/proxy_codec.h"
 
@@ -44,6 +45,7 @@
   }
 
   const Json& Next() { return json_.at(next_++); }
+  bool HasNext() const { return next_ < json_.size(); }
 
  private:
   const Json& json_;
@@ -102,7 +104,7 @@
 
 Json ToJson(const VmRecord& v) {
   return Pack(v.vm, v.address, v.data_centre, v.incarnation, v.cpu_permille,
-              v.version);
+              v.version.number, v.version.era);
 }
 void FromJson(const Json& json, VmRecord* v) {
   Unpacker(json)
@@ -111,7 +113,8 @@
       .Take(&v->data_centre)
       .Take(&v->incarnation)
       .Take(&v->cpu_permille)
-      .Take(&v->version);
+      .Take(&v->version.number)
+      .TakeOptional(&v->version.era);
 }
 
 template <typename Map>
@@ -142,48 +145,62 @@
 }
 
 Json ToJson(const UpstreamList& l) {
-  return Json::array({l.version, ValuesToJson(l.records)});
+  return Json::array(
+      {l.version.number, ValuesToJson(l.records), l.version.era});
 }
 void FromJson(const Json& json, UpstreamList* l) {
   Unpacker fields(json);
-  fields.Take(&l->version);
+  fields.Take(&l->version.number);
   for (const Json& item : fields.Next()) {
     UpstreamRecord record;
     FromJson(item, &record);
     l->records[record.id] = record;
   }
+  fields.TakeOptional(&l->version.era);
 }
 
 Json ToJson(const VmList& l) {
-  return Json::array({l.version, l.after, ValuesToJson(l.records)});
+  return Json::array({l.version.number, l.after.number, ValuesToJson(l.records),
+                      l.version.era});
 }
 void FromJson(const Json& json, VmList* l) {
   Unpacker fields(json);
-  fields.Take(&l->version).Take(&l->after);
+  fields.Take(&l->version.number).Take(&l->after.number);
   for (const Json& item : fields.Next()) {
     VmRecord record;
     FromJson(item, &record);
     l->records[record.vm] = record;
   }
+  fields.TakeOptional(&l->version.era);
+  if (l->after.number != 0) l->after.era = l->version.era;
 }
 
 Json ToJson(const KnownVersions& k) {
-  return Pack(k.routes, k.upstreams, k.vms);
+  return Pack(k.routes, k.upstreams.number, k.vms.number, k.upstreams.era,
+              k.vms.era);
 }
 void FromJson(const Json& json, KnownVersions* k) {
-  Unpacker(json).Take(&k->routes).Take(&k->upstreams).Take(&k->vms);
+  Unpacker(json)
+      .Take(&k->routes)
+      .Take(&k->upstreams.number)
+      .Take(&k->vms.number)
+      .TakeOptional(&k->upstreams.era)
+      .TakeOptional(&k->vms.era);
 }
 
 Json ToJson(const Heartbeat& f) {
   return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
-                      f.is_leaving, f.address, f.takes_receiver_for_lost});
+                      f.is_leaving, f.address, f.takes_receiver_for_lost,
+                      f.era});
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
   FromJson(fields.Next(), &f->known);
   fields.Take(&f->store_age).Take(&f->reaches_store).Take(&f->is_leaving);
-  // Earlier versions send neither of these.
+  // Earlier versions send none of these.
   fields.TakeOptional(&f->address).TakeOptional(&f->takes_receiver_for_lost);
+  f->tells_era = fields.HasNext();
+  fields.TakeOptional(&f->era);
 }
 
 }  // namespace
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -14,6 +14,11 @@
 // Service objective: after the loss of a primary, the write gap is at most the
 // promotion time plus this.
 constexpr int64_t kMaxDetectionMs = 500;
+// Users require that a configuration is in force within this time.
+constexpr Duration kApplyTime = Duration::Seconds(3);
+// How far the copy lies back from which the store is restored.
+constexpr Duration kCopyAge = Duration::Seconds(9);
+constexpr Duration kOutage = Duration::Seconds(2);
 
 class SessionFailureTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionFailureTest);
@@ -44,6 +49,10 @@
   CPPUNIT_TEST(Owner_TakenForLostWhileStoreRefusesIt_KeepsOldToken);
   CPPUNIT_TEST(Store_HistoryLost_AllRoutesAreReadAgain);
   CPPUNIT_TEST(Store_AnswersLost_DutyLeaseIsReadAgain);
+  CPPUNIT_TEST(Store_RestoredFromOldCopy_ConfirmedRoutesStayInForce);
+  CPPUNIT_TEST(Store_RestoredFromOldCopy_LeavingUpstreamIsNoticed);
+  CPPUNIT_TEST(Store_RestoredAndVersionsReused_ChangesAreNotMissed);
+  CPPUNIT_TEST(Store_RestoredFromOldCopy_LeavingUpstreamKeepsItsLimit);
   CPPUNIT_TEST(Vm_CutFromStore_ReceivesRoutesFromPeers);
   CPPUNIT_TEST(StoreReaders_AllCutFromStore_RoutesArriveInTime);
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreNotSentThere);
@@ -457,6 +466,66 @@
     ExpectInvariantsHold();
   }
 
+  void Store_RestoredFromOldCopy_ConfirmedRoutesStayInForce() {
+    world_->Run(Duration::Seconds(5));
+    world_->SetRoutes(9, Duration::Millis(900));
+    world_->Run(Duration::Seconds(4));
+    world_->RestoreStore(kCopyAge, kOutage);
+    for (int i = 0; i < 10; i++) {
+      world_->Run(Duration::Seconds(1));
+      ExpectRoutesInForce(9);
+    }
+    world_->SetRoutes(12, Duration::Millis(900));
+    world_->Run(kApplyTime);
+    ExpectRoutesInForce(12);
+    ExpectInvariantsHold();
+  }
+
+  void Store_RestoredFromOldCopy_LeavingUpstreamIsNoticed() {
+    world_->Run(Duration::Seconds(9));
+    WriteManyVersions();
+    world_->Run(Duration::Seconds(1));
+    world_->RestoreStore(kCopyAge, kOutage);
+    world_->Run(kOutage + SessionWorld::kRewriteTime);
+    UpstreamId old = world_->primary();
+    world_->Drain(old);
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(world_->primary() != old);
+    ExpectInvariantsHold();
+  }
+
+  // The counter has passed the versions that are followed before a VM calls
+  // the store again, so no call is answered with "history lost".
+  void Store_RestoredAndVersionsReused_ChangesAreNotMissed() {
+    world_->Run(Duration::Seconds(9));
+    WriteManyVersions();
+    // All tables are followed from there.
+    world_->Run(Duration::Seconds(5));
+    world_->RestoreStore(kCopyAge, kOutage);
+    world_->Run(kOutage);
+    world_->SetRoutes(9, Duration::Millis(900));
+    WriteManyVersions();
+    WriteManyVersions();
+    world_->Run(kApplyTime);
+    ExpectRoutesInForce(9);
+    ExpectInvariantsHold();
+  }
+
+  void Store_RestoredFromOldCopy_LeavingUpstreamKeepsItsLimit() {
+    world_->Run(Duration::Seconds(6));
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      world_->Cut(vm, "promotion");
+    }
+    world_->Drain(world_->primary());
+    world_->Run(Duration::Seconds(1));
+    world_->RestoreStore(Duration::Seconds(4), Duration::Seconds(1));
+    world_->Run(Duration::Seconds(6));
+    int writes_at_limit = world_->counts().writes;
+    CPPUNIT_ASSERT(writes_at_limit > 0);
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(writes_at_limit, world_->counts().writes);
+  }
+
   void Vm_CutFromStore_ReceivesRoutesFromPeers() {
     world_->Run(Duration::Seconds(2));
     world_->Cut("vm-1", "store");
@@ -651,6 +720,20 @@
     CPPUNIT_ASSERT_MESSAGE(message, world_->counts().write_gap <= limit_ms);
   }
 
+  // Moves the version of the store by writing a row again.
+  void WriteManyVersions() {
+    constexpr int kVersions = 200;
+    for (int i = 0; i < kVersions; i++) {
+      world_->Register(UpstreamId("up-c"), false);
+    }
+  }
+
+  void ExpectRoutesInForce(uint64_t version) {
+    for (int vm = 0; vm < 3; vm++) {
+      CPPUNIT_ASSERT_EQUAL(version, world_->vm(vm)->gauges().routes_version);
+    }
+  }
+
   void ExpectInvariantsHold() {
     world_->CheckEffects();
     CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -18,6 +18,9 @@
 ABSL_FLAG(uint64_t, seed, 1, "First seed.");
 ABSL_FLAG(int, runs, 20, "Seeds to run.");
 ABSL_FLAG(bool, stop_at_failure, false, "Stop at the first seed that fails.");
+ABSL_FLAG(bool, restores, false,
+          "Also restore the store from older copies. The other faults of a "
+          "seed stay the same.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
 
 namespace fireflycart::standins {
@@ -28,13 +31,15 @@
 
 class RandomRun {
  public:
-  explicit RandomRun(uint64_t seed) : random_(seed), world_(Options(), seed) {}
+  explicit RandomRun(uint64_t seed)
+      : random_(seed), restore_random_(seed), world_(Options(), seed) {}
 
   // Returns the first violation of an invariant; empty if there is none.
   std::string Run() {
     world_.Run(kWarmUp);
     for (int i = 0; i < kFaultsPerRun; i++) {
       InjectFault();
+      if (absl::GetFlag(FLAGS_restores)) RestoreStoreAtTimes();
       world_.Run(Duration::Millis(static_cast<int64_t>(Random(900))));
     }
     RepairAll();
@@ -122,6 +127,18 @@
     }
   }
 
+  // Draws from numbers of its own.
+  void RestoreStoreAtTimes() {
+    constexpr uint64_t kMaxAgeMs = 9000;
+    constexpr uint64_t kMaxOutageMs = 2000;
+    if (restore_random_() % 4 != 0) return;
+    auto age = static_cast<int64_t>(restore_random_() % kMaxAgeMs);
+    auto outage = static_cast<int64_t>(restore_random_() % kMaxOutageMs);
+    // The copy has the rows that were written before the VMs started.
+    age = std::min(age, world_.now().millis());
+    world_.RestoreStore(Duration::Millis(age), Duration::Millis(outage));
+  }
+
   void CutPair() {
     std::string a = RandomVm();
     std::string b = RandomPeer();
@@ -159,6 +176,7 @@
   }
 
   std::mt19937_64 random_;
+  std::mt19937_64 restore_random_;
   SessionWorld world_;
 };
 
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -36,7 +36,7 @@
     record.slots = 4;
     record.is_primary = id == ids.front();
     records_[id] = record;
-    store_.Put(proxy::StoreTable::kUpstreams, id.value(), "");
+    PutUpstream(id);
   }
   WriteRoutes(2, options.timeout);
   for (int i = 0; i < options.vms; i++) {
@@ -85,7 +85,54 @@
     route.priority = rule;
     routes_.routes[route.database] = route;
   }
-  store_.Put(proxy::StoreTable::kRoutes, "config", "");
+  PutRoutes();
+}
+
+void SessionWorld::PutRoutes() {
+  store_.Put(proxy::StoreTable::kRoutes, "config",
+             std::to_string(written_routes_.size()));
+  written_routes_.push_back(routes_);
+}
+
+void SessionWorld::PutUpstream(const UpstreamId& id) {
+  store_.Put(proxy::StoreTable::kUpstreams, id.value(),
+             std::to_string(written_records_.size()));
+  upstream_writes_[id]++;
+  written_records_.push_back(records_[id]);
+}
+
+void SessionWorld::RestoreStore(Duration age, Duration outage) {
+  TimePoint moment = now_ - age;
+  store_.SetRefusing(true);
+  timers_.emplace(now_ + outage, [this, moment] {
+    store_.SetRefusing(false);
+    store_.Restore(moment);
+    WriteRowsAgain();
+  });
+}
+
+// A writer that has written since needs not write again.
+void SessionWorld::WriteRowsAgain() {
+  auto limit = static_cast<uint64_t>(kRewriteTime.millis());
+  size_t routes = written_routes_.size();
+  timers_.emplace(now_ + Duration::Millis(static_cast<int64_t>(Random(limit))),
+                  [this, routes] {
+                    if (written_routes_.size() == routes) PutRoutes();
+                  });
+  for (const auto& item : records_) {
+    UpstreamId id = item.first;
+    int writes = upstream_writes_[id];
+    timers_.emplace(
+        now_ + Duration::Millis(static_cast<int64_t>(Random(limit))),
+        [this, id, writes] {
+          if (upstream_writes_[id] != writes) return;
+          if (unregistered_.count(id) == 0) {
+            PutUpstream(id);
+          } else {
+            Unregister(id);
+          }
+        });
+  }
 }
 
 void SessionWorld::SetRoutes(uint64_t version, Duration timeout) {
@@ -95,12 +142,15 @@
 void SessionWorld::Register(const UpstreamId& id, bool leaving) {
   proxy::UpstreamRecord& record = records_[id];
   record.leaving = leaving;
-  store_.Put(proxy::StoreTable::kUpstreams, id.value(), "");
+  unregistered_.erase(id);
+  PutUpstream(id);
 }
 
 void SessionWorld::Drain(const UpstreamId& id) { Register(id, true); }
 
 void SessionWorld::Unregister(const UpstreamId& id) {
+  unregistered_.insert(id);
+  upstream_writes_[id]++;
   store_.Remove(proxy::StoreTable::kUpstreams, id.value());
 }
 
@@ -150,14 +200,17 @@
     answered.version = answer.version;
     answered.rows = answer.rows;
     if (answer.table == proxy::StoreTable::kRoutes && !answer.rows.empty()) {
-      answered.routes.push_back(routes_);
+      answered.routes.push_back(
+          written_routes_[std::stoul(answer.rows.back().value)]);
     }
     if (answer.table == proxy::StoreTable::kUpstreams) {
       for (const proxy::StoreRow& row : answer.rows) {
         proxy::UpstreamChange change;
         change.id = UpstreamId(row.key);
         change.is_present = !row.is_deleted;
-        change.record = records_[change.id];
+        if (change.is_present) {
+          change.record = written_records_[std::stoul(row.value)];
+        }
         answered.upstreams.push_back(change);
       }
     }
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -94,6 +94,11 @@
   // The load balancer also sends callers to VMs that are not ready.
   void IgnoreReadiness() { ignores_readiness_ = true; }
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
+  // The store refuses all calls for the time of the outage and then returns
+  // with the content that it had before the age. The operator and the upstreams
+  // write their rows again within kRewriteTime.
+  static constexpr Duration kRewriteTime = Duration::Seconds(2);
+  void RestoreStore(Duration age, Duration outage);
 
   DatabaseModel& database() { return *database_; }
   PreparedStoreModel& store() { return store_; }
@@ -166,6 +171,9 @@
   void OnDisconnected(Caller* caller);
   std::string RouteName(proxy::ReadConsistency consistency) const;
   void WriteRoutes(uint64_t version, Duration timeout);
+  void PutRoutes();
+  void PutUpstream(const UpstreamId& id);
+  void WriteRowsAgain();
   uint64_t Random(uint64_t bound) { return random_() % bound; }
 
   // DatabaseObserver.
@@ -182,7 +190,12 @@
   std::unique_ptr<DatabaseModel> database_;
   PreparedStoreModel store_;
   std::map<UpstreamId, proxy::UpstreamRecord> records_;
+  std::set<UpstreamId> unregistered_;
+  std::map<UpstreamId, int> upstream_writes_;
   proxy::RouteTable routes_;
+  // Documents of the operator and the upstreams; a row's value is its index.
+  std::vector<proxy::RouteTable> written_routes_;
+  std::vector<proxy::UpstreamRecord> written_records_;
   std::vector<std::unique_ptr<Vm>> vms_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::multimap<TimePoint, Delivery> timers_;
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -212,6 +212,15 @@
         await self.lasts(0.3, 4)
         await self.fleet.admin("up")
 
+    async def store_restored(self):
+        """The store goes away and comes back from an older copy."""
+        age = self.random.randint(1, 9)
+        self.note(f"store restored from a copy {age} s old")
+        await self.fleet.admin("down")
+        await self.lasts(0.3, 2)
+        await self.fleet.admin(f"restore?{age}")
+        await self.fleet.admin("up")
+
     async def compact(self):
         """The store forgets its history."""
         self.note("store compacts")
@@ -237,8 +246,8 @@
 
 
 UNPLANNED = ("delay", "reset", "cut_one_way", "cut", "mute", "isolate", "pause", "kill",
-             "kill_all", "crash", "dark", "break_answers", "store_down", "compact",
-             "odd_entries")
+             "kill_all", "crash", "dark", "break_answers", "store_down",
+             "store_restored", "compact", "odd_entries")
 PLANNED = ("stop", "hup", "drain", "routes")
 
 
@@ -295,6 +304,8 @@
         await fleet.wait_ready(vm)
     await fleet.admin(f"register?{replica}")
     await asyncio.sleep(1)
+    faults.note("store restored from a copy 3 s old")
+    await fleet.admin("restore?3")
     leaving = (await fleet.admin("state"))["primary"]
     faults.note(f"drain {leaving}")
     await fleet.admin(f"drain?{leaving}")
