Write the row of a VM again if the list lacks it

Callers saw: a VM that started after a restore of the store knew no other VM, so it owned groups that others owned, too.

Cause: a VM writes its address once at its start. If the store is restored from an older copy, the row is gone or names an earlier process.

Evidence: Store_RestoredFromOldCopy_VmsAnnounceThemselvesAgain failed before: Expected: 3, Actual: 1

Change: a VM that has a list newer than its last announcement and without its present incarnation writes its row again, within kAnnouncementSpread. Most VMs do not read the store, so lists of peers are checked, too.

Why it works: a list that is newer than the announcement contains it unless the row was lost since. The others keep the VM for kVmGrace, which is longer.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -223,7 +223,10 @@
     announcement_ = CallId();
     NoteEra(answer.version.era, "store", context);
     is_announced_ = answer.status == StoreStatus::kOk;
-    if (!is_announced_) {
+    announced_version_ = answer.version;
+    if (is_announced_) {
+      CheckOwnRecord(context);
+    } else {
       next_announcement_ = context->now() + kRetryDelay * 2;
       context->Log(LogLevel::kWarning, kPart, "announcement_failed",
                    {{"status", StoreStatusName(answer.status)}});
@@ -272,6 +275,27 @@
   table->is_current = true;
 }
 
+// A restored store may lack the row of this VM, or have that of an earlier
+// process. The others learn of this VM only from the row.
+void StoreFollower::CheckOwnRecord(ProxyContext* context) {
+  bool is_newer_list = announced_version_ < vms_.version();
+  if (!is_announced_ || !is_newer_list) return;
+  const VmList& list = vms_.stored();
+  auto found = list.records.find(self_.vm);
+  bool is_listed = found != list.records.end() &&
+                   found->second.incarnation >= self_.incarnation;
+  if (is_listed) return;
+  is_announced_ = false;
+  auto spread = static_cast<uint64_t>(kAnnouncementSpread.millis());
+  auto delay = static_cast<int64_t>(context->Random(spread));
+  next_announcement_ = context->now() + Duration::Millis(delay);
+  context->Log(LogLevel::kWarning, kPart, "own_row_missing",
+               {{"announced", FormatVersion(announced_version_)},
+                {"list", FormatVersion(list.version)},
+                {"delay_ms", std::to_string(delay)}});
+  Announce(context);
+}
+
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
   store_answered_at_ = context->now();
   if (reaches_store()) return;
@@ -401,6 +425,7 @@
     vms_.Change(list.records, removed, answer.version);
   }
   vm_changes_++;
+  CheckOwnRecord(context);
 }
 
 void StoreFollower::OnSnapshot(const SnapshotReply& reply,
@@ -448,6 +473,7 @@
     vms_.Change(vms.records, std::vector<VmId>(), vms.version);
   }
   vm_changes_++;
+  CheckOwnRecord(context);
 }
 
 // Follows the table from the version that a peer sent.
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -80,7 +80,11 @@
   // After a restore, upstreams write their rows again within 2 s; see
   // Failover::kUnregisteredTimeout.
   static constexpr Duration kUpstreamGrace = Duration::Millis(2300);
-  // VMs need longer, since each of them must first receive the list.
+  // VMs that find their own rows missing write them again within this time, so
+  // that not all of them write at the same moment.
+  static constexpr Duration kAnnouncementSpread = Duration::Millis(2000);
+  // Until then, others keep VMs that are missing: the spread, and four times as
+  // much for repeated calls and for the way through peers.
   static constexpr Duration kVmGrace = Duration::Millis(8000);
 
   // Serializes and parses the value of a row of kVms.
@@ -148,6 +152,7 @@
   Duration WaitOf(const Table& table, TimePoint now) const;
   bool IsOtherTableRetrying(const Table& table) const;
   void Announce(ProxyContext* context);
+  void CheckOwnRecord(ProxyContext* context);
   bool NoteEra(StoreEra era, const char* source, ProxyContext* context);
   void ExpireKeptRecords(ProxyContext* context);
   void OnTableAnswered(Table* table, const StoreAnswered& answer,
@@ -173,6 +178,7 @@
   CallId announcement_;
   bool is_announced_ = false;
   TimePoint next_announcement_;
+  StoreVersion announced_version_;  // Version of the last announcement.
   StoreEra era_;
   TimePoint restored_at_;
   RouteTable routes_;
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(NewEra_UpstreamWasLeaving_StaysLeavingUntilWritten);
   CPPUNIT_TEST(NewEra_UpstreamMissing_IsKeptForGraceTime);
   CPPUNIT_TEST(NewEra_UpstreamStartedLater_LaterStartWins);
+  CPPUNIT_TEST(NewEra_OwnRowMissing_IsAnnouncedAgain);
   CPPUNIT_TEST(OlderEra_AnswerArrivesLate_IsNotApplied);
   CPPUNIT_TEST(OlderEra_SnapshotOfPeer_IsNotApplied);
   CPPUNIT_TEST_SUITE_END();
@@ -136,6 +137,14 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{30}, Record().started_ms);
   }
 
+  void NewEra_OwnRowMissing_IsAnnouncedAgain() {
+    Restore();
+    ReadAll({kSecond, 40}, StoreAnswered(), false);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, follower_.vms().records.count(kSelf));
+    Wait(StoreFollower::kAnnouncementSpread);
+    Open<WriteRow>(StoreTable::kVms);
+  }
+
   void OlderEra_AnswerArrivesLate_IsNotApplied() {
     Restore();
     StoreAnswered late;
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(Store_RestoredFromOldCopy_LeavingUpstreamIsNoticed);
   CPPUNIT_TEST(Store_RestoredAndVersionsReused_ChangesAreNotMissed);
   CPPUNIT_TEST(Store_RestoredFromOldCopy_LeavingUpstreamKeepsItsLimit);
+  CPPUNIT_TEST(Store_RestoredFromOldCopy_VmsAnnounceThemselvesAgain);
   CPPUNIT_TEST(Vm_CutFromStore_ReceivesRoutesFromPeers);
   CPPUNIT_TEST(StoreReaders_AllCutFromStore_RoutesArriveInTime);
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreNotSentThere);
@@ -526,6 +527,21 @@
     CPPUNIT_ASSERT_EQUAL(writes_at_limit, world_->counts().writes);
   }
 
+  // All VMs have started after the moment of the copy.
+  void Store_RestoredFromOldCopy_VmsAnnounceThemselvesAgain() {
+    world_->Run(Duration::Seconds(5));
+    world_->TakeLog();
+    world_->RestoreStore(Duration::Millis(5500), kOutage);
+    world_->Run(Duration::Seconds(12));
+    for (int vm = 0; vm < 3; vm++) ExpectKnowsAllVms(vm);
+    int restarted = IndexOf(world_->owner()) == 0 ? 1 : 0;
+    world_->KillVm(restarted);
+    world_->StartVm(restarted);
+    world_->Run(Duration::Seconds(1));
+    ExpectKnowsAllVms(restarted);
+    ExpectInvariantsHold();
+  }
+
   void Vm_CutFromStore_ReceivesRoutesFromPeers() {
     world_->Run(Duration::Seconds(2));
     world_->Cut("vm-1", "store");
@@ -734,6 +750,10 @@
     }
   }
 
+  void ExpectKnowsAllVms(int vm) {
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, world_->vm(vm)->gauges().vms);
+  }
+
   void ExpectInvariantsHold() {
     world_->CheckEffects();
     CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
