Let fencing tokens grow across restores of the store

Cause: the token was the version of the duty row. A restored store gives versions out again and may have forgotten the row of a holder that is promoting. A conditional write could match another row that has the same number.

Change: the token has the era in the bits above 40 and equals the version in era 0. A write that was applied in another era than its condition, or that is answered in an older one, gives no token; the row is read again. After a restore was noticed, a VM that was not the holder waits for kLeaseDuration.

Why it works: eras grow, and numbers grow within one. A forgotten holder may use its token for less than kLeaseDuration after it was granted.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -1,6 +1,7 @@
 // A conditional write replaces the row that was read, so if two VMs write it,
 // only one succeeds. A write without an answer may still be applied later, so
-// the row is read again before the next write.
+// the row is read again before the next write. The same holds for a write with
+// the version of an older era, as another row may have that number by now.
 
 #include "fireflycart/core/proxy/duty_lease.h"
 
@@ -10,6 +11,18 @@
 constexpr char kPart[] = "duty";
 constexpr char kPromoting[] = "promoting";
 constexpr char kIdle[] = "idle";
+// Bits of a token for the number of a version; the era is above them.
+constexpr int kNumberBits = 40;
+constexpr int kEraBits = 64 - kNumberBits;
+
+// In era 0 the token is the number. Returns false if there are too few bits.
+bool MakeToken(const StoreVersion& version, uint64_t* token) {
+  bool fits = (version.number >> kNumberBits) == 0 &&
+              (version.era.value() >> kEraBits) == 0;
+  if (!fits) return false;
+  *token = (version.era.value() << kNumberBits) | version.number;
+  return true;
+}
 
 bool IsPromoting(const std::string& value) {
   std::string suffix = std::string(" ") + kPromoting;
@@ -59,16 +72,32 @@
   TimePoint free_at = row_seen_at_ + kLeaseDuration;
   bool is_taken =
       !is_own && IsPromoting(row_value_) && context->now() < free_at;
-  if (is_taken) {
+  // A holder that took the row shortly before the restore may be forgotten.
+  bool may_be_forgotten = restored_at_ != TimePoint() && !was_holder_ &&
+                          context->now() < restored_at_ + kLeaseDuration;
+  if (is_taken || may_be_forgotten) {
     // The other holder may mark the row as idle early, so it is read again.
-    has_row_ = false;
-    next_try_ = context->now() + kRetryDelay;
-    context->WakeAt(next_try_);
+    Wait(kRetryDelay, context);
     return;
   }
   Write(context);
 }
 
+// Then the row is read again.
+void DutyLease::Wait(Duration time, ProxyContext* context) {
+  has_row_ = false;
+  next_try_ = context->now() + time;
+  context->WakeAt(next_try_);
+}
+
+void DutyLease::OnStoreRestored(StoreEra era, TimePoint at) {
+  if (!(era_ < era)) return;
+  era_ = era;
+  restored_at_ = at;
+  was_holder_ = has_token_;
+  has_row_ = false;
+}
+
 void DutyLease::Read(ProxyContext* context) {
   read_ = context->NextCall();
   context->Emit(StoreCall{read_, kStoreTimeout,
@@ -92,45 +121,72 @@
   if (!is_read && !is_write) return false;
   if (is_read) read_ = CallId();
   if (is_write) write_ = CallId();
+  bool is_first_era = era_ == StoreEra() && row_seen_at_ == TimePoint();
+  if (is_first_era) {
+    era_ = answer.version.era;
+  } else {
+    OnStoreRestored(answer.version.era, context->now());
+  }
   bool answered = answer.status == StoreStatus::kOk ||
                   answer.status == StoreStatus::kConflict;
-  if (!answered) {
-    store_failures_++;
-    has_row_ = false;
-    next_try_ = context->now() + kRetryDelay;
+  bool is_written = is_write && answer.status == StoreStatus::kOk;
+  bool is_other_row = is_written && answer.version.era != row_version_.era;
+  if (is_other_row) {
+    // It may have replaced the row of a holder that is promoting.
+    was_holder_ = false;
+    restored_at_ = context->now();
+  }
+  if (!answered || is_other_row || answer.version.era < era_) {
+    if (!answered) store_failures_++;
+    Wait(kRetryDelay, context);
     context->Log(LogLevel::kWarning, kPart, "store_failed",
                  {{"group", group_.value()},
                   {"step", is_read ? "read" : "write"},
                   {"status", StoreStatusName(answer.status)},
+                  {"version", FormatVersion(answer.version)},
+                  {"era", std::to_string(era_.value())},
                   {"failures", std::to_string(store_failures_)}});
-  } else if (is_read || answer.status == StoreStatus::kConflict) {
+  } else if (is_written) {
     store_failures_ = 0;
-    OnRow(answer, context);
+    OnRowWritten(answer, context);
   } else {
     store_failures_ = 0;
-    has_row_ = true;
-    row_version_ = answer.version;
-    row_value_ =
-        ValueFor(requested_row_ == RequestedRow::kPromotingRow, context);
-    row_seen_at_ = context->now();
-    has_token_ = true;
-    is_token_promoting_ = requested_row_ == RequestedRow::kPromotingRow;
-    token_ = answer.version.number;
-    token_term_ = term_;
-    granted_at_ = context->now();
-    requested_row_ = RequestedRow::kNone;
-    context->Log(LogLevel::kInfo, kPart, "token_granted",
-                 {{"group", group_.value()},
-                  {"token", std::to_string(token_)},
-                  {"term", std::to_string(term_)},
-                  {"promoting", is_token_promoting_ ? "yes" : "no"}});
+    OnRow(answer, context);
   }
   Step(context);
   return true;
 }
 
+void DutyLease::OnRowWritten(const StoreAnswered& answer,
+                             ProxyContext* context) {
+  bool is_promoting = requested_row_ == RequestedRow::kPromotingRow;
+  has_row_ = true;
+  row_version_ = answer.version;
+  row_value_ = ValueFor(is_promoting, context);
+  row_seen_at_ = context->now();
+  requested_row_ = RequestedRow::kNone;
+  has_token_ = MakeToken(answer.version, &token_);
+  if (!has_token_) {
+    context->Log(LogLevel::kError, kPart, "token_too_large",
+                 {{"group", group_.value()},
+                  {"version", FormatVersion(answer.version)}});
+    return;
+  }
+  was_holder_ = true;
+  is_token_promoting_ = is_promoting;
+  token_version_ = answer.version;
+  token_term_ = term_;
+  granted_at_ = context->now();
+  context->Log(LogLevel::kInfo, kPart, "token_granted",
+               {{"group", group_.value()},
+                {"token", std::to_string(token_)},
+                {"version", FormatVersion(answer.version)},
+                {"term", std::to_string(term_)},
+                {"promoting", is_token_promoting_ ? "yes" : "no"}});
+}
+
 void DutyLease::OnRow(const StoreAnswered& answer, ProxyContext* context) {
-  StoreVersion version;
+  StoreVersion version{answer.version.era, 0};
   std::string value;
   for (const StoreRow& row : answer.rows) {
     if (row.key != group_.value() || row.is_deleted) continue;
@@ -139,7 +195,7 @@
   }
   bool changed = version != row_version_ || row_seen_at_ == TimePoint();
   if (changed) row_seen_at_ = context->now();
-  if (version.number != token_) has_token_ = false;
+  if (version != token_version_) has_token_ = false;
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -1,13 +1,16 @@
 // The duty lease of one group: the right to request promotions. A row of the
 // platform's store names the holder; the version of the row is the fencing
-// token, which grows with every change of the holder.
+// token, which grows with every change of the holder. After a restore of the
+// store the token grows, too, since the store's era is in its upper bits.
 //
 //   lease.Acquire(true, term, &context);
 //   if (lease.OnStore(answer, &context)) ...
 //   if (lease.has_token()) Promote(lease.token());
 //
 // While the row is marked as promoting, other VMs do not replace it before
-// kLeaseDuration has passed. Limits: the row is read only when it is needed.
+// kLeaseDuration has passed. A restored store may have forgotten such a row, so
+// VMs other than the last known holder wait as long. Limits: the row is read
+// only when it is needed.
 
 #ifndef FIREFLYCART_CORE_PROXY_DUTY_LEASE_H_
 #define FIREFLYCART_CORE_PROXY_DUTY_LEASE_H_
@@ -39,6 +42,8 @@
   void Cancel() { requested_row_ = RequestedRow::kNone; }
 
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
+  // The store came back from an older copy, as was noticed at this time.
+  void OnStoreRestored(StoreEra era, TimePoint at);
   void OnWake(ProxyContext* context);
 
   // True once the row names this VM as promoting.
@@ -60,6 +65,8 @@
   void Read(ProxyContext* context);
   void Write(ProxyContext* context);
   void OnRow(const StoreAnswered& answer, ProxyContext* context);
+  void OnRowWritten(const StoreAnswered& answer, ProxyContext* context);
+  void Wait(Duration time, ProxyContext* context);
   std::string ValueFor(bool is_promoting, ProxyContext* context) const;
 
   GroupId group_;
@@ -74,10 +81,14 @@
   bool has_token_ = false;
   bool is_token_promoting_ = false;
   uint64_t token_ = 0;
+  StoreVersion token_version_;
   uint64_t token_term_ = 0;
   TimePoint granted_at_;
   int store_failures_ = 0;  // Consecutive.
   TimePoint next_try_;
+  StoreEra era_;
+  TimePoint restored_at_;    // Zero: no restore is known.
+  bool was_holder_ = false;  // At the restore.
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -84,6 +84,9 @@
   }
   bool OnPromotion(const PromotionAnswered& answer, ProxyContext* context);
   void OnWake(ProxyContext* context) { lease_.OnWake(context); }
+  void OnStoreRestored(StoreEra era, TimePoint at) {
+    lease_.OnStoreRestored(era, at);
+  }
   // Acquires the lease before it is needed, so that an outage of the store does
   // not delay a replacement.
   void AcquireLeaseInAdvance(uint64_t term, ProxyContext* context) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -81,6 +81,9 @@
   void OnClosed(const UpstreamClosed& event, ProxyContext* context);
   void OnAnswered(const UpstreamAnswered& event, ProxyContext* context);
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
+  void OnStoreRestored(StoreEra era, TimePoint at) {
+    failover_.OnStoreRestored(era, at);
+  }
   bool OnPromotion(const PromotionAnswered& answer, ProxyContext* context);
   void OnWake(ProxyContext* context);
 
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -105,11 +105,15 @@
   CheckFleetReachability();
 }
 
-// True if the store was restored since the last call.
+// Tells the owners that the store was restored, if it was; true if so.
 bool ProxyReducer::ApplyEra() {
   if (applied_era_ == follower_.era()) return false;
   applied_era_ = follower_.era();
-  return follower_.restored_at() != TimePoint();
+  if (follower_.restored_at() == TimePoint()) return false;
+  for (auto& item : owners_) {
+    item.second->OnStoreRestored(applied_era_, follower_.restored_at());
+  }
+  return true;
 }
 
 // Applies the list of VMs if it changed; returns true if it was applied. Many
@@ -183,6 +187,9 @@
   auto owner = std::make_unique<GroupOwner>(spec->second, reply_handler);
   owner->SetTransactionIdleTimeout(table.transaction_idle_timeout);
   owner->SetDrainLimit(options_.drain_time() - kDrainMargin);
+  if (follower_.restored_at() != TimePoint()) {
+    owner->OnStoreRestored(follower_.era(), follower_.restored_at());
+  }
   owner->SetUpstreams(records, &context_);
   GroupOwner* created = owner.get();
   owners_[group] = std::move(owner);
@@ -297,6 +304,7 @@
 void ProxyReducer::Handle(const StoreAnswered& event) {
   if (follower_.OnStore(event, &context_)) return;
   follower_.OnEra(event.version.era, "store", &context_);
+  ApplyEra();
   for (auto& item : owners_) {
     if (item.second->OnStore(event, &context_)) return;
   }
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -16,6 +16,11 @@
   CPPUNIT_TEST(Acquire_Conflict_UsesCurrentRow);
   CPPUNIT_TEST(Acquire_WriteUnanswered_ReadsBeforeWritingAgain);
   CPPUNIT_TEST(OldToken_StoreUnavailableAndTermUnchanged_MayBeUsed);
+  CPPUNIT_TEST(Acquire_LaterEra_TokenIsAboveAllOfTheEraBefore);
+  CPPUNIT_TEST(Acquire_RestoredAndNotHolder_WaitsForLeaseDuration);
+  CPPUNIT_TEST(Acquire_RestoredAndHolder_WritesAtOnce);
+  CPPUNIT_TEST(Write_AppliedInLaterEra_GivesNoToken);
+  CPPUNIT_TEST(Write_AnswerOfEarlierEra_GivesNoToken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +90,76 @@
     CPPUNIT_ASSERT(!lease_.MayUseOldToken(5));
   }
 
+  void Acquire_LaterEra_TokenIsAboveAllOfTheEraBefore() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kOk, 5000000, {});
+    uint64_t before = lease_.token();
+    era_ = StoreEra(1);
+    lease_.OnStoreRestored(era_, now_);
+    Begin();
+    lease_.Acquire(true, 5, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kOk, 26, {});
+    CPPUNIT_ASSERT(lease_.has_token());
+    CPPUNIT_ASSERT(lease_.token() > before);
+  }
+
+  void Acquire_RestoredAndNotHolder_WaitsForLeaseDuration() {
+    era_ = StoreEra(2);
+    TimePoint restored_at = now_;
+    lease_.OnStoreRestored(era_, restored_at);
+    now_ = now_ + Duration::Millis(500);
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    for (int i = 0; i < 100 && !HasOpen<WriteRow>(); i++) {
+      now_ = now_ + Duration::Millis(50);
+      Begin();
+      lease_.OnWake(&context_);
+      if (HasOpen<ReadTable>()) AnswerRead({});
+    }
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    CPPUNIT_ASSERT(now_ - restored_at >= DutyLease::kLeaseDuration);
+  }
+
+  void Acquire_RestoredAndHolder_WritesAtOnce() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    era_ = StoreEra(2);
+    lease_.OnStoreRestored(era_, now_);
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+  }
+
+  // The expected version was given out again for another row.
+  void Write_AppliedInLaterEra_GivesNoToken() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({StoreRow{kGroup.value(), "vm-9 1 idle", {era_, 20}, false}});
+    era_ = StoreEra(1);
+    AnswerWrite(StoreStatus::kOk, 21, {});
+    CPPUNIT_ASSERT(!lease_.has_token());
+    now_ = now_ + Duration::Millis(500);
+    Begin();
+    lease_.OnWake(&context_);
+    CPPUNIT_ASSERT(HasOpen<ReadTable>());
+  }
+
+  void Write_AnswerOfEarlierEra_GivesNoToken() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    lease_.OnStoreRestored(StoreEra(1), now_);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(!lease_.has_token());
+  }
+
  private:
   void Begin() { context_.Begin(now_, &effects_); }
 
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(Store_RestoredAndVersionsReused_ChangesAreNotMissed);
   CPPUNIT_TEST(Store_RestoredFromOldCopy_LeavingUpstreamKeepsItsLimit);
   CPPUNIT_TEST(Store_RestoredFromOldCopy_VmsAnnounceThemselvesAgain);
+  CPPUNIT_TEST(Store_RestoredFromOldCopy_TokensGrow);
   CPPUNIT_TEST(Vm_CutFromStore_ReceivesRoutesFromPeers);
   CPPUNIT_TEST(StoreReaders_AllCutFromStore_RoutesArriveInTime);
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreNotSentThere);
@@ -542,6 +543,22 @@
     ExpectInvariantsHold();
   }
 
+  void Store_RestoredFromOldCopy_TokensGrow() {
+    world_->Run(Duration::Seconds(4));
+    WriteManyVersions();
+    UpstreamId first = world_->primary();
+    world_->CrashUpstream(first);
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+    world_->RestartUpstream(first);
+    world_->RestoreStore(Duration::Seconds(4), Duration::Seconds(1));
+    world_->Run(Duration::Seconds(6));
+    world_->CrashUpstream(world_->primary());
+    world_->Run(Duration::Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(2, world_->promotions());
+    ExpectInvariantsHold();
+  }
+
   void Vm_CutFromStore_ReceivesRoutesFromPeers() {
     world_->Run(Duration::Seconds(2));
     world_->Cut("vm-1", "store");
