--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -12,6 +12,9 @@
 
 const UpstreamId kUpstream("up-a");
 const VmId kSelf("vm-1");
+// Eras of the store before and after the restore.
+const StoreEra kFirst(4);
+const StoreEra kSecond(5);
 
 UpstreamChange MakeChange(const UpstreamId& id, int64_t started_ms,
                           bool leaving) {
@@ -166,9 +169,6 @@
   }
 
  private:
-  const StoreEra kFirst{4};
-  const StoreEra kSecond{5};
-
   void Begin() { context_.Begin(now_, &effects_); }
 
   void Restore() {
