--- a/fireflycart/net/http_client.cc
+++ b/fireflycart/net/http_client.cc
@@ -137,7 +137,10 @@
     for (const std::string& name : reply_fields_) {
       auto found = parser_->get().find(name);
       if (found == parser_->get().end()) continue;
-      reply.fields.push_back(HttpField{name, std::string(found->value())});
+      HttpField field;
+      field.name = name;
+      field.value.assign(found->value().data(), found->value().size());
+      reply.fields.push_back(field);
     }
     reply.body = std::move(parser_->get().body());
     Finish(std::move(reply));
