--- /dev/null
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -0,0 +1,116 @@
+// Tests that messages keep the store's eras, and that processes of an earlier
+// version, which know no eras, are understood and understand.
+
+#include "fireflycart/net/proxy_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace fireflycart::proxy {
+namespace {
+
+const StoreEra kEra(3);
+// Fields of messages of the earlier version.
+constexpr size_t kEarlierKnownFields = 3;
+constexpr size_t kEarlierHeartbeatFields = 6;
+constexpr size_t kEarlierUpstreamListFields = 2;
+constexpr size_t kEarlierVmListFields = 3;
+constexpr size_t kEarlierVmFields = 6;
+
+void Shorten(Json* json, size_t size) {
+  while (json->size() > size) json->erase(json->size() - 1);
+}
+
+class ProxyCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ProxyCodecTest);
+  CPPUNIT_TEST(Heartbeat_Decoded_HasEras);
+  CPPUNIT_TEST(Heartbeat_OfEarlierVersion_TellsNoEra);
+  CPPUNIT_TEST(Snapshot_Decoded_HasEras);
+  CPPUNIT_TEST(Snapshot_OfEarlierVersion_HasEraZero);
+  CPPUNIT_TEST(Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Heartbeat_Decoded_HasEras() {
+    HeartbeatCall call;
+    FromJson(ToJson(MakeHeartbeat()), &call);
+    CPPUNIT_ASSERT(call.heartbeat.tells_era);
+    CPPUNIT_ASSERT(call.heartbeat.era == kEra);
+    CPPUNIT_ASSERT(call.heartbeat.known.upstreams == (StoreVersion{kEra, 40}));
+    CPPUNIT_ASSERT(call.heartbeat.known.vms == (StoreVersion{kEra, 41}));
+  }
+
+  void Heartbeat_OfEarlierVersion_TellsNoEra() {
+    Json json = ToJson(MakeHeartbeat());
+    Shorten(&json[0], kEarlierKnownFields);
+    Shorten(&json, kEarlierHeartbeatFields);
+    HeartbeatCall call;
+    FromJson(json, &call);
+    CPPUNIT_ASSERT(!call.heartbeat.tells_era);
+    CPPUNIT_ASSERT(call.heartbeat.era == StoreEra());
+    CPPUNIT_ASSERT(call.heartbeat.known.upstreams ==
+                   (StoreVersion{StoreEra(), 40}));
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7"), call.heartbeat.address);
+  }
+
+  void Snapshot_Decoded_HasEras() {
+    SnapshotReply reply;
+    FromJson(ToJson(MakeSnapshot()), &reply);
+    CPPUNIT_ASSERT(reply.upstreams.version == (StoreVersion{kEra, 40}));
+    CPPUNIT_ASSERT(reply.vms.version == (StoreVersion{kEra, 41}));
+    CPPUNIT_ASSERT(reply.vms.after == (StoreVersion{kEra, 38}));
+    CPPUNIT_ASSERT(reply.vms.records.at(VmId("vm-1")).version ==
+                   (StoreVersion{kEra, 39}));
+  }
+
+  void Snapshot_OfEarlierVersion_HasEraZero() {
+    Json json = ToJson(MakeSnapshot());
+    Shorten(&json[1], kEarlierUpstreamListFields);
+    Shorten(&json[2][2][0], kEarlierVmFields);
+    Shorten(&json[2], kEarlierVmListFields);
+    SnapshotReply reply;
+    FromJson(json, &reply);
+    CPPUNIT_ASSERT(reply.upstreams.version == (StoreVersion{StoreEra(), 40}));
+    CPPUNIT_ASSERT(reply.vms.after == (StoreVersion{StoreEra(), 38}));
+    CPPUNIT_ASSERT(reply.vms.records.at(VmId("vm-1")).version ==
+                   (StoreVersion{StoreEra(), 39}));
+  }
+
+  void Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces() {
+    Json json = ToJson(MakeSnapshot());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{40}, json[1][0].get<uint64_t>());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{41}, json[2][0].get<uint64_t>());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{38}, json[2][1].get<uint64_t>());
+    const Json& vm = json[2][2][0];
+    CPPUNIT_ASSERT_EQUAL(uint64_t{39},
+                         vm[kEarlierVmFields - 1].get<uint64_t>());
+  }
+
+ private:
+  static HeartbeatCall MakeHeartbeat() {
+    HeartbeatCall call;
+    call.heartbeat.known.upstreams = {kEra, 40};
+    call.heartbeat.known.vms = {kEra, 41};
+    call.heartbeat.address = "10.0.0.1:7";
+    call.heartbeat.era = kEra;
+    return call;
+  }
+
+  static SnapshotReply MakeSnapshot() {
+    SnapshotReply reply;
+    reply.upstreams.version = {kEra, 40};
+    reply.vms.version = {kEra, 41};
+    reply.vms.after = {kEra, 38};
+    VmRecord record;
+    record.vm = VmId("vm-1");
+    record.version = {kEra, 39};
+    reply.vms.records[record.vm] = record;
+    return reply;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProxyCodecTest);
+
+}  // namespace
+}  // namespace fireflycart::proxy
