Count the age of a fencing token from its request

Callers could see two VMs promote for one group, the second with a lower token: a token was used for kTokenMaxAge, 1 s, from the moment at which the answer of the store was read. A process that was paused after its write reads that answer when it runs again; by then another VM may have waited for kLeaseDuration, 3 s, and promoted with a newer token.

Evidence, before the change: duty_lease_test.cc: Acquire_AnswerReadAfterPause_TokenAgesFromTheRequest: equality assertion failed - Expected: 1000 - Actual : 5000

Change: the age counts from the sending of the write. The row cannot have been written earlier than that, so another VM sees it no earlier, and its wait of kLeaseDuration ends after the token's age limit. fireflycart_core_test: 80 of 80 pass.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -106,6 +106,7 @@
 
 void DutyLease::Write(ProxyContext* context) {
   write_ = context->NextCall();
+  write_sent_at_ = context->now();
   WriteRow row;
   row.table = StoreTable::kDuties;
   row.key = group_.value();
@@ -176,7 +177,7 @@
   is_token_promoting_ = is_promoting;
   token_version_ = answer.version;
   token_term_ = term_;
-  granted_at_ = context->now();
+  granted_at_ = write_sent_at_;
   context->Log(LogLevel::kInfo, kPart, "token_granted",
                {{"group", group_.value()},
                 {"token", std::to_string(token_)},
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -49,6 +49,8 @@
   // True once the row names this VM as promoting.
   bool has_token() const { return has_token_ && is_token_promoting_; }
   uint64_t token() const { return token_; }
+  // When the write that granted the token was sent. The answer may be read much
+  // later, for example after a pause of this process.
   TimePoint granted_at() const { return granted_at_; }
 
   // A token that was confirmed in this term may still be used if the store does
@@ -74,6 +76,7 @@
   uint64_t term_ = 0;
   CallId read_;
   CallId write_;
+  TimePoint write_sent_at_;
   bool has_row_ = false;
   StoreVersion row_version_;
   std::string row_value_;
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(Acquire_OtherIsPromoting_WaitsForLeaseDuration);
   CPPUNIT_TEST(Acquire_Conflict_UsesCurrentRow);
   CPPUNIT_TEST(Acquire_WriteUnanswered_ReadsBeforeWritingAgain);
+  CPPUNIT_TEST(Acquire_AnswerReadAfterPause_TokenAgesFromTheRequest);
   CPPUNIT_TEST(OldToken_StoreUnavailableAndTermUnchanged_MayBeUsed);
   CPPUNIT_TEST(Acquire_LaterEra_TokenIsAboveAllOfTheEraBefore);
   CPPUNIT_TEST(Acquire_RestoredAndNotHolder_WaitsForLeaseDuration);
@@ -77,6 +78,19 @@
     CPPUNIT_ASSERT(!HasOpen<WriteRow>());
   }
 
+  // A process that was paused reads the answer late. Another VM may have waited
+  // for kLeaseDuration by then.
+  void Acquire_AnswerReadAfterPause_TokenAgesFromTheRequest() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    TimePoint requested_at = now_;
+    now_ = now_ + Duration::Seconds(4);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(lease_.has_token());
+    CPPUNIT_ASSERT_EQUAL(requested_at.millis(), lease_.granted_at().millis());
+  }
+
   void OldToken_StoreUnavailableAndTermUnchanged_MayBeUsed() {
     Begin();
     lease_.Acquire(false, 4, &context_);
