Let a hold show which fencing token it was placed with

Cause: an owner that the store does not answer uses its last token while all its contacts answer. A VM that is none of its contacts can have taken it for lost, taken the lease, held the same replicas and ordered a promotion; the owner took the other VM's holds for its own and ordered with the older token.

Change: the term of a hold has the token in its lower 32 bits. A replica counts as held only while it reports this VM's own hold. With a token that the store does not confirm, a VM requests the status right before each hold, on the same connection, gives up if an upstream reports a hold with a newer token, and needs at least one replica to hold. After its order it replaces no newer hold.

Why it works: a VM with a newer token holds every replica before it orders, so an owner with an older one sees that hold on a replica which both hold, or its own hold came first and its order is sent first.

The stand-in now does the same.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -5,6 +5,11 @@
 // answer delays the replacement, since it might still acknowledge commits of
 // the old primary.
 //
+// A replica reports the term of the last hold that it was sent. Holds of VMs
+// with different tokens differ, so a VM sees when another one has replaced its
+// hold. A VM whose token the store does not confirm requests the status right
+// before each hold: its own hold would hide an earlier one with a newer token.
+//
 // In a planned change, all replicas but the successor are held. The promotion
 // waits until the successor has what was acknowledged before; later commits are
 // acknowledged only by the successor.
@@ -17,6 +22,9 @@
 constexpr char kPart[] = "failover";
 // How long an upstream that cannot be promoted is no candidate.
 constexpr Duration kNotRunningExclusion = Duration::Seconds(1);
+// The lower bits of the term of a hold are those of the token.
+constexpr int kHoldTokenBits = 32;
+constexpr uint64_t kHoldTokenMask = (uint64_t{1} << kHoldTokenBits) - 1;
 
 std::string FormatPosition(LogPosition position) {
   return std::to_string(position.term) + "." + std::to_string(position.number);
@@ -40,6 +48,14 @@
   return "unknown";
 }
 
+uint64_t Failover::HoldTermOf(uint64_t term, uint64_t token) {
+  return ((term + 1) << kHoldTokenBits) | (token & kHoldTokenMask);
+}
+
+bool Failover::IsHoldOver(uint64_t hold_term, uint64_t term) {
+  return hold_term >> kHoldTokenBits <= term;
+}
+
 void Failover::Start(FailoverCause cause, const UpstreamId& old_primary,
                      uint64_t term, ProxyContext* context) {
   if (is_active() || context->now() < retry_at_) return;
@@ -87,7 +103,19 @@
 bool Failover::IsHeld(const PooledUpstream& upstream) const {
   return upstream.is_status_of_this_connection() &&
          upstream.status_sent.sequence > started_.sequence &&
-         !upstream.is_down && upstream.status.held_term > term_;
+         !upstream.is_down && upstream.status.held_term == hold_term_;
+}
+
+bool Failover::HasNewerHold(const PooledUpstream& upstream) const {
+  return !upstream.is_down && upstream.is_status_of_this_connection() &&
+         upstream.status.held_term > hold_term_;
+}
+
+bool Failover::IsAnyHoldNewer(const UpstreamPool& pool) const {
+  for (const auto& item : pool.upstreams()) {
+    if (item.first != old_primary_ && HasNewerHold(item.second)) return true;
+  }
+  return false;
 }
 
 bool Failover::AreReplicasHeld(const UpstreamPool& pool,
@@ -124,7 +152,12 @@
   }
   UpstreamCommand command;
   command.kind = kind;
-  command.term = term_ + 1;
+  command.term = hold_term_;
+  bool may_hide_newer = kind == CommandKind::kHold && !lease_.has_token();
+  if (may_hide_newer) {
+    UpstreamCommand status;
+    if (!pool->SendControl(id, status, context)) return;
+  }
   if (!pool->SendControl(id, command, context)) return;
   sent_at = context->now();
   context->WakeAt(sent_at + kCommandInterval);
@@ -192,7 +225,14 @@
       if (successor_ == UpstreamId()) return;
     }
   }
-  if (!RenewToken(context)) return;
+  if (!RenewToken(*pool, context)) return;
+  hold_term_ = HoldTermOf(term_, lease_.token());
+  // With a token that the store confirmed, such a hold is one left behind.
+  if (!lease_.has_token() && IsAnyHoldNewer(*pool)) {
+    has_sent_hold_ = false;  // The other VM needs these holds.
+    GiveUp("a VM with a newer token holds a replica", pool, context);
+    return;
+  }
   has_sent_hold_ = true;
   if (!HoldReplicas(pool, context)) return;
   if (is_planned()) {
@@ -207,8 +247,8 @@
 
 // True if a token may be used now. Writes the row again to replace a token that
 // is too old.
-bool Failover::RenewToken(ProxyContext* context) {
-  if (HasUsableToken(context)) return true;
+bool Failover::RenewToken(const UpstreamPool& pool, ProxyContext* context) {
+  if (HasUsableToken(pool, context)) return true;
   if (lease_.has_token()) lease_.Acquire(true, term_, context);
   return false;
 }
@@ -220,6 +260,8 @@
     if (!MustHold(item.first) || IsHeld(upstream)) continue;
     if (!MayAcknowledge(upstream, context)) continue;
     all_hold = false;
+    bool is_ordered = stage_ != FailoverStage::kHoldingReplicas;
+    if (is_ordered && HasNewerHold(upstream)) continue;
     SendCommand(item.first, CommandKind::kHold, pool, context);
   }
   return all_hold;
@@ -293,10 +335,18 @@
   return false;
 }
 
-bool Failover::HasUsableToken(ProxyContext* context) const {
+bool Failover::HasUsableToken(const UpstreamPool& pool,
+                              ProxyContext* context) const {
   if (lease_.has_token()) {
     return context->now() - lease_.granted_at() < kTokenMaxAge;
   }
+  // Without a hold, nothing shows that another VM has a newer token.
+  bool holds_any = false;
+  for (const auto& item : pool.upstreams()) {
+    holds_any =
+        holds_any || (MustHold(item.first) && item.second.is_registered);
+  }
+  if (!holds_any) return false;
   return is_fleet_reachable_ && lease_.MayUseOldToken(term_);
 }
 
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -11,7 +11,10 @@
 // successor's log.
 //
 // Only the holder of the duty lease sends commands, so that two VMs never hold
-// and resume the same replicas.
+// and resume the same replicas. A VM that cannot reach the store does not know
+// whether its token is still the newest. So each hold carries the token of the
+// VM that placed it, and a promotion is ordered only while all these holds are
+// in force: a hold with a newer token shows that another VM took the lease.
 //
 // Limits: one replacement at a time.
 
@@ -72,6 +75,12 @@
 
   explicit Failover(GroupId group) : group_(std::move(group)), lease_(group_) {}
 
+  // The term of a hold that is placed in this term with this token. It is above
+  // the term, and grows with the token.
+  static uint64_t HoldTermOf(uint64_t term, uint64_t token);
+  // True if a promotion has ended the term in which the hold was placed.
+  static bool IsHoldOver(uint64_t hold_term, uint64_t term);
+
   void Start(FailoverCause cause, const UpstreamId& old_primary, uint64_t term,
              ProxyContext* context);
   // Starts a planned change to that replica, which is given up if the replica
@@ -141,6 +150,9 @@
   bool MayAcknowledge(const PooledUpstream& upstream,
                       ProxyContext* context) const;
   bool IsHeld(const PooledUpstream& upstream) const;
+  // True if a VM with a newer token holds the upstream.
+  bool HasNewerHold(const PooledUpstream& upstream) const;
+  bool IsAnyHoldNewer(const UpstreamPool& pool) const;
   bool MustHold(const UpstreamId& id) const;
   bool AreReplicasHeld(const UpstreamPool& pool, ProxyContext* context) const;
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
@@ -148,8 +160,8 @@
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
   void ChooseSuccessor(UpstreamPool* pool, ProxyContext* context);
   bool HasCaughtUp(UpstreamPool* pool, ProxyContext* context);
-  bool HasUsableToken(ProxyContext* context) const;
-  bool RenewToken(ProxyContext* context);
+  bool HasUsableToken(const UpstreamPool& pool, ProxyContext* context) const;
+  bool RenewToken(const UpstreamPool& pool, ProxyContext* context);
   void RequestPromotion(ProxyContext* context);
   void SendCommand(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
                    ProxyContext* context);
@@ -166,6 +178,7 @@
   UpstreamId old_primary_;
   UpstreamId successor_;
   uint64_t term_ = 0;
+  uint64_t hold_term_ = 0;  // Of the holds that this VM places.
   Instant started_;
   LogPosition acknowledged_;
   // What a leaving primary's successor must have received.
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -295,7 +295,7 @@
       command.kind = CommandKind::kDemote;
       command.term = term;
     } else if (upstream.status.held_term != 0) {
-      bool is_over = upstream.status.held_term <= term;
+      bool is_over = Failover::IsHoldOver(upstream.status.held_term, term);
       bool is_stuck =
           context->now() - upstream.held_since > kStuckHoldTimeout &&
           context->now() - assigned_since_ > kStuckHoldTimeout;
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -277,7 +277,7 @@
       return answer;
     case CommandKind::kHold:
       if (!upstream.is_primary && command.term > upstream.term) {
-        upstream.held_term = std::max(upstream.held_term, command.term);
+        upstream.held_term = command.term;
       }
       return StatusOf(upstream, now);
     case CommandKind::kResume:
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(Store_DownWhilePrimaryCrashes_OldTokenIsUsed);
   CPPUNIT_TEST(Owner_CutFromVmsAndStoreAsPrimaryCrashes_KeepsOldToken);
   CPPUNIT_TEST(Owner_TakenForLostWhileStoreRefusesIt_KeepsOldToken);
+  CPPUNIT_TEST(Owner_CutFromStoreAndOneVm_NoLowerTokenFollows);
   CPPUNIT_TEST(Store_HistoryLost_AllRoutesAreReadAgain);
   CPPUNIT_TEST(Store_AnswersLost_DutyLeaseIsReadAgain);
   CPPUNIT_TEST(Store_RestoredFromOldCopy_ConfirmedRoutesStayInForce);
@@ -444,6 +445,31 @@
     }
   }
 
+  // One VM takes the owner for lost and gets a newer token, without the owner
+  // or its contacts knowing.
+  void Owner_CutFromStoreAndOneVm_NoLowerTokenFollows() {
+    SessionWorldOptions options;
+    options.vms = 10;
+    options.database.promote_time = Duration::Millis(1000);
+    int promotions = 0;
+    for (int other = 0; other < options.vms; other++) {
+      MakeWorld(options);
+      world_->Run(Duration::Seconds(4));
+      VmId owner = world_->owner();
+      if (other == IndexOf(owner)) continue;
+      world_->Cut(owner.value(), "store");
+      world_->Cut(owner.value(), "vm-" + std::to_string(other));
+      world_->Run(Duration::Seconds(2));
+      world_->CrashUpstream(world_->primary());
+      world_->Run(Duration::Seconds(5));
+      world_->HealAll();
+      world_->Run(Duration::Seconds(4));
+      promotions += world_->promotions();
+      ExpectInvariantsHold();
+    }
+    CPPUNIT_ASSERT(promotions > 0);
+  }
+
   void Store_HistoryLost_AllRoutesAreReadAgain() {
     world_->Run(Duration::Seconds(2));
     for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "store");
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -112,6 +112,12 @@
         "return is_fleet_reachable_ && lease_.MayUseOldToken(term_);",
         "return lease_.MayUseOldToken(term_);",
     ),
+    Mutant(
+        "old token used beside a hold with a newer one",
+        "proxy/failover.cc",
+        "if (!lease_.has_token() && IsAnyHoldNewer(*pool)) {",
+        "if (false) {",
+    ),
     Mutant(
         "loss of the store not told to the next readers",
         "proxy/proxy_reducer.cc",
