Discard a promotion order that was given up

Callers could see a lower fencing token after a higher one: an order that waits on a cut link is given up after kPromotionCallTimeout, 500 ms, and its connection closed, but after a plain close the kernel goes on sending it. When the link is back it reaches the platform, possibly after another VM's newer order.

Evidence, before the change, with a peer that reads the order and answers nothing: promotion_client_test.cc: Order_NotAnswered_IsDiscardedWithItsConnection: equality assertion failed - Expected: Connection reset by peer - Actual : End of file

A cut link itself was not tried.

--- a/fireflycart/net/http_client.cc
+++ b/fireflycart/net/http_client.cc
@@ -21,6 +21,8 @@
 using ReplyParser = http::response_parser<http::string_body>;
 
 constexpr int kHttpVersion = 11;
+// Closing resets the connection instead of sending the rest.
+constexpr int kNoLingerSeconds = 0;
 
 Tcp::endpoint EndpointOf(const std::string& address) {
   IpAddress parsed = ParseAddress(address);
@@ -107,6 +109,12 @@
     stream_.socket().close(ignored);
   }
 
+  void SetDiscardsOnClose(bool discards) override {
+    beast::error_code ignored;
+    stream_.socket().set_option(
+        boost::asio::socket_base::linger(discards, kNoLingerSeconds), ignored);
+  }
+
   void SetTimeout(Duration timeout) {
     stream_.expires_after(std::chrono::milliseconds(timeout.millis()));
   }
--- a/fireflycart/net/http_client.h
+++ b/fireflycart/net/http_client.h
@@ -61,6 +61,9 @@
                     Duration timeout,
                     std::function<void(HttpReply)> on_reply) = 0;
   virtual void Close() = 0;
+  // If set, what the peer has not received when the connection is closed or a
+  // request times out is never sent. Otherwise the kernel goes on sending it.
+  virtual void SetDiscardsOnClose(bool discards) = 0;
 };
 
 // Connects to the address. The callback receives whether this succeeded. It is
