Keep the era in the term of a hold

A hold shows the fencing token that it was placed with in its lower 32 bits. With tokens that are made of the store's era and a number, this drops the era, so after a restore a newer hold could look older than one that was placed before.

The term of a hold now has 8 bits of the era above 32 bits of the number. A hold of a VM of an earlier version, which is the next term alone, lasts until that term, so that VMs of both versions do not release each other's holds.

The tests of odd rows and the fuzz targets use versions with an era, too.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -11,16 +11,15 @@
 constexpr char kPart[] = "duty";
 constexpr char kPromoting[] = "promoting";
 constexpr char kIdle[] = "idle";
-// Bits of a token for the number of a version; the era is above them.
-constexpr int kNumberBits = 40;
-constexpr int kEraBits = 64 - kNumberBits;
+constexpr int kEraBits = 64 - DutyLease::kTokenNumberBits;
 
 // In era 0 the token is the number. Returns false if there are too few bits.
 bool MakeToken(const StoreVersion& version, uint64_t* token) {
-  bool fits = (version.number >> kNumberBits) == 0 &&
+  bool fits = (version.number >> DutyLease::kTokenNumberBits) == 0 &&
               (version.era.value() >> kEraBits) == 0;
   if (!fits) return false;
-  *token = (version.era.value() << kNumberBits) | version.number;
+  *token =
+      (version.era.value() << DutyLease::kTokenNumberBits) | version.number;
   return true;
 }
 
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -29,6 +29,8 @@
   static constexpr Duration kLeaseDuration = Duration::Seconds(3);
   // A healthy store answers within about 10 ms.
   static constexpr Duration kStoreTimeout = Duration::Millis(300);
+  // Bits of a token for the number of a version; the era is above them.
+  static constexpr int kTokenNumberBits = 40;
   // Delay after a failed call.
   static constexpr Duration kRetryDelay = Duration::Millis(150);
 
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -22,9 +22,15 @@
 constexpr char kPart[] = "failover";
 // How long an upstream that cannot be promoted is no candidate.
 constexpr Duration kNotRunningExclusion = Duration::Seconds(1);
-// The lower bits of the term of a hold are those of the token.
-constexpr int kHoldTokenBits = 32;
-constexpr uint64_t kHoldTokenMask = (uint64_t{1} << kHoldTokenBits) - 1;
+// The lower bits of the term of a hold are those of the token: of its version's
+// number, and above them of its era.
+constexpr int kHoldNumberBits = 32;
+constexpr int kHoldEraBits = 8;
+constexpr int kHoldTokenBits = kHoldNumberBits + kHoldEraBits;
+
+constexpr uint64_t LowerBits(uint64_t value, int bits) {
+  return value & ((uint64_t{1} << bits) - 1);
+}
 
 std::string FormatPosition(LogPosition position) {
   return std::to_string(position.term) + "." + std::to_string(position.number);
@@ -49,11 +55,15 @@
 }
 
 uint64_t Failover::HoldTermOf(uint64_t term, uint64_t token) {
-  return ((term + 1) << kHoldTokenBits) | (token & kHoldTokenMask);
+  uint64_t era = LowerBits(token >> DutyLease::kTokenNumberBits, kHoldEraBits);
+  return ((term + 1) << kHoldTokenBits) | (era << kHoldNumberBits) |
+         LowerBits(token, kHoldNumberBits);
 }
 
 bool Failover::IsHoldOver(uint64_t hold_term, uint64_t term) {
-  return hold_term >> kHoldTokenBits <= term;
+  uint64_t held_above = hold_term >> kHoldTokenBits;
+  // A VM of an earlier version holds with the term alone.
+  return (held_above == 0 ? hold_term : held_above) <= term;
 }
 
 void Failover::Start(FailoverCause cause, const UpstreamId& old_primary,
--- a/fireflycart/core/proxy/testing/store_rows_test.cc
+++ b/fireflycart/core/proxy/testing/store_rows_test.cc
@@ -1,11 +1,11 @@
 // Tests of following the store's tables when another writer leaves odd rows.
 
-#include "fireflycart/core/proxy/store_follower.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <variant>
 
+#include "fireflycart/core/proxy/store_follower.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -53,7 +53,7 @@
       std::string shown = odd.second + " " + odd.first.substr(0, 100);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, size_t{2},
                                    follower_.vms().records.size());
-      CPPUNIT_ASSERT_EQUAL(version_, follower_.vms().version);
+      CPPUNIT_ASSERT_EQUAL(version_, follower_.vms().version.number);
       std::vector<std::string> problems = SkippedRows();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, size_t{1}, problems.size());
       CPPUNIT_ASSERT(problems[0].size() <= kMaxProblemBytes);
@@ -125,7 +125,7 @@
   }
 
   StoreRow Row(const std::string& key, const std::string& value) const {
-    return StoreRow{key, value, version_, false};
+    return StoreRow{key, value, StoreVersion{StoreEra(), version_}, false};
   }
 
   void Begin() { context_.Begin(now_, &effects_); }
@@ -148,7 +148,7 @@
   void Answer(StoreTable table, StoreAnswered answer) {
     answer.call = OpenCall(table);
     answer.status = StoreStatus::kOk;
-    answer.version = version_;
+    answer.version.number = version_;
     effects_.clear();
     Begin();
     CPPUNIT_ASSERT(follower_.OnStore(answer, &context_));
--- a/fireflycart/daemon/testing/fuzz_targets.cc
+++ b/fireflycart/daemon/testing/fuzz_targets.cc
@@ -176,7 +176,7 @@
       {"vm",
        DecodeAnyVm,
        {proxy::StoreFollower::EncodeVm(proxy::VmRecord{
-           VmId("a"), "127.0.0.1:1", DataCentreId("d"), 7, 250, 0})}},
+           VmId("a"), "127.0.0.1:1", DataCentreId("d"), 7, 250, {}})}},
       {"address", ParseAnyAddress, {"127.0.0.1:7001"}},
       {"caller_call",
        ParseAnyCall,
