Keep the last stage of a planned stop in force

Writes that never ran could still end as unknown at the exit of their owner.

Cause: the queue was returned once. A statement that an upstream refused after that was queued again and stayed until the exit. Statements that a stopping VM's own callers had queued elsewhere were cancelled at the group's present owner, which need not be the VM that has them. A transaction of another VM could go on until the exit cut it. With a grace time below 4.4 s the stages ran in the wrong order, and operations were accepted again.

Change: the last stage applies at each check; it also rolls back transactions without a running statement, whose VMs are told at their next statement. A cancel goes to the VM that has the call. Stages only move forward.

The tests of session_stop_test pass; none of them shows these cases before the change.

--- a/fireflycart/core/proxy/forwarder.cc
+++ b/fireflycart/core/proxy/forwarder.cc
@@ -24,6 +24,13 @@
   return found == pinned_vms_.end() ? VmId() : found->second;
 }
 
+VmId Forwarder::OpenCallVm(SessionNumber session) const {
+  for (const auto& item : open_calls_) {
+    if (item.second.session == session) return item.second.vm;
+  }
+  return VmId();
+}
+
 void Forwarder::OnSessionEnded(SessionNumber session) {
   attempts_.erase(session);
   pinned_vms_.erase(session);
--- a/fireflycart/core/proxy/forwarder.h
+++ b/fireflycart/core/proxy/forwarder.h
@@ -55,6 +55,8 @@
   // The VM at which the session's last transaction was opened; empty if none
   // was.
   VmId PinnedVm(SessionNumber session) const;
+  // The VM that has the session's open statement; empty if no other VM has it.
+  VmId OpenCallVm(SessionNumber session) const;
   void Pin(SessionNumber session, const VmId& vm) { pinned_vms_[session] = vm; }
 
   size_t size() const { return open_calls_.size(); }
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -141,6 +141,16 @@
   }
 }
 
+void GroupOwner::EndForStop(ProxyContext* context) {
+  ReturnQueued(context);
+  std::vector<TransactionKey> idle;
+  for (const auto& item : transactions_) {
+    bool is_idle = item.second.running == StatementNumber();
+    if (is_idle) idle.push_back(item.first);
+  }
+  for (const TransactionKey& key : idle) AbortTransaction(key, false, context);
+}
+
 void GroupOwner::ReturnQueued(ProxyContext* context) {
   std::vector<StatementNumber> queued;
   for (const Work* work : queue_.All()) queued.push_back(work->number);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -73,9 +73,10 @@
                     ProxyContext* context);
   void EndTransaction(const TransactionKey& key, ProxyContext* context);
 
-  // Planned stop of this VM. Returns the queued statements of other VMs to
-  // them, and refuses its own, since none of them has run.
-  void ReturnQueued(ProxyContext* context);
+  // Last stage of a planned stop of this VM. Returns the queued statements of
+  // other VMs to them, and refuses its own, since none of them has run. Rolls
+  // back the transactions that have no statement running.
+  void EndForStop(ProxyContext* context);
 
   void OnOpened(const UpstreamOpened& event, ProxyContext* context);
   void OnClosed(const UpstreamClosed& event, ProxyContext* context);
@@ -100,6 +101,8 @@
   size_t connection_count() const { return pool_.connection_count(); }
 
  private:
+  void ReturnQueued(ProxyContext* context);
+
   struct Transaction {
     ConnectionId connection;
     UpstreamId upstream;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -350,9 +350,11 @@
     refuses_operations_ = true;
     session_manager_.RefuseOperations(&context_);
   }
-  if (elapsed >= exit_at - kReturnQueuedMargin && !has_returned_queued_) {
-    has_returned_queued_ = true;
-    for (auto& item : owners_) item.second->ReturnQueued(&context_);
+  if (elapsed >= exit_at - kReturnQueuedMargin) {
+    // Again at each check, since a statement that an upstream refuses is queued
+    // again.
+    returns_queued_ = true;
+    for (auto& item : owners_) item.second->EndForStop(&context_);
     session_manager_.CancelQueued(&context_);
   }
   std::string busy_groups;
@@ -434,8 +436,9 @@
 }
 
 void ProxyReducer::RouteCancelQueued(const CancelQueuedCall& call) {
-  VmId vm = fleet_.OwnerOf(call.group);
-  if (vm == self_.vm) {
+  // The VM that has the statement may own the group no longer.
+  VmId vm = forwarder_.OpenCallVm(call.session.session);
+  if (vm == VmId()) {
     GroupOwner* owner = OwnerFor(call.group);
     if (owner != nullptr) owner->CancelQueued(call.session, call.id, &context_);
     return;
@@ -496,7 +499,7 @@
   GroupOwner* owner = OwnerFor(call.group);
   bool continues =
       call.transaction != TransactionKind::kNone && !call.opens_transaction;
-  bool is_too_late = has_exited_ || (has_returned_queued_ && !continues);
+  bool is_too_late = has_exited_ || (returns_queued_ && !continues);
   if (owner == nullptr || is_too_late) {
     StatementReply misdirected;
     misdirected.is_misdirected = true;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -156,7 +156,7 @@
   bool has_started_draining_ = false;
   bool has_stopped_listening_ = false;
   bool refuses_operations_ = false;
-  bool has_returned_queued_ = false;
+  bool returns_queued_ = false;
   bool has_exited_ = false;
   TimePoint started_;
   TimePoint stop_started_;
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -5,6 +5,7 @@
 
 #include "fireflycart/core/proxy/session_manager.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -409,14 +410,14 @@
 }
 
 void SessionManager::StartDraining(ProxyContext* context) {
-  stop_stage_ = StopStage::kDraining;
+  stop_stage_ = std::max(stop_stage_, StopStage::kDraining);
   context->Log(LogLevel::kInfo, kPart, "closing_sessions",
                {{"sessions", std::to_string(sessions_.size())}});
   CloseIdle(kIdleBeforeClose, context);
 }
 
 void SessionManager::RefuseOperations(ProxyContext* context) {
-  stop_stage_ = StopStage::kRefusing;
+  stop_stage_ = std::max(stop_stage_, StopStage::kRefusing);
   std::map<SessionNumber, TimePoint> waiting;
   waiting.swap(awaiting_routes_);
   for (const auto& item : waiting) Greet(item.first, context);
@@ -458,7 +459,10 @@
     if (item.second.has_open_statement) open.push_back(item.first);
   }
   for (SessionNumber number : open) {
-    const Session& session = sessions_[number];
+    auto found = sessions_.find(number);
+    // An earlier answer may have ended it.
+    if (found == sessions_.end()) continue;
+    Session& session = found->second;
     bool must_roll_back = session.state != TransactionState::kNone &&
                           session.access != Access::kCommit;
     if (must_roll_back) {
@@ -469,6 +473,7 @@
     StatementReply reply;
     reply.outcome = OutcomeIfUnanswered(session);
     reply.detail = kStopping;
+    session.is_aborted_by_stop = true;
     OnReply(number, std::move(reply), context);
   }
 }
