Tell the first known era from a restore, and owners before they use new lists

Besides, an owner could act on the lists of a new era before it knew of it, peers were not told of an era that an owner's lease had noticed, and a VM that had lost a group and owned it again skipped the wait although another VM may have held the lease. Found by the review of the restored store.

Change: era 0 is unknown, and a change from it is no restore. The era is applied before the lists, and peers are told at once. A VM counts as the last holder only while it has owned the group since its grant.

NewEra_AfterPeerWithoutEra_IsNoRestore is new; the tests of the lease pass. The rows of the follower's tests got an address, which rows must have since odd rows are skipped.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -92,9 +92,9 @@
 void DutyLease::OnStoreRestored(StoreEra era, TimePoint at) {
   if (!(era_ < era)) return;
   era_ = era;
-  restored_at_ = at;
-  was_holder_ = has_token_;
   has_row_ = false;
+  restored_at_ = at;
+  was_holder_ = is_last_holder_;
 }
 
 void DutyLease::Read(ProxyContext* context) {
@@ -121,8 +121,7 @@
   if (!is_read && !is_write) return false;
   if (is_read) read_ = CallId();
   if (is_write) write_ = CallId();
-  bool is_first_era = era_ == StoreEra() && row_seen_at_ == TimePoint();
-  if (is_first_era) {
+  if (era_ == StoreEra()) {
     era_ = answer.version.era;
   } else {
     OnStoreRestored(answer.version.era, context->now());
@@ -173,6 +172,7 @@
     return;
   }
   was_holder_ = true;
+  is_last_holder_ = true;
   is_token_promoting_ = is_promoting;
   token_version_ = answer.version;
   token_term_ = term_;
@@ -195,7 +195,10 @@
   }
   bool changed = version != row_version_ || row_seen_at_ == TimePoint();
   if (changed) row_seen_at_ = context->now();
-  if (version != token_version_) has_token_ = false;
+  if (version != token_version_) {
+    has_token_ = false;
+    is_last_holder_ = false;
+  }
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -46,6 +46,8 @@
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
   // The store came back from an older copy, as was noticed at this time.
   void OnStoreRestored(StoreEra era, TimePoint at);
+  // Another VM owns the group and may take the lease unseen by this one.
+  void OnOwnershipLost() { is_last_holder_ = false; }
   void OnWake(ProxyContext* context);
 
   // True once the row names this VM as promoting.
@@ -94,6 +96,8 @@
   StoreEra era_;
   TimePoint restored_at_;    // Zero: no restore is known.
   bool was_holder_ = false;  // At the restore.
+  // No other VM is known to have taken the lease since this one did.
+  bool is_last_holder_ = false;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -441,6 +441,7 @@
 }
 
 void Failover::OnOwnershipLost(UpstreamPool* pool, ProxyContext* context) {
+  lease_.OnOwnershipLost();
   if (stage_ != FailoverStage::kHoldingReplicas) return;
   GiveUp("another VM owns the group", pool, context);
 }
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -89,14 +89,16 @@
 }
 
 void ProxyReducer::ApplyChanges() {
+  // First, so that owners know of it before they use the new lists.
+  bool has_new_era = ApplyEra();
   bool has_new_vms = ApplyVms();
-  bool has_changes = has_new_vms || applied_changes_ != follower_.changes();
+  bool has_changes =
+      has_new_era || has_new_vms || applied_changes_ != follower_.changes();
   if (applied_changes_ != follower_.changes()) {
     applied_changes_ = follower_.changes();
     ApplyRoutesAndUpstreams();
   }
   if (applied_fleet_version_ != fleet_.version()) ApplyPlacement();
-  has_changes = ApplyEra() || has_changes;
   if (has_changes) fleet_.NotifyContacts(&context_);
   if (announced_reaches_store_ != follower_.reaches_store()) {
     announced_reaches_store_ = follower_.reaches_store();
@@ -304,7 +306,7 @@
 void ProxyReducer::Handle(const StoreAnswered& event) {
   if (follower_.OnStore(event, &context_)) return;
   follower_.OnEra(event.version.era, "store", &context_);
-  ApplyEra();
+  if (ApplyEra()) fleet_.NotifyContacts(&context_);
   for (auto& item : owners_) {
     if (item.second->OnStore(event, &context_)) return;
   }
--- a/fireflycart/core/proxy/restored_list.h
+++ b/fireflycart/core/proxy/restored_list.h
@@ -48,7 +48,8 @@
   // Replaces the list. If it is the first one of a newer era, the records that
   // are known so far are kept.
   void SetAll(List list, TimePoint now) {
-    bool is_restored = stored_.version != StoreVersion() &&
+    // Era 0 says nothing about a restore: its sender does not know the era.
+    bool is_restored = stored_.version.era != StoreEra() &&
                        stored_.version.era < list.version.era;
     if (is_restored) {
       kept_ = Records(merged().records);
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -173,12 +173,12 @@
 bool StoreFollower::NoteEra(StoreEra era, const char* source,
                             ProxyContext* context) {
   if (!(era_ < era)) return false;
-  bool is_first = era_ == StoreEra() && !has_upstreams() && !has_vms() &&
-                  routes_.version == 0;
+  bool is_empty = !has_upstreams() && !has_vms() && routes_.version == 0;
   StoreEra before = era_;
   era_ = era;
-  if (is_first) return false;
-  restored_at_ = context->now();
+  if (before == StoreEra() && is_empty) return false;
+  // Era 0 is that of a peer of an earlier version, which does not tell the era.
+  if (before != StoreEra()) restored_at_ = context->now();
   context->Log(LogLevel::kWarning, kPart, "new_era",
                {{"era", std::to_string(era.value())},
                 {"before", std::to_string(before.value())},
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -12,6 +12,7 @@
 
 const UpstreamId kUpstream("up-a");
 const VmId kSelf("vm-1");
+constexpr char kSelfAddress[] = "10.0.0.1:7";
 // Eras of the store before and after the restore.
 const StoreEra kFirst(4);
 const StoreEra kSecond(5);
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(NewEra_SeenInRefusal_AllTablesAreReadWhole);
   CPPUNIT_TEST(NewEra_SeenAtPeer_OpenCallsAreDropped);
   CPPUNIT_TEST(NewEra_FirstOfAll_IsNoRestore);
+  CPPUNIT_TEST(NewEra_AfterPeerWithoutEra_IsNoRestore);
   CPPUNIT_TEST(NewEra_UpstreamWasLeaving_StaysLeavingUntilWritten);
   CPPUNIT_TEST(NewEra_UpstreamMissing_IsKeptForGraceTime);
   CPPUNIT_TEST(NewEra_UpstreamStartedLater_LaterStartWins);
@@ -47,6 +49,7 @@
     now_ = TimePoint::FromMillis(100000);
     VmRecord self;
     self.vm = kSelf;
+    self.address = kSelfAddress;
     self.incarnation = 7;
     Begin();
     follower_.Start(self, &context_);
@@ -108,6 +111,22 @@
     CPPUNIT_ASSERT(follower_.restored_at() == now_);
   }
 
+  // A peer of an earlier version answered before the store did.
+  void NewEra_AfterPeerWithoutEra_IsNoRestore() {
+    StoreFollower follower;
+    VmRecord self;
+    self.vm = kSelf;
+    Begin();
+    follower.Start(self, &context_);
+    SnapshotReply reply;
+    reply.upstreams.version.number = 300;
+    reply.upstreams.records[kUpstream] = UpstreamRecord();
+    follower.OnSnapshot(reply, &context_);
+    follower.OnEra(kFirst, "store", &context_);
+    CPPUNIT_ASSERT(follower.restored_at() == TimePoint());
+    CPPUNIT_ASSERT(follower.era() == kFirst);
+  }
+
   void NewEra_UpstreamWasLeaving_StaysLeavingUntilWritten() {
     StoreAnswered restored;
     restored.upstreams = {MakeChange(kUpstream, 50, false)};
@@ -225,6 +244,7 @@
     routes.routes.back().version = 3;
     StoreAnswered vms;
     VmRecord self;
+    self.address = kSelfAddress;
     self.incarnation = 7;
     std::string value = StoreFollower::EncodeVm(self);
     if (has_self) vms.rows = {StoreRow{kSelf.value(), value, version, false}};
