Serve callers of a stopping VM until a second before its exit

Change: operations are accepted until 1 s before the exit (4.5 s after SIGTERM with a grace time of 6 s). That is safe now, as every open statement is answered at the exit.

--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -18,6 +18,10 @@
 constexpr Duration kStopCheckPeriod = Duration::Millis(100);
 // A stopping VM exits this long before the stop limit, to avoid being killed.
 constexpr Duration kStopMargin = Duration::Millis(500);
+// A stopping VM begins no operation within this time before the exit, so that
+// most of those that it has accepted can end. Until then it serves the callers
+// that the load balancer sends it for lack of a better VM.
+constexpr Duration kLastOperationMargin = Duration::Millis(1000);
 // What still waits in a queue this long before the exit is returned, so that
 // other owners can run it or its caller can repeat it.
 constexpr Duration kReturnQueuedMargin = Duration::Millis(400);
@@ -342,13 +346,12 @@
   if (!is_stopping_ || has_exited_) return;
   context_.WakeAt(context_.now() + kStopCheckPeriod);
   Duration elapsed = context_.now() - stop_started_;
-  Duration half_limit = Duration::Millis(options_.stop_limit().millis() / 2);
   Duration exit_at = options_.stop_limit() - kStopMargin;
   if (elapsed >= kTrafficShiftTime && !has_started_draining_) {
     has_started_draining_ = true;
     session_manager_.StartDraining(&context_);
   }
-  if (elapsed >= half_limit && !refuses_operations_) {
+  if (elapsed >= exit_at - kLastOperationMargin && !refuses_operations_) {
     refuses_operations_ = true;
     session_manager_.RefuseOperations(&context_);
   }
