--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -130,7 +130,8 @@
   void CheckFleetReachability();
   void OnWake();
   void AdvanceStop();
-  // Appends the groups that this VM still works for.
+  // True while a session, a caller that was asked to leave or a group needs
+  // this VM. Appends the names of such groups.
   bool IsBusyWhileStopping(std::string* busy_groups) const;
   void TrackConnections(ProxyEffects* effects);
 
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -74,8 +74,8 @@
   // Answers each open statement with what is known of it, and refuses those
   // that still come.
   void AnswerAll(ProxyContext* context);
-  // Logs each session whose statement or transaction ends without an answer,
-  // because the process exits.
+  // Logs each session whose statement or transaction the exit ends, before
+  // AnswerAll.
   void LogUnanswered(TimePoint stop_requested, ProxyContext* context) const;
 
   size_t size() const { return sessions_.size(); }
@@ -110,7 +110,7 @@
               ProxyContext* context);
   void AnswerLast(SessionNumber number, Session* session, CallerAnswer answer,
                   ProxyContext* context);
-  // Closes the sessions that have been idle outside a transaction for so long.
+  // Closes the sessions that have been idle for at least that long.
   void CloseIdle(Duration idle_time, ProxyContext* context);
   void Close(SessionNumber number, ProxyContext* context);
   bool IsIdle(SessionNumber number, const Session& session) const;
