Answer every request at the exit of the HTTP daemon

Callers of a VM that stops could be left without an answer: at the limit of the stop it refused only the requests that waited for a retry, those at a coordinator ended with the connection; a request that was read after the decision to exit got nothing; and the next tick cancelled the timer that gives the HTTP threads time to write, as both used one timer.

Stop_RequestStillRunsAtLimit_CallerIsAnswered failed before: lifecycle_test.cc:215: assertion failed - Expression: answer.has_value()

--- a/fireflycart/core/reducer.cc
+++ b/fireflycart/core/reducer.cc
@@ -57,7 +57,10 @@
     started_ = now_;
     settled_since_ = now_;
   }
-  if (exited_) return effects;
+  if (exited_) {
+    RefuseAfterExit(event.body);
+    return effects;
+  }
   std::visit([this](const auto& body) { Handle(body); }, event.body);
   if (config_.TakeInstalled()) ApplyConfiguration();
   DrainResults();
@@ -111,6 +114,22 @@
   if (stopping_) StepStop();
 }
 
+// The server takes requests until the process is gone.
+void Reducer::RefuseAfterExit(const EventBody& body) {
+  const auto* requested = std::get_if<CallerRequested>(&body);
+  if (requested != nullptr) Refuse(*requested, Reason::kStopping);
+}
+
+void Reducer::Refuse(const CallerRequested& event, Reason reason) {
+  const Request& request = event.request;
+  Answer answer;
+  bool open = request.sent_before && request.key != RequestKey();
+  answer.outcome = open ? Outcome::kUnknown : Outcome::kNotRun;
+  answer.reason = reason;
+  answer.retry_after = context_.Jitter(kVmListPeriod);
+  context_.Emit(AnswerCaller{event.handle, answer});
+}
+
 void Reducer::Handle(const CallerRequested& event) {
   Reason refusal = Reason::kNone;
   const Request& request = event.request;
@@ -127,12 +146,7 @@
     router_.OnRequest(event.handle, WithDefaults(request));
     return;
   }
-  Answer answer;
-  bool open = request.sent_before && request.key != RequestKey();
-  answer.outcome = open ? Outcome::kUnknown : Outcome::kNotRun;
-  answer.reason = refusal;
-  answer.retry_after = context_.Jitter(kVmListPeriod);
-  context_.Emit(AnswerCaller{event.handle, answer});
+  Refuse(event, refusal);
 }
 
 // Fills in what the caller omitted: a deadline from the kind's policy, and a
@@ -521,7 +535,7 @@
     GroupById(id)->StepDown("stopping", VmId());
   }
   DrainResults();
-  router_.RefuseWaiting(Reason::kStopping);
+  router_.RefuseAll(Reason::kStopping);
   context_.Log(LogLevel::kInfo, "stop",
                out_of_time ? "Planned stop reached its time limit."
                            : "Planned stop is complete.");
--- a/fireflycart/core/reducer.h
+++ b/fireflycart/core/reducer.h
@@ -80,6 +80,8 @@
  private:
   void Handle(const Tick& event);
   void Handle(const CallerRequested& event);
+  void Refuse(const CallerRequested& event, Reason reason);
+  void RefuseAfterExit(const EventBody& body);
   void Handle(const CallerDisconnected& event);
   void Handle(const OperatorCalled& event);
   void Handle(const PeerCalled& event);
--- a/fireflycart/core/request_router.cc
+++ b/fireflycart/core/request_router.cc
@@ -117,12 +117,16 @@
   for (HandleId entry : due) RetryDue(entry);
 }
 
-void RequestRouter::RefuseWaiting(Reason reason) {
-  std::vector<HandleId> waiting;
-  for (const auto& item : pending_) {
-    if (item.second.waiting) waiting.push_back(item.first);
+void RequestRouter::RefuseAll(Reason reason) {
+  std::vector<HandleId> entries;
+  for (auto& item : pending_) {
+    Pending& pending = item.second;
+    bool may_have_run =
+        !pending.waiting && !HasNoLastingEffect(pending.request);
+    if (may_have_run) pending.maybe_run = true;
+    entries.push_back(item.first);
   }
-  for (HandleId entry : waiting) Refuse(entry, reason);
+  for (HandleId entry : entries) Refuse(entry, reason);
 }
 
 void RequestRouter::Route(HandleId entry) {
--- a/fireflycart/core/request_router.h
+++ b/fireflycart/core/request_router.h
@@ -63,8 +63,8 @@
   // not emit.
   bool OnPeerReplied(const PeerReplied& reply);
   void OnTick();
-  // Refuses all requests that are waiting for a retry.
-  void RefuseWaiting(Reason reason);
+  // Answers all requests that are open, with what is known of them.
+  void RefuseAll(Reason reason);
 
   size_t size() const { return pending_.size(); }
 
--- a/fireflycart/daemon/daemon.cc
+++ b/fireflycart/daemon/daemon.cc
@@ -25,6 +25,7 @@
       control_work_(control_io_.get_executor()),
       reducer_(settings_.identity, settings_.options, settings_.seed),
       tick_timer_(control_io_),
+      exit_timer_(control_io_),
       traffic_work_(traffic_io_.get_executor()) {}
 
 Daemon::~Daemon() {
@@ -214,11 +215,11 @@
 }
 
 void Daemon::Perform(const Exit&) {
-  tick_timer_.cancel();
   control_work_.reset();
   // The delay lets the HTTP threads finish writing the answers of this step.
-  tick_timer_.expires_after(kTickInterval * 10);
-  tick_timer_.async_wait(
+  // The ticks go on meanwhile.
+  exit_timer_.expires_after(kTickInterval * 10);
+  exit_timer_.async_wait(
       [this](boost::system::error_code) { control_io_.stop(); });
 }
 
--- a/fireflycart/daemon/daemon.h
+++ b/fireflycart/daemon/daemon.h
@@ -102,6 +102,7 @@
   WorkGuard control_work_;
   Reducer reducer_;
   boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer exit_timer_;
   std::map<HandleId, PendingRequest> pending_;
   std::map<uint64_t, std::set<HandleId>> handles_by_connection_;
   uint64_t last_handle_ = 0;
--- a/fireflycart/standins/testing/lifecycle_test.cc
+++ b/fireflycart/standins/testing/lifecycle_test.cc
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(Vm_CutFromEverything_StopsServing);
   CPPUNIT_TEST(Stop_OpenTransaction_MayEnd);
   CPPUNIT_TEST(Stop_TwoAtOnce_ThirdServes);
+  CPPUNIT_TEST(Stop_RequestStillRunsAtLimit_CallerIsAnswered);
   CPPUNIT_TEST(VmList_NamesDeadVm_WorkGoesToLiveOnes);
   CPPUNIT_TEST(Primary_Leaving_SwitchedOverWithoutRefusal);
   CPPUNIT_TEST(Vms_AllRestartAtOnce_Recover);
@@ -196,6 +198,23 @@
     CPPUNIT_ASSERT_EQUAL(third, Leader());
   }
 
+  // The coordinator that has the request answers too late for the stop.
+  void Stop_RequestStillRunsAtLimit_CallerIsAnswered() {
+    int leader = Leader();
+    int entry = (leader + 1) % kNodes;
+    std::optional<Answer> answer;
+    world_->Pause(leader, Duration::Seconds(60));
+    world_->Request(entry, MakeWrite("e1", Duration::Seconds(50)),
+                    [&answer](const Answer& a) { answer = a; });
+    world_->Stop(entry);
+    for (int i = 0; i < 30 && world_->IsUp(entry); i++) {
+      world_->RunFor(Duration::Seconds(1));
+    }
+    CPPUNIT_ASSERT(!world_->IsUp(entry));
+    world_->RunFor(Duration::Seconds(1));
+    CPPUNIT_ASSERT(answer.has_value());
+  }
+
   void VmList_NamesDeadVm_WorkGoesToLiveOnes() {
     world_->Crash(Leader(), true);  // The list names it for ever.
     CPPUNIT_ASSERT(Write(Entry(), "e1", kLong).outcome == Outcome::kDone);
