--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -169,7 +169,7 @@
 }
 
 // Returns true if the store was restored as far as this VM can tell. The first
-// era that a VM hears of is no restore.
+// era that a VM learns is no restore.
 bool StoreFollower::NoteEra(StoreEra era, const char* source,
                             ProxyContext* context) {
   if (!(era_ < era)) return false;
