--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -67,13 +67,15 @@
     """One daemon and its addresses."""
 
     def __init__(self, net, index):
-        self.name = f"vm-{index}"
+        # HPACK leaves names of this form uncompressed, so that links see them.
+        self.name = f"vm-{index + 2}"
         self.ip = f"{net}.3.{index}"
         self.front = (self.ip, 8784)
         self.ready = (self.ip, 8785)
         self.peer = (self.ip, 7440)
         self.process = None
         self.link = None     # In front of its address for peers.
+        self.store_link = None
         self.settings = ""
 
 
@@ -90,6 +92,7 @@
         self.vms = []
         self.links = []
         self.next_backend = 1
+        self.ids_descend = False
         self.logs = []
 
     async def open(self, vms, backends=3, has_links=False):
@@ -99,13 +102,17 @@
         self.configure()
         for index in range(backends):
             await self.add_backend(is_primary=index == 0)
-        for index in range(1, vms + 1):
-            vm = Vm(self.net, index)
-            self.vms.append(vm)
+        self.vms = [Vm(self.net, index) for index in range(1, vms + 1)]
+        names = [vm.name for vm in self.vms]
+        for index, vm in enumerate(self.vms, 1):
             if has_links:
-                vm.link = Link((f"{self.net}.2.{index}", vm.peer[1]), vm.peer)
-                self.links.append(vm.link)
+                vm.link = Link((f"{self.net}.2.{index}", vm.peer[1]), vm.peer,
+                               vm.name, names)
+                vm.store_link = Link((f"{self.net}.4.{index}", 8783),
+                                     self.store.address, vm.name, [])
+                self.links += [vm.link, vm.store_link]
                 await vm.link.open()
+                await vm.store_link.open()
             await self.start(vm)
         for vm in self.vms:
             await self.wait_ready(vm)
@@ -125,19 +132,20 @@
         self.store.put("op", "config", json.dumps(config))
 
     async def add_backend(self, is_primary=False):
-        """Starts a backend; the ids ascend."""
+        """Starts a backend; the ids ascend, or descend if asked to."""
         number = self.next_backend
         self.next_backend += 1
-        return await self.group.add(f"i-{number:08d}", (f"{self.net}.1.{number}", 5432),
-                                    is_primary)
+        ident = f"i-{99999999 - number if self.ids_descend else number:08d}"
+        return await self.group.add(ident, (f"{self.net}.1.{number}", 5432), is_primary)
 
     async def start(self, vm):
         """Starts a daemon with settings from the template."""
+        store = vm.store_link.address if vm.store_link else self.store.address
         fields = {
             "nodeName": vm.name, "zone": "zone-a", "ip": vm.ip,
             "internalPorts": [7440, 7455],
             "listenAddrs": {"front": "%s:%d" % vm.front, "ready": "%s:%d" % vm.ready},
-            "platform": {"address": "%s:%d" % self.store.address},
+            "platform": {"address": "%s:%d" % store},
             "cloudApi": {"address": "%s:%d" % self.promotion.address},
             "limits": {"cpuShare": 0.25, "cores": 1, "maxFds": 4300},
             "bounds": {"graceS": GRACE_S, "drainMs": DRAIN_MS}}
@@ -197,6 +205,20 @@
                     newest, found = line["time_ms"], vm
         return found
 
+    def cut_off(self, vm, from_store):
+        """Partitions a VM from the other VMs, and from the store if asked to."""
+        for link in self.links:
+            if from_store or link not in [v.store_link for v in self.vms]:
+                link.cut(vm.name)
+        self.record.write("links", f"{vm.name} is cut off from the other machines"
+                          + (" and from the store" if from_store else ""))
+
+    def heal(self):
+        """Ends all partitions."""
+        for link in self.links:
+            link.heal()
+        self.record.write("links", "healed")
+
     def signal(self, vm, number):
         """Sends a signal to a daemon."""
         self.record.write("process", f"{vm.name} gets {signal.Signals(number).name}")
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -177,13 +177,10 @@
             if rows or left <= 0:
                 return self.reply(sorted(rows, key=lambda row: row["ver"]))
             try:
-                await asyncio.wait_for(asyncio.shield(self.wait()), left)
+                await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
 
-    async def wait(self):
-        await self.changed.wait()
-
     def transact(self, body):
         current = []
         holds = True
@@ -582,24 +579,33 @@
 
 
 class Link:
-    """A loopback proxy. While it is cut, bytes and connections are held up."""
+    """A loopback proxy in front of a machine's address for its peers.
+
+    The machine that opened a connection is known from the header with its name
+    in the first request, if there are several; the owner is the machine behind
+    the link. While a machine is cut off, all bytes from and to it are held up.
+    """
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, owner, names):
         self.address = address
         self.target = target
-        self.open_gate = asyncio.Event()
-        self.open_gate.set()
+        self.owner = owner
+        self.names = names
+        self.cut_off = set()
+        self.changed = asyncio.Event()
         self.server = None
         self.writers = set()
 
     async def open(self):
         self.server = await asyncio.start_server(self.carry, *self.address)
 
-    def cut(self):
-        self.open_gate.clear()
+    def cut(self, name):
+        self.cut_off.add(name)
 
     def heal(self):
-        self.open_gate.set()
+        self.cut_off.clear()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def close(self):
         if self.server is not None:
@@ -607,25 +613,41 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def pass_gate(self, source):
+        while self.cut_off & {source, self.owner}:
+            await self.changed.wait()
+
     async def carry(self, reader, writer):
         self.writers.add(writer)
         try:
-            await self.open_gate.wait()
+            first = b""
+            while self.names and not any(
+                    name.encode() in first for name in self.names):
+                data = await reader.read(65536)
+                if not data:
+                    writer.close()
+                    return
+                first += data
+            source = min(self.names, default=self.owner,
+                         key=lambda name: first.find(name.encode()) % (len(first) + 1))
+            await self.pass_gate(source)
             far_reader, far_writer = await asyncio.open_connection(*self.target)
         except OSError:
             writer.transport.abort()
-            self.writers.discard(writer)
             return
-        self.writers.add(far_writer)
-        await asyncio.gather(self.pump(reader, far_writer),
-                             self.pump(far_reader, writer))
+        finally:
+            self.writers.discard(writer)
+        self.writers |= {writer, far_writer}
+        far_writer.write(first)
+        await asyncio.gather(self.pump(reader, far_writer, source),
+                             self.pump(far_reader, writer, source))
         self.writers -= {writer, far_writer}
 
-    async def pump(self, reader, writer):
+    async def pump(self, reader, writer, source):
         try:
             while True:
                 data = await reader.read(65536)
-                await self.open_gate.wait()
+                await self.pass_gate(source)
                 if not data:
                     break
                 writer.write(data)
