--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -67,6 +67,7 @@
     """One daemon and its addresses."""
 
     def __init__(self, net, index):
+        self.number = index
         # HPACK leaves names of this form uncompressed, so that links see them.
         self.name = f"vm-{index + 2}"
         self.ip = f"{net}.3.{index}"
@@ -95,8 +96,10 @@
         self.ids_descend = False
         self.logs = []
 
-    async def open(self, vms, backends=3, has_links=False):
-        """Starts everything and waits until all daemons are ready."""
+    async def open(self, vms, backends=3, has_links=False, start_gap_s=0,
+                   first=1):
+        """Starts everything, the daemon of that number first, and waits until all
+        daemons are ready."""
         await self.store.open()
         await self.promotion.open()
         self.configure()
@@ -104,7 +107,8 @@
             await self.add_backend(is_primary=index == 0)
         self.vms = [Vm(self.net, index) for index in range(1, vms + 1)]
         names = [vm.name for vm in self.vms]
-        for index, vm in enumerate(self.vms, 1):
+        for vm in sorted(self.vms, key=lambda vm: vm.number != first):
+            index = vm.number
             if has_links:
                 vm.link = Link((f"{self.net}.2.{index}", vm.peer[1]), vm.peer,
                                vm.name, names)
@@ -114,6 +118,7 @@
                 await vm.link.open()
                 await vm.store_link.open()
             await self.start(vm)
+            await asyncio.sleep(start_gap_s)
         for vm in self.vms:
             await self.wait_ready(vm)
         await asyncio.sleep(2.5)
@@ -197,13 +202,23 @@
 
     def owner(self):
         """The VM that owns the group, according to the logs."""
-        found = None
-        newest = -1
         for vm in self.vms:
-            for line in self.log_lines(vm):
-                if line.get("event") == "owned" and line["time_ms"] > newest:
-                    newest, found = line["time_ms"], vm
-        return found
+            events = [line["event"] for line in self.log_lines(vm)
+                      if line.get("event") in ("started", "owned", "not_owned")
+                      and line.get("part") in ("node", "group")]
+            if events and events[-1] == "owned":
+                return vm
+        raise RuntimeError("no machine owns the group")
+
+    async def remove(self, vm):
+        """Stops a daemon for good, as the platform does."""
+        self.signal(vm, signal.SIGTERM)
+        try:
+            await asyncio.wait_for(vm.process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            self.signal(vm, signal.SIGKILL)
+            await vm.process.wait()
+        self.record.write("process", f"{vm.name} has ended")
 
     def cut_off(self, vm, from_store):
         """Partitions a VM from the other VMs, and from the store if asked to."""
