--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""The primary is replaced by a new backend that a machine has not heard of."""
+"""The backends of a service are replaced while promotions are refused."""
 
 import asyncio
+import itertools
 import os
 import sys
 import time
@@ -8,46 +9,72 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 
-from deployment import TROUBLE, main  # noqa: E402
-from reads import History, check, read, write  # noqa: E402
+from deployment import TROUBLE, main, open_session  # noqa: E402
 
-WRITERS = 2              # At each machine.
-READERS = 3
-CUT_S = 12.0
-LEAVES_S = 8.0           # From the report of draining to the end.
+WRITERS = 3
+PAUSE_S = 0.09           # Between the writes of a client.
+DOWN_S = 2.0             # The promotion interface refuses connections.
+GAP_S = 1.0              # Between the releases of two backends.
+OBSERVE_S = 6.0
+
+
+async def write(deployment, vm, name, acknowledged, stop):
+    """Writes in sessions until it is told to stop."""
+    numbers = itertools.count(1)
+    session = None
+    while not stop.is_set():
+        if session is None:
+            session = await open_session(deployment, vm, "primary", name)
+        ident = f"{name}n{next(numbers)}"
+        code, _, _ = await session.query(ident, f"WRITE {name} {ident}")
+        if code == "DONE":
+            acknowledged[ident] = time.monotonic()
+        if code == "LOST":
+            session.close()
+            session = None
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(deployment):
-    deployment.ids_descend = True    # Of equal logs, the least id is promoted.
-    await deployment.open(vms=3, has_links=True)
-    history, stop = History(), asyncio.Event()
-    group = deployment.group
-    group.on_read = history.on_read
-    clients = []
-    for index, vm in enumerate(deployment.vms):
-        for i in range(WRITERS):
-            clients.append(write(deployment, vm, f"w{index}{i}", history, stop))
-        for i in range(READERS):
-            clients.append(read(deployment, vm, f"r{index}{i}", history, stop))
-    tasks = [asyncio.create_task(client) for client in clients]
+    await deployment.open(vms=2)
+    acknowledged, stop = {}, asyncio.Event()
+    writers = [asyncio.create_task(write(deployment, deployment.vms[i % 2], f"c{i}",
+                                         acknowledged, stop))
+               for i in range(WRITERS)]
     await asyncio.sleep(1)
+    group, record = deployment.group, deployment.record
+    first, second = sorted(group.backends.values(), key=lambda b: b.ident)[:2]
     if TROUBLE:
-        lone = next(vm for vm in deployment.vms if vm is not deployment.owner())
-        deployment.cut_off(lone, from_store=True)
-    began = time.monotonic()
-    await asyncio.sleep(1)
-    primary = group.primary()
-    await deployment.add_backend()   # The new one starts first.
-    await asyncio.sleep(0.5)
-    primary.drain()
-    await asyncio.sleep(LEAVES_S)
-    primary.end()
-    await asyncio.sleep(began + CUT_S - time.monotonic())
-    deployment.heal()
-    await asyncio.sleep(1)
+        deployment.promotion.close()
+        record.write("promotion", "refuses connections")
+    await deployment.add_backend()   # A new one starts first, the old one drains.
+    await asyncio.sleep(0.3)
+    first.drain()
+    await asyncio.sleep(GAP_S - 0.3)
+    await deployment.add_backend()
+    await asyncio.sleep(0.3)
+    second.drain()
+    await asyncio.sleep(DOWN_S - GAP_S)
+    if TROUBLE:
+        await deployment.promotion.open()
+        record.write("promotion", "serves again")
+    await asyncio.sleep(OBSERVE_S)
     stop.set()
-    await asyncio.gather(*tasks)
-    return check(group, history)
+    await asyncio.gather(*writers)
+    return check(group, acknowledged)
+
+
+def check(group, acknowledged):
+    """Acknowledged commits that a promoted backend lacks."""
+    problems = []
+    for at, backend, log, _ in group.promoted:
+        kept = {ident for entry in log for ident, _ in entry.writes}
+        for ident, answered in acknowledged.items():
+            if answered < at and ident not in kept:
+                problems.append(f"LOST: {ident} was acknowledged "
+                                f"{(at - answered) * 1000:.0f} ms before "
+                                f"{backend.ident} took the lead without it")
+    return problems
 
 
 main(case, FOLDER)
