--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -279,6 +279,8 @@
         finally:
             await deployment.close()
         return problems
+    # An interrupted case ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(CANNOT_RUN))
     try:
         problems = asyncio.run(run())
     except Exception as error:  # The case could not run.
