--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -214,10 +214,13 @@
         super().__init__(address)
         self.group = group
         self.record = record
+        self.on_order = lambda holder, token: None
 
     async def handle(self, method, target, headers, body):
         await asyncio.sleep(0.004)
         order = json.loads(body)
+        self.on_order(headers.get("x-fireflycart-duty-holder"),
+                      headers.get("x-fireflycart-fencing-token"))
         status = self.group.promote(order["id"])
         self.record.write(
             "promotion", f"{order['service']} to {order['id']} by "
