--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -235,20 +235,18 @@
   heartbeat_handler_->OnPeerHeartbeat(id, heartbeat);
 }
 
-bool Fleet::IsStoreReader() const {
-  uint64_t own = RankOf(self_.vm);
-  size_t before = 0;
+StoreReaders Fleet::FindStoreReaders() const {
+  std::vector<VmId> with_store;
   size_t without_store = 0;
   for (const auto& item : vms_) {
     if (!IsUsable(item.first)) continue;
-    if (!item.second.reaches_store) {
+    if (item.second.reaches_store) {
+      with_store.push_back(item.first);
+    } else {
       without_store++;
-    } else if (RankOf(item.first) < own) {
-      before++;
     }
   }
-  // An outage that affects some readers may affect the next ones, too.
-  return before < kStoreReaders + std::min(without_store, kStoreReaders);
+  return ChooseStoreReaders(self_.vm, with_store, without_store);
 }
 
 void Fleet::NotifyStoreReaders(ProxyContext* context) {
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -29,6 +29,7 @@
 #include "fireflycart/core/proxy/duty_lease.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
+#include "fireflycart/core/proxy/store_readers.h"
 
 namespace fireflycart::proxy {
 
@@ -62,12 +63,6 @@
   static constexpr Duration kContactProbePeriod = Duration::Millis(100);
   // A VM that took this one for lost may be replacing a primary for this long.
   static constexpr Duration kDoubtTime = DutyLease::kLeaseDuration;
-  // VMs that follow the platform's store for all. Two may be cut off from it at
-  // once.
-  static constexpr size_t kStoreReaders = 3;
-  // VMs that are notified at once when this one loses or regains the store:
-  // those that follow it next. Twice the readers, as some may be cut off, too.
-  static constexpr size_t kNextStoreReaders = 2 * kStoreReaders;
 
   Fleet(VmRecord self, HeartbeatHandler* heartbeat_handler);
 
@@ -80,10 +75,8 @@
   std::string AddressOf(const VmId& vm) const;
   bool IsUsable(const VmId& vm) const;
   std::vector<VmRecord> Records() const;
-  // True if this VM is to follow the store. The first kStoreReaders that reach
-  // it do, and one more for each VM that is known not to reach it, up to twice
-  // as many.
-  bool IsStoreReader() const;
+  // The VMs that follow the store, from the view of this one.
+  StoreReaders FindStoreReaders() const;
   // Sends a heartbeat, which says whether this VM reaches the store, to the VMs
   // that would follow the store next.
   void NotifyStoreReaders(ProxyContext* context);
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -102,6 +102,7 @@
 struct Heartbeat {
   KnownVersions known;
   Duration store_age;  // Since the last known answer of the store to any VM.
+  VmId store_reader;   // That VM; empty if it is not known.
   bool reaches_store = false;
   bool is_leaving = false;
   // Of the sender, in calls: a VM that has started while the store refuses it
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -156,7 +156,7 @@
 
 void ProxyReducer::ApplyPlacement() {
   applied_fleet_version_ = fleet_.version();
-  follower_.SetReader(fleet_.IsStoreReader(), &context_);
+  follower_.SetReaders(fleet_.FindStoreReaders(), &context_);
   if (!follower_.has_upstreams() || !follower_.has_vms()) return;
   for (const auto& item : follower_.routes().groups) {
     bool is_assigned = !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
@@ -239,7 +239,8 @@
   gauges.vms_down = static_cast<int64_t>(fleet_.down_count());
   gauges.routes_version = follower_.routes().version;
   gauges.is_ready = is_ready();
-  gauges.follows_store = follower_.is_reader();
+  gauges.follows_store = follower_.follows_store();
+  gauges.store_age = follower_.store_age(context_.now());
   return gauges;
 }
 
@@ -466,6 +467,7 @@
   Heartbeat heartbeat;
   heartbeat.known = follower_.known();
   heartbeat.store_age = follower_.store_age(context_.now());
+  heartbeat.store_reader = follower_.store_reader();
   heartbeat.reaches_store = follower_.reaches_store();
   heartbeat.is_leaving = is_stopping_;
   heartbeat.era = follower_.era();
@@ -476,7 +478,8 @@
   follower_.OnEra(heartbeat.era, "peer", &context_);
   // A VM that misses new eras may follow the store without effect.
   if (heartbeat.tells_era) {
-    follower_.OnPeerStoreAge(heartbeat.store_age, &context_);
+    follower_.OnPeerStoreAge(heartbeat.store_age, heartbeat.store_reader,
+                             &context_);
   }
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
   std::string address = fleet_.AddressOf(vm);
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -58,6 +58,7 @@
   uint64_t routes_version = 0;
   bool is_ready = false;
   bool follows_store = false;  // Reads the store on behalf of other VMs, too.
+  Duration store_age;          // Since its last known answer to any VM.
 };
 
 class ProxyReducer : private StatementRouter,
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -75,6 +75,7 @@
 }
 
 void StoreFollower::StepAll(ProxyContext* context) {
+  CheckStoreAge(context);
   for (Table& table : tables_) Step(&table, context);
 }
 
@@ -96,7 +97,7 @@
   if (table->call != CallId()) return;
   // The lists of a new era come from peers, too.
   bool may_wait = table->is_current || table->version != StoreVersion();
-  if (may_wait && !MustFollow(context)) return;
+  if (may_wait && !follows_store()) return;
   if (IsOtherTableRetrying(*table)) return;
   if (context->now() < table->next) {
     context->WakeAt(table->next);
@@ -135,8 +136,27 @@
   return false;
 }
 
-bool StoreFollower::MustFollow(ProxyContext* context) const {
-  return is_reader_ || store_age(context->now()) > kStoreAgeLimit;
+void StoreFollower::CheckStoreAge(ProxyContext* context) {
+  bool is_old = store_age(context->now()) > kStoreAgeLimit;
+  if (is_old == follows_by_age_) return;
+  follows_by_age_ = is_old;
+  if (!is_reader_) LogFollowing("store_age", context);
+}
+
+// Records whom this VM takes for the readers, since it acts on that alone.
+void StoreFollower::LogFollowing(const char* cause, ProxyContext* context) {
+  std::string before;
+  for (const VmId& vm : readers_.before) {
+    before += (before.empty() ? "" : " ") + vm.value();
+  }
+  context->Log(
+      LogLevel::kInfo, kPart,
+      follows_store() ? "follows_store" : "leaves_store_to_peers",
+      {{"cause", cause},
+       {"readers_before", before},
+       {"vms_without_store", std::to_string(readers_.without_store)},
+       {"store_age_ms", std::to_string(store_age(context->now()).millis())},
+       {"answered_to", store_reader_.value()}});
 }
 
 bool StoreFollower::reaches_store() const {
@@ -146,21 +166,26 @@
   return true;
 }
 
-void StoreFollower::SetReader(bool is_reader, ProxyContext* context) {
-  if (is_reader == is_reader_) return;
-  is_reader_ = is_reader;
-  context->Log(LogLevel::kInfo, kPart,
-               is_reader ? "follows_store" : "leaves_store_to_peers", {});
+void StoreFollower::SetReaders(const StoreReaders& readers,
+                               ProxyContext* context) {
+  readers_ = readers;
+  if (readers.has_self == is_reader_) return;
+  is_reader_ = readers.has_self;
+  LogFollowing("rank", context);
   for (Table& table : tables_) {
-    table.is_first_follow = is_reader;
+    table.is_first_follow = is_reader_;
     // Without calls it is not known whether the store answers.
-    if (!is_reader) table.failures = 0;
+    if (!is_reader_) table.failures = 0;
   }
   StepAll(context);
 }
 
-void StoreFollower::OnPeerStoreAge(Duration age, ProxyContext* context) {
-  store_answered_at_ = std::max(store_answered_at_, context->now() - age);
+void StoreFollower::OnPeerStoreAge(Duration age, const VmId& reader,
+                                   ProxyContext* context) {
+  TimePoint answered_at = context->now() - age;
+  if (answered_at <= store_answered_at_) return;
+  store_answered_at_ = answered_at;
+  store_reader_ = reader;
 }
 
 void StoreFollower::OnEra(StoreEra era, const char* source,
@@ -298,6 +323,7 @@
 
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
   store_answered_at_ = context->now();
+  store_reader_ = self_.vm;
   if (reaches_store()) return;
   context->Log(LogLevel::kInfo, kPart, "store_regained",
                {{"table", StoreTableName(table.table)},
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -3,7 +3,7 @@
 // receives the changes from them.
 //
 //   follower.Start(self_record, &context);
-//   follower.SetReader(fleet.IsStoreReader(), &context);
+//   follower.SetReaders(fleet.FindStoreReaders(), &context);
 //   if (follower.OnStore(answer, &context)) Use(follower.routes());
 //   follower.OnSnapshot(reply, &context);        // newer versions of a peer
 //
@@ -25,6 +25,7 @@
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/restored_list.h"
 #include "fireflycart/core/proxy/route.h"
+#include "fireflycart/core/proxy/store_readers.h"
 
 namespace fireflycart::proxy {
 
@@ -102,10 +103,10 @@
   // A peer, or an answer to a call of another object, is of this era.
   void OnEra(StoreEra era, const char* source, ProxyContext* context);
   void OnWake(ProxyContext* context);
-  // Sets whether this VM is one of those that follow the store for all VMs.
-  void SetReader(bool is_reader, ProxyContext* context);
-  // A peer reported that the store answered some VM this long ago.
-  void OnPeerStoreAge(Duration age, ProxyContext* context);
+  // Sets the VMs that follow the store for all.
+  void SetReaders(const StoreReaders& readers, ProxyContext* context);
+  // A peer reported that the store answered that VM this long ago.
+  void OnPeerStoreAge(Duration age, const VmId& reader, ProxyContext* context);
 
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_.merged(); }
@@ -125,7 +126,11 @@
   // When the last restore was noticed; zero if there was none.
   TimePoint restored_at() const { return restored_at_; }
   bool reaches_store() const;
-  bool is_reader() const { return is_reader_; }
+  // True if this VM follows the store, for all or because no VM is known to
+  // have received an answer from it lately.
+  bool follows_store() const { return is_reader_ || follows_by_age_; }
+  // The VM that received the last known answer of the store.
+  const VmId& store_reader() const { return store_reader_; }
   Duration store_age(TimePoint now) const { return now - store_answered_at_; }
   // Count the changes of routes and upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
@@ -167,7 +172,8 @@
                 ProxyContext* context);
   void MergeVms(const VmList& vms, ProxyContext* context);
   void AdvanceVersion(StoreTable which, StoreVersion version);
-  bool MustFollow(ProxyContext* context) const;
+  void CheckStoreAge(ProxyContext* context);
+  void LogFollowing(const char* cause, ProxyContext* context);
   void OnAnswered(const Table& table, ProxyContext* context);
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
 
@@ -187,7 +193,10 @@
   // Version at which a record was last removed.
   StoreVersion vms_removed_version_;
   bool is_reader_ = true;
+  bool follows_by_age_ = false;
+  StoreReaders readers_;
   TimePoint store_answered_at_;
+  VmId store_reader_;
   uint64_t changes_ = 0;
   uint64_t vm_changes_ = 0;
 };
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -60,6 +60,7 @@
   Gauge("routes_version", gauges.routes_version, &out);
   Gauge("ready", gauges.is_ready ? 1 : 0, &out);
   Gauge("follows_store", gauges.follows_store ? 1 : 0, &out);
+  Gauge("store_age_ms", gauges.store_age.millis(), &out);
   return out.str();
 }
 
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -190,8 +190,8 @@
 
 Json ToJson(const Heartbeat& f) {
   return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
-                      f.is_leaving, f.address, f.takes_receiver_for_lost,
-                      f.era});
+                      f.is_leaving, f.address, f.takes_receiver_for_lost, f.era,
+                      f.store_reader.value()});
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
@@ -200,7 +200,7 @@
   // Earlier versions send none of these.
   fields.TakeOptional(&f->address).TakeOptional(&f->takes_receiver_for_lost);
   f->tells_era = fields.HasNext();
-  fields.TakeOptional(&f->era);
+  fields.TakeOptional(&f->era).TakeOptional(&f->store_reader);
 }
 
 }  // namespace
