Watch the readers of the store, and limit the age of its last answer

Cause: a VM follows the store only if it counts fewer than three usable VMs of better rank, and it counted VMs as usable without ever asking them.

Now each of the six VMs next in rank probes one reader, so a reader that is gone is replaced within 600 ms; and a VM that knows of no answer of the store for 3.6 s asks for itself, one table first. Of those that get answers the best in rank goes on, also if readers in its list are wrong. Evidence of the store's answers, not belief in a VM's health, decides; so it also holds when any number of VMs is cut off or turned away.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -63,6 +63,21 @@
   }
   owners_ = PlaceGroups(groups_, able_to_own);
   contacts_ = ContactsOf(self_.vm, usable);
+  RecomputeStoreReaders();
+}
+
+void Fleet::RecomputeStoreReaders() {
+  std::vector<VmId> with_store;
+  size_t without_store = 0;
+  for (const auto& item : vms_) {
+    if (!IsUsable(item.first)) continue;
+    if (item.second.reaches_store) {
+      with_store.push_back(item.first);
+    } else {
+      without_store++;
+    }
+  }
+  store_readers_ = ChooseStoreReaders(self_.vm, with_store, without_store);
   version_++;
 }
 
@@ -222,8 +237,10 @@
     if (heartbeat.is_leaving) OnLeaving(id, context);
     // A VM that does not tell the era cannot follow the store for others.
     bool reaches_store = heartbeat.reaches_store && heartbeat.tells_era;
-    if (vm.reaches_store != reaches_store) version_++;
-    vm.reaches_store = reaches_store;
+    if (vm.reaches_store != reaches_store) {
+      vm.reaches_store = reaches_store;
+      RecomputeStoreReaders();
+    }
     bool has_tables = heartbeat.known.routes != 0 &&
                       heartbeat.known.upstreams != StoreVersion();
     SetCanOwn(&vm, has_tables, context);
@@ -235,20 +252,6 @@
   heartbeat_handler_->OnPeerHeartbeat(id, heartbeat);
 }
 
-StoreReaders Fleet::FindStoreReaders() const {
-  std::vector<VmId> with_store;
-  size_t without_store = 0;
-  for (const auto& item : vms_) {
-    if (!IsUsable(item.first)) continue;
-    if (item.second.reaches_store) {
-      with_store.push_back(item.first);
-    } else {
-      without_store++;
-    }
-  }
-  return ChooseStoreReaders(self_.vm, with_store, without_store);
-}
-
 void Fleet::NotifyStoreReaders(ProxyContext* context) {
   std::map<uint64_t, const Vm*> next;
   for (const auto& item : vms_) {
@@ -306,6 +309,15 @@
   return true;
 }
 
+void Fleet::ProbeWatchedReader(ProxyContext* context) {
+  auto found = vms_.find(store_readers_.watched);
+  if (found == vms_.end()) return;
+  Vm& vm = found->second;
+  bool has_answered_lately =
+      context->now() - vm.last_answer_at < kContactProbePeriod;
+  if (!has_answered_lately) Probe(&vm, context);
+}
+
 // Probes a VM that is down, lacks the tables or leaves calls unanswered if a
 // probe is due. Returns false if none of that is the case.
 bool Fleet::Watch(Vm* vm, ProxyContext* context) {
@@ -335,6 +347,7 @@
   if (context->now() < next_probe_) return;
   next_probe_ = context->now() + kProbePeriod;
   context->WakeAt(next_probe_);
+  ProbeWatchedReader(context);
   if (contacts_.empty()) return;
   auto chosen = vms_.find(contacts_[context->Random(contacts_.size())]);
   if (chosen != vms_.end()) Probe(&chosen->second, context);
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -14,6 +14,8 @@
 // until its heartbeat shows that it has the tables.
 //
 // Each VM regularly probes only a few others, its contacts; see vm_ring.h.
+// Those that would follow the store next also probe a reader; see
+// store_readers.h.
 //
 // Cost: one probe per period to a contact, and one to each VM that leaves open
 // calls unanswered, whatever the size of the fleet.
@@ -76,7 +78,7 @@
   bool IsUsable(const VmId& vm) const;
   std::vector<VmRecord> Records() const;
   // The VMs that follow the store, from the view of this one.
-  StoreReaders FindStoreReaders() const;
+  const StoreReaders& store_readers() const { return store_readers_; }
   // Sends a heartbeat, which says whether this VM reaches the store, to the VMs
   // that would follow the store next.
   void NotifyStoreReaders(ProxyContext* context);
@@ -132,6 +134,8 @@
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
+  void RecomputeStoreReaders();
+  void ProbeWatchedReader(ProxyContext* context);
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
   void AskAgain(Vm* vm, ProxyContext* context);
   HeartbeatCall MakeCall(const Vm& to) const;
@@ -145,6 +149,7 @@
   std::map<CallId, VmId> probes_;
   std::vector<GroupId> groups_;
   std::map<GroupId, VmId> owners_;
+  StoreReaders store_readers_;
   uint64_t version_ = 1;
   TimePoint next_probe_;
   TimePoint doubted_until_;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -156,7 +156,7 @@
 
 void ProxyReducer::ApplyPlacement() {
   applied_fleet_version_ = fleet_.version();
-  follower_.SetReaders(fleet_.FindStoreReaders(), &context_);
+  follower_.SetReaders(fleet_.store_readers(), &context_);
   if (!follower_.has_upstreams() || !follower_.has_vms()) return;
   for (const auto& item : follower_.routes().groups) {
     bool is_assigned = !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fireflycart/core/bounded_json.h"
+#include "fireflycart/core/proxy/vm_ring.h"
 #include "fireflycart/core/short_text.h"
 
 namespace fireflycart::proxy {
@@ -70,6 +71,7 @@
 
 void StoreFollower::Start(const VmRecord& self, ProxyContext* context) {
   self_ = self;
+  started_at_ = context->now();
   Announce(context);
   StepAll(context);
 }
@@ -98,6 +100,7 @@
   // The lists of a new era come from peers, too.
   bool may_wait = table->is_current || table->version != StoreVersion();
   if (may_wait && !follows_store()) return;
+  if (may_wait && MustWaitForAnswer(*table, context->now())) return;
   if (IsOtherTableRetrying(*table)) return;
   if (context->now() < table->next) {
     context->WakeAt(table->next);
@@ -137,10 +140,31 @@
 }
 
 void StoreFollower::CheckStoreAge(ProxyContext* context) {
-  bool is_old = store_age(context->now()) > kStoreAgeLimit;
-  if (is_old == follows_by_age_) return;
-  follows_by_age_ = is_old;
-  if (!is_reader_) LogFollowing("store_age", context);
+  if (follows_by_age_) return;
+  TimePoint known_since = std::max(store_answered_at_, started_at_);
+  if (context->now() - known_since <= kStoreAgeLimit) return;
+  SetFollowing(is_reader_, true, "store_age", context);
+}
+
+// While no VM is known to receive answers, many VMs ask the store, each for one
+// table only.
+bool StoreFollower::MustWaitForAnswer(const Table& table, TimePoint now) const {
+  return !is_reader_ && store_age(now) > kStoreAgeLimit &&
+         &table != tables_.data();
+}
+
+void StoreFollower::SetFollowing(bool is_reader, bool follows_by_age,
+                                 const char* cause, ProxyContext* context) {
+  bool followed = follows_store();
+  is_reader_ = is_reader;
+  follows_by_age_ = follows_by_age;
+  if (follows_store() == followed) return;
+  LogFollowing(cause, context);
+  for (Table& table : tables_) {
+    table.is_first_follow = follows_store();
+    // Without calls it is not known whether the store answers.
+    if (!follows_store()) table.failures = 0;
+  }
 }
 
 // Records whom this VM takes for the readers, since it acts on that alone.
@@ -170,22 +194,24 @@
                                ProxyContext* context) {
   readers_ = readers;
   if (readers.has_self == is_reader_) return;
-  is_reader_ = readers.has_self;
-  LogFollowing("rank", context);
-  for (Table& table : tables_) {
-    table.is_first_follow = is_reader_;
-    // Without calls it is not known whether the store answers.
-    if (!is_reader_) table.failures = 0;
-  }
+  SetFollowing(readers.has_self, follows_by_age_, "rank", context);
   StepAll(context);
 }
 
 void StoreFollower::OnPeerStoreAge(Duration age, const VmId& reader,
                                    ProxyContext* context) {
   TimePoint answered_at = context->now() - age;
-  if (answered_at <= store_answered_at_) return;
-  store_answered_at_ = answered_at;
-  store_reader_ = reader;
+  if (answered_at > store_answered_at_) {
+    store_answered_at_ = answered_at;
+    store_reader_ = reader;
+  }
+  if (!follows_by_age_ || age > kStoreAgeLimit) return;
+  // Of the VMs that follow for lack of readers and receive answers, the best in
+  // rank goes on until there are readers. An earlier version of the program
+  // names no reader.
+  bool is_better = reader == VmId() || RankOf(reader) < RankOf(self_.vm);
+  if (!is_better && reaches_store()) return;
+  SetFollowing(is_reader_, false, "other_reader", context);
 }
 
 void StoreFollower::OnEra(StoreEra era, const char* source,
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -3,7 +3,7 @@
 // receives the changes from them.
 //
 //   follower.Start(self_record, &context);
-//   follower.SetReaders(fleet.FindStoreReaders(), &context);
+//   follower.SetReaders(fleet.store_readers(), &context);
 //   if (follower.OnStore(answer, &context)) Use(follower.routes());
 //   follower.OnSnapshot(reply, &context);        // newer versions of a peer
 //
@@ -71,9 +71,11 @@
   // failure, so that it is soon known whether the store answers.
   static constexpr Duration kShortFollowWait = Duration::Millis(200);
   // A VM follows the store itself if no VM is known to have received an answer
-  // from it for this long. Longer than readers need for an answer and updates
-  // need to reach all VMs.
-  static constexpr Duration kStoreAgeLimit = Duration::Millis(8000);
+  // from it for this long. Users of large deployments require that routes are
+  // in force within 5 s; the rest is for the period of the timers, one call and
+  // the way to all VMs. A reader receives an answer in each third of
+  // kFollowPeriod, and heartbeats tell all VMs of it in 1 s to 2 s.
+  static constexpr Duration kStoreAgeLimit = Duration::Millis(3600);
   static constexpr Duration kReadTimeout = Duration::Millis(1000);
   // Delay after a failed call, doubled with each failure up to the maximum.
   static constexpr Duration kRetryDelay = Duration::Millis(200);
@@ -173,11 +175,15 @@
   void MergeVms(const VmList& vms, ProxyContext* context);
   void AdvanceVersion(StoreTable which, StoreVersion version);
   void CheckStoreAge(ProxyContext* context);
+  void SetFollowing(bool is_reader, bool follows_by_age, const char* cause,
+                    ProxyContext* context);
+  bool MustWaitForAnswer(const Table& table, TimePoint now) const;
   void LogFollowing(const char* cause, ProxyContext* context);
   void OnAnswered(const Table& table, ProxyContext* context);
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
 
   VmRecord self_;
+  TimePoint started_at_;
   std::array<Table, kFollowed> tables_ = {Table{StoreTable::kRoutes},
                                           Table{StoreTable::kUpstreams},
                                           Table{StoreTable::kVms}};
--- a/fireflycart/core/proxy/store_readers.cc
+++ b/fireflycart/core/proxy/store_readers.cc
@@ -22,11 +22,15 @@
     if (rank < own) before.emplace_back(rank, vm);
   }
   std::sort(before.begin(), before.end());
-  if (before.size() > kMaxStoreReaders) before.resize(kMaxStoreReaders);
+  size_t position = before.size();
+  before.resize(std::min(position, kStoreReaders + kNextStoreReaders));
   for (auto& item : before) readers.before.push_back(std::move(item.second));
   // An outage that affects some readers may affect the next ones, too.
   size_t limit = std::min(kStoreReaders + without_store, kMaxStoreReaders);
-  readers.has_self = readers.before.size() < limit;
+  readers.has_self = position < limit;
+  bool is_next =
+      position >= kStoreReaders && position < kStoreReaders + kNextStoreReaders;
+  if (is_next) readers.watched = readers.before[position % kStoreReaders];
   return readers;
 }
 
--- a/fireflycart/core/proxy/store_readers.h
+++ b/fireflycart/core/proxy/store_readers.h
@@ -4,6 +4,9 @@
 //   StoreReaders readers = ChooseStoreReaders(self, vms_with_store, 0);
 //   if (readers.has_self) FollowTheStore();
 //
+// A VM cannot infer that a reader is alive: most VMs have no other dealings
+// with it. So each of the VMs next in rank watches one reader.
+//
 // Limits: views of two VMs may differ, so more or fewer VMs than kStoreReaders
 // may follow the store at a time.
 
@@ -26,9 +29,12 @@
 
 struct StoreReaders {
   bool has_self = false;
-  // The VMs that reach the store and come before this one, by rank; at most
-  // kMaxStoreReaders of them.
+  // The VMs that reach the store and come before this one, by rank; only the
+  // first kStoreReaders + kNextStoreReaders of them.
   std::vector<VmId> before;
+  // The reader that this VM probes; empty unless it is among the next
+  // kNextStoreReaders. Each reader is watched by two VMs.
+  VmId watched;
   size_t without_store = 0;  // Usable VMs that do not reach the store.
 };
 
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <string>
 
+#include "fireflycart/core/proxy/vm_ring.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -42,6 +44,8 @@
   CPPUNIT_TEST(NewEra_OwnRowMissing_IsAnnouncedAgain);
   CPPUNIT_TEST(OlderEra_AnswerArrivesLate_IsNotApplied);
   CPPUNIT_TEST(OlderEra_SnapshotOfPeer_IsNotApplied);
+  CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
+  CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -176,6 +180,29 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
   }
 
+  void NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers() {
+    LeaveStoreToPeers();
+    Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
+    CPPUNIT_ASSERT(follower_.follows_store());
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kFirst, 101});
+    Open<FollowTable>(StoreTable::kUpstreams);
+    follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
+    CPPUNIT_ASSERT(follower_.follows_store());
+    follower_.OnPeerStoreAge(Duration(), BetterReader(), &context_);
+    CPPUNIT_ASSERT(!follower_.follows_store());
+  }
+
+  void NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer() {
+    LeaveStoreToPeers();
+    Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kRefused,
+           {kFirst, 0});
+    CPPUNIT_ASSERT(follower_.follows_store());
+    follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
+    CPPUNIT_ASSERT(!follower_.follows_store());
+  }
+
   void OlderEra_SnapshotOfPeer_IsNotApplied() {
     Restore();
     ReadAll({kSecond, 40}, StoreAnswered(), true);
@@ -201,6 +228,26 @@
     follower_.OnWake(&context_);
   }
 
+  // Ends the open follow calls; the store then answers only other VMs.
+  void LeaveStoreToPeers() {
+    Begin();
+    follower_.SetReaders(StoreReaders(), &context_);
+    for (StoreTable table :
+         {StoreTable::kRoutes, StoreTable::kUpstreams, StoreTable::kVms}) {
+      Answer(Open<FollowTable>(table), StoreStatus::kOk, {kFirst, 100});
+    }
+    CPPUNIT_ASSERT(!follower_.follows_store());
+  }
+
+  static VmId BetterReader() { return OtherReader(true); }
+  static VmId WorseReader() { return OtherReader(false); }
+  static VmId OtherReader(bool is_better) {
+    for (int i = 2;; i++) {
+      VmId vm("vm-" + std::to_string(i));
+      if ((RankOf(vm) < RankOf(kSelf)) == is_better) return vm;
+    }
+  }
+
   size_t Count(const char* id) const {
     return follower_.upstreams().records.count(UpstreamId(id));
   }
--- /dev/null
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -0,0 +1,150 @@
+// Configurations that the operator writes while VMs are cut off from the store,
+// from each other or from both, in virtual time.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fireflycart/core/proxy/store_readers.h"
+#include "fireflycart/core/proxy/vm_ring.h"
+#include "fireflycart/standins/testing/session_world.h"
+
+namespace fireflycart::standins {
+namespace {
+
+constexpr uint64_t kSeed = 7;
+constexpr int kSmallFleet = 8;
+constexpr int kLargeFleet = 30;
+// Users require that a configuration is in force within these times, in small
+// and in large deployments.
+constexpr Duration kSmallApplyTime = Duration::Seconds(3);
+constexpr Duration kLargeApplyTime = Duration::Seconds(5);
+// Long enough for the VMs to learn of each other and to select readers.
+constexpr Duration kSettleTime = Duration::Seconds(6);
+constexpr uint64_t kNewVersion = 9;
+
+class SessionStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionStoreTest);
+  CPPUNIT_TEST(NoFaults_ManyVms_OnlyReadersFollowStore);
+  CPPUNIT_TEST(AllReaders_CutFromEverything_RoutesArriveInTime);
+  CPPUNIT_TEST(MostVms_CutFromEverything_RoutesArriveInTime);
+  CPPUNIT_TEST(AllReaders_CutFromStore_RoutesArriveInTime);
+  CPPUNIT_TEST(MostVms_CutFromStore_RoutesArriveInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NoFaults_ManyVms_OnlyReadersFollowStore() {
+    MakeWorld(kLargeFleet);
+    for (int second = 0; second < 20; second++) {
+      world_->Run(Duration::Seconds(1));
+      CPPUNIT_ASSERT_EQUAL(proxy::kStoreReaders, CountFollowers());
+    }
+  }
+
+  void AllReaders_CutFromEverything_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kSmallFleet);
+      world_->Run(delay);
+      std::vector<int> readers = FirstByRank(proxy::kStoreReaders);
+      for (int vm : readers) CutFromEverything(vm);
+      ExpectNewRoutesInForce(kSmallApplyTime, readers);
+    }
+  }
+
+  void MostVms_CutFromEverything_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kLargeFleet);
+      world_->Run(delay);
+      std::vector<int> cut = FirstByRank(kLargeFleet - 4);
+      for (int vm : cut) CutFromEverything(vm);
+      ExpectNewRoutesInForce(kLargeApplyTime, cut);
+    }
+  }
+
+  void AllReaders_CutFromStore_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kSmallFleet);
+      world_->Run(delay);
+      for (int vm : FirstByRank(proxy::kStoreReaders)) CutFromStore(vm);
+      ExpectNewRoutesInForce(kSmallApplyTime, {});
+    }
+  }
+
+  void MostVms_CutFromStore_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kLargeFleet);
+      world_->Run(delay);
+      for (int vm : FirstByRank(kLargeFleet - 1)) CutFromStore(vm);
+      ExpectNewRoutesInForce(kLargeApplyTime, {});
+    }
+  }
+
+ private:
+  // The readers' calls are then in different stages.
+  static std::vector<Duration> Delays() {
+    std::vector<Duration> delays;
+    for (int ms : {0, 700, 1500, 2300, 3100, 3900}) {
+      delays.push_back(kSettleTime + Duration::Millis(ms));
+    }
+    return delays;
+  }
+
+  void MakeWorld(int vms) {
+    vms_ = vms;
+    SessionWorldOptions options;
+    options.vms = vms;
+    options.callers = 3;
+    world_ = std::make_unique<SessionWorld>(options, kSeed);
+    world_->Run(kSettleTime);
+  }
+
+  static std::string NameOf(int vm) { return "vm-" + std::to_string(vm); }
+
+  std::vector<int> FirstByRank(size_t count) const {
+    std::vector<int> vms;
+    for (int vm = 0; vm < vms_; vm++) vms.push_back(vm);
+    std::sort(vms.begin(), vms.end(), [](int a, int b) {
+      return proxy::RankOf(VmId(NameOf(a))) < proxy::RankOf(VmId(NameOf(b)));
+    });
+    vms.resize(count);
+    return vms;
+  }
+
+  void CutFromStore(int vm) { world_->Cut(NameOf(vm), "store"); }
+
+  void CutFromEverything(int vm) {
+    CutFromStore(vm);
+    for (int other = 0; other < vms_; other++) {
+      if (other != vm) world_->Cut(NameOf(vm), NameOf(other));
+    }
+  }
+
+  size_t CountFollowers() const {
+    size_t count = 0;
+    for (int vm = 0; vm < vms_; vm++) {
+      if (world_->vm(vm)->gauges().follows_store) count++;
+    }
+    return count;
+  }
+
+  void ExpectNewRoutesInForce(Duration limit, const std::vector<int>& except) {
+    world_->SetRoutes(kNewVersion, Duration::Millis(900));
+    world_->Run(limit);
+    for (int vm = 0; vm < vms_; vm++) {
+      if (std::count(except.begin(), except.end(), vm) != 0) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(NameOf(vm), kNewVersion,
+                                   world_->vm(vm)->gauges().routes_version);
+    }
+  }
+
+  int vms_ = 0;
+  std::unique_ptr<SessionWorld> world_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionStoreTest);
+
+}  // namespace
+}  // namespace fireflycart::standins
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,7 +23,8 @@
 SESSION_RANDOM_TEST = "standins/testing/fireflycart_session_random_test"
 SESSION_FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
                          "standins/testing/fireflycart_session_load_test",
-                         "standins/testing/fireflycart_session_failure_test")
+                         "standins/testing/fireflycart_session_failure_test",
+                         "standins/testing/fireflycart_session_store_test")
 
 
 @dataclass(frozen=True)
@@ -124,6 +125,18 @@
         "fleet_.NotifyStoreReaders(&context_);",
         "",
     ),
+    Mutant(
+        "readers of the store not watched",
+        "proxy/fleet.cc",
+        "  ProbeWatchedReader(context);",
+        "",
+    ),
+    Mutant(
+        "store not followed when no VM is known to have an answer",
+        "proxy/store_follower.cc",
+        "  SetFollowing(is_reader_, true, \"store_age\", context);",
+        "",
+    ),
     Mutant(
         "reads sent to replicas that lag too far",
         "proxy/group_dispatch.cc",
