Follow the other tables while the store refuses one, and repeat open calls

While one table's calls failed, a VM did not follow the other two, with pauses of up to 2.4 s, and a success of any table cleared the failures of all. So a store that refuses one table delayed routes; and when a connection got no answer, the calls that were open on other connections were still trusted, up to 4.4 s after their start.

Now a table is held back only if it failed itself; of the failed ones the one with the fewest failures is retried, one call at a time, and when a call gets no answer the open ones are repeated on other connections.

OneTable_GetsNoAnswer_OthersAreAskedAgain, OneTable_RefusedForLong_OthersAreFollowed and AllTables_Refused_OneCallAtATime failed before: the calls were not repeated, the VM said that it reached the store, and only the first table was ever retried.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -1,8 +1,11 @@
 // Each table is a small state machine: it is read whole, then followed from the
 // version read; after a lost history or a failed read it is read whole again. A
 // failed follow call is repeated from the same version, since the store keeps
-// changes for a while. While the store does not answer, only one table is
-// retried.
+// changes for a while. Of the tables whose calls failed, one is retried at a
+// time, so that an outage costs few calls; the others go on being followed.
+//
+// An open call does not show that its connection works. When a call gets no
+// answer, the open calls are repeated on other connections.
 //
 // A version is compared only within an era. When a newer era is noticed, the
 // open calls are dropped and the tables are read whole, since changes after a
@@ -131,10 +134,13 @@
   return Duration::Millis(wait);
 }
 
-// While the store does not answer, only the first table that failed is retried.
+// Of the tables whose calls failed, the one with the fewest failures is next.
 bool StoreFollower::IsOtherTableRetrying(const Table& table) const {
+  if (table.failures == 0) return false;
   for (const Table& other : tables_) {
-    if (other.failures > 0) return &other != &table;
+    bool is_before = &other < &table ? other.failures <= table.failures
+                                     : other.failures < table.failures;
+    if (other.failures > 0 && is_before) return true;
   }
   return false;
 }
@@ -350,7 +356,8 @@
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
   store_answered_at_ = context->now();
   store_reader_ = self_.vm;
-  if (reaches_store()) return;
+  // The store may serve this table and refuse another.
+  if (table.failures == 0) return;
   context->Log(LogLevel::kInfo, kPart, "store_regained",
                {{"table", StoreTableName(table.table)},
                 {"failures", std::to_string(table.failures)}});
@@ -368,8 +375,13 @@
   // moment.
   int64_t jitter = static_cast<int64_t>(context->Random(
       static_cast<uint64_t>(std::max<int64_t>(pause.millis() / 2, 1))));
-  table->next = context->now() + pause + Duration::Millis(jitter);
+  TimePoint next = context->now() + pause + Duration::Millis(jitter);
+  bool reached_store = reaches_store();
   table->failures++;
+  for (Table& other : tables_) {
+    if (other.failures > 0) other.next = std::max(other.next, next);
+  }
+  if (reached_store && status == StoreStatus::kUnknown) RepeatOpenCalls();
   if (table->failures == 1) {
     context->Log(LogLevel::kWarning, kPart, "store_lost",
                  {{"table", StoreTableName(table->table)},
@@ -378,6 +390,14 @@
   }
 }
 
+void StoreFollower::RepeatOpenCalls() {
+  for (Table& table : tables_) {
+    if (table.call == CallId() || table.is_reading) continue;
+    table.call = CallId();
+    table.is_first_follow = true;
+  }
+}
+
 void StoreFollower::Apply(const Table& table, const StoreAnswered& answer,
                           bool is_whole, ProxyContext* context) {
   for (const std::string& problem : answer.problems) {
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -181,6 +181,7 @@
   void LogFollowing(const char* cause, ProxyContext* context);
   void OnAnswered(const Table& table, ProxyContext* context);
   void OnFailed(Table* table, StoreStatus status, ProxyContext* context);
+  void RepeatOpenCalls();
 
   VmRecord self_;
   TimePoint started_at_;
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -14,6 +15,8 @@
 
 const UpstreamId kUpstream("up-a");
 const VmId kSelf("vm-1");
+constexpr StoreTable kFollowedTables[] = {
+    StoreTable::kRoutes, StoreTable::kUpstreams, StoreTable::kVms};
 constexpr char kSelfAddress[] = "10.0.0.1:7";
 // Eras of the store before and after the restore.
 const StoreEra kFirst(4);
@@ -46,6 +49,9 @@
   CPPUNIT_TEST(OlderEra_SnapshotOfPeer_IsNotApplied);
   CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
   CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
+  CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
+  CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
+  CPPUNIT_TEST(AllTables_Refused_OneCallAtATime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -203,6 +209,45 @@
     CPPUNIT_ASSERT(!follower_.follows_store());
   }
 
+  // Connections to the store may be silent while new ones work.
+  void OneTable_GetsNoAnswer_OthersAreAskedAgain() {
+    CallId routes = Open<FollowTable>(StoreTable::kRoutes);
+    CallId vms = Open<FollowTable>(StoreTable::kVms);
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kUnknown,
+           {kFirst, 0});
+    CPPUNIT_ASSERT(Open<FollowTable>(StoreTable::kRoutes) != routes);
+    CPPUNIT_ASSERT(Open<FollowTable>(StoreTable::kVms) != vms);
+  }
+
+  void OneTable_RefusedForLong_OthersAreFollowed() {
+    for (int i = 0; i < 20; i++) {
+      CallId upstreams = Open<FollowTable>(StoreTable::kUpstreams);
+      Answer(upstreams, StoreStatus::kRefused, {kFirst, 0});
+      Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+             {kFirst, 100});
+      Open<FollowTable>(StoreTable::kRoutes);
+      Wait(StoreFollower::kMaxRetryDelay * 2);
+      CPPUNIT_ASSERT(Open<FollowTable>(StoreTable::kUpstreams) != upstreams);
+      CPPUNIT_ASSERT(!follower_.reaches_store());
+    }
+  }
+
+  void AllTables_Refused_OneCallAtATime() {
+    for (StoreTable table : kFollowedTables) {
+      Answer(Open<FollowTable>(table), StoreStatus::kRefused, {kFirst, 0});
+    }
+    std::set<StoreTable> asked;
+    for (int i = 0; i < 9; i++) {
+      Wait(StoreFollower::kMaxRetryDelay * 2);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, OpenFollowCalls().size());
+      const auto& call = *OpenFollowCalls().begin();
+      asked.insert(call.second);
+      Answer(call.first, StoreStatus::kRefused, {kFirst, 0});
+      CPPUNIT_ASSERT(OpenFollowCalls().empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, asked.size());
+  }
+
   void OlderEra_SnapshotOfPeer_IsNotApplied() {
     Restore();
     ReadAll({kSecond, 40}, StoreAnswered(), true);
@@ -232,8 +277,7 @@
   void LeaveStoreToPeers() {
     Begin();
     follower_.SetReaders(StoreReaders(), &context_);
-    for (StoreTable table :
-         {StoreTable::kRoutes, StoreTable::kUpstreams, StoreTable::kVms}) {
+    for (StoreTable table : kFollowedTables) {
       Answer(Open<FollowTable>(table), StoreStatus::kOk, {kFirst, 100});
     }
     CPPUNIT_ASSERT(!follower_.follows_store());
@@ -273,6 +317,18 @@
     return call;
   }
 
+  std::map<CallId, StoreTable> OpenFollowCalls() const {
+    std::map<CallId, StoreTable> calls;
+    for (const ProxyEffect& effect : effects_) {
+      const auto* store_call = std::get_if<StoreCall>(&effect);
+      if (store_call == nullptr) continue;
+      const auto* body = std::get_if<FollowTable>(&store_call->body);
+      bool is_open = answered_.count(store_call->call) == 0;
+      if (body != nullptr && is_open) calls[store_call->call] = body->table;
+    }
+    return calls;
+  }
+
   void Answer(CallId call, StoreStatus status, StoreVersion version,
               StoreAnswered answer = StoreAnswered()) {
     answered_.insert(call);
