Begin a new attempt when the successor of a planned change is lost

Cause: an attempt kept its holds and the position to catch up with when it chose another successor. Both were for the first one: later commits were acknowledged through it alone, and the second one, held all the while, never received them.

Now an attempt has one successor. If that one leaves, goes down or cannot be promoted, the replicas are resumed and a new attempt begins, so that the position is taken after the new set of holds.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -12,7 +12,8 @@
 //
 // In a planned change, all replicas but the successor are held. The promotion
 // waits until the successor has what was acknowledged before; later commits are
-// acknowledged only by the successor.
+// acknowledged only by the successor. So an attempt is for one successor; if
+// that one cannot take over, the replicas are resumed and a new attempt begins.
 
 #include "fireflycart/core/proxy/failover.h"
 
@@ -227,7 +228,9 @@
       cause_ = FailoverCause::kLost;
       successor_ = UpstreamId();
     } else if (successor_ == UpstreamId()) {
-      if (cause_ == FailoverCause::kReplicasLate) {
+      // The holds and the position to catch up with were for the successor
+      // that is gone. Another one, held meanwhile, lacks later commits.
+      if (has_sent_hold_ || cause_ == FailoverCause::kReplicasLate) {
         GiveUp("the successor cannot take over", pool, context);
         return;
       }
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <iostream>
 
 #include "fireflycart/standins/testing/session_world.h"
@@ -63,6 +64,8 @@
   CPPUNIT_TEST(Replica_RecreatedEmpty_IsNotPromoted);
   CPPUNIT_TEST(HeldReplica_RestartsBeforePromotionTakesEffect_NoCommitIsLost);
   CPPUNIT_TEST(HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost);
+  CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
+  CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Connections_BreakBeforeAnswers_NothingRunsTwiceAndRefusalsHold);
   CPPUNIT_TEST(Owner_KilledRepeatedly_WritesRunAtMostOnce);
@@ -690,6 +693,19 @@
     ExpectInvariantsHold();
   }
 
+  // Commits are acknowledged through the first successor alone until it leaves.
+  void Successor_LeavesDuringPlannedChange_NoCommitIsLost() {
+    LoseSuccessorDuringPlannedChange(
+        [this](const UpstreamId& id) { world_->Drain(id); });
+  }
+
+  void Successor_CrashesDuringPlannedChange_NoCommitIsLost() {
+    LoseSuccessorDuringPlannedChange([this](const UpstreamId& id) {
+      world_->CrashUpstream(id);
+      world_->Unregister(id);
+    });
+  }
+
   void Answers_Lost_NothingRunsTwice() {
     world_->Run(Duration::Seconds(2));
     for (int i = 0; i < 10; i++) {
@@ -764,6 +780,24 @@
 
   int64_t PromoteMs() const { return options_.database.promote_time.millis(); }
 
+  void LoseSuccessorDuringPlannedChange(
+      const std::function<void(const UpstreamId&)>& lose) {
+    world_->Run(Duration::Seconds(2));
+    UpstreamId old = world_->primary();
+    world_->RefusePromotions(true);
+    world_->Drain(old);
+    world_->Run(Duration::Seconds(1));
+    UpstreamId first = world_->last_successor();
+    CPPUNIT_ASSERT(first != UpstreamId());
+    lose(first);
+    world_->Run(Duration::Millis(500));
+    world_->RefusePromotions(false);
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(world_->primary() != old);
+    CPPUNIT_ASSERT(world_->primary() != first);
+    ExpectInvariantsHold();
+  }
+
   static int IndexOf(const VmId& vm) { return vm.value().back() - '0'; }
 
   void IsolateEndpoint(const std::string& name) {
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -632,12 +632,15 @@
              " is below earlier token " + std::to_string(highest_token_));
     }
     highest_token_ = std::max(highest_token_, token);
-    bool ok = database_->Promote(upstream, now_);
-    Send("promotion", vm->name, [this, vm, incarnation, call, ok] {
-      Deliver(vm, incarnation,
-              proxy::PromotionAnswered{
-                  call, ok ? proxy::PromotionStatus::kAccepted
-                           : proxy::PromotionStatus::kNotRunning});
+    last_successor_ = upstream;
+    auto status = proxy::PromotionStatus::kRefused;
+    if (!refuses_promotions_) {
+      status = database_->Promote(upstream, now_)
+                   ? proxy::PromotionStatus::kAccepted
+                   : proxy::PromotionStatus::kNotRunning;
+    }
+    Send("promotion", vm->name, [this, vm, incarnation, call, status] {
+      Deliver(vm, incarnation, proxy::PromotionAnswered{call, status});
     });
   });
   timers_.emplace(now_ + e.timeout, [this, vm, incarnation, call] {
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -94,6 +94,10 @@
   // The load balancer also sends callers to VMs that are not ready.
   void IgnoreReadiness() { ignores_readiness_ = true; }
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
+  // The platform refuses promotions, and has not performed them.
+  void RefusePromotions(bool refuses) { refuses_promotions_ = refuses; }
+  // The upstream that the last promotion was requested for.
+  const UpstreamId& last_successor() const { return last_successor_; }
   // The store refuses all calls for the time of the outage and then returns
   // with the content that it had before the age. The operator and the upstreams
   // write their rows again within kRewriteTime.
@@ -213,6 +217,8 @@
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
   bool ignores_readiness_ = false;
+  bool refuses_promotions_ = false;
+  UpstreamId last_successor_;
   bool callers_paused_ = false;
   uint64_t highest_token_ = 0;
 
