Send no read to a primary that says that it is a replica

A VM that was cut off from the others did not know the upstream that had become primary. The last primary that it knew answered as a replica, and another replica of the same term was taken as confirmation.

Cause: the last known primary stayed in use without a look at what its own last status says. GroupOwner::Primary() now returns none in that case, so neither reads nor confirmations rest on it.

Not changed: a group whose upstreams all answer as replicas gets no new primary.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -52,7 +52,9 @@
 
 PooledUpstream* GroupOwner::Primary() {
   PooledUpstream* primary = pool_.FindUpstream(primary_);
-  return primary == nullptr || primary->is_down ? nullptr : primary;
+  bool leads = primary != nullptr && !primary->is_down &&
+               (!primary->has_status || primary->status.is_primary);
+  return leads ? primary : nullptr;
 }
 
 void GroupOwner::Dispatch(ProxyContext* context) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -124,6 +124,8 @@
                      std::vector<UpstreamCommand> commands,
                      ProxyContext* context);
   void Continue(Work* work, ProxyContext* context);
+  // The upstream that leads; none while the last known one is down or says that
+  // it is a replica.
   PooledUpstream* Primary();
   PooledUpstream* ReplicaFor(const Work& work, ProxyContext* context);
   bool IsBehind(const PooledUpstream& replica, LogPosition min_position,
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(Replica_RecreatedEmpty_IsNotPromoted);
   CPPUNIT_TEST(HeldReplica_RestartsBeforePromotionTakesEffect_NoCommitIsLost);
   CPPUNIT_TEST(HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost);
+  CPPUNIT_TEST(Vm_DoesNotKnowNewPrimary_ReadsNothingStale);
   CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
@@ -693,6 +694,33 @@
     ExpectInvariantsHold();
   }
 
+  // The old primary and the replica that the VM knows follow the new primary,
+  // which started while the VM was cut off.
+  void Vm_DoesNotKnowNewPrimary_ReadsNothingStale() {
+    SessionWorldOptions options;
+    options.mixed_consistencies = false;
+    options.consistency = proxy::ReadConsistency::kStrong;
+    MakeWorld(options);
+    world_->Unregister(UpstreamId("up-c"));
+    world_->Run(Duration::Seconds(5));
+    for (const char* other : {"store", "vm-1", "vm-2"}) {
+      world_->Cut("vm-0", other);
+    }
+    world_->Run(Duration::Seconds(1));
+    UpstreamId old = world_->primary();
+    world_->Register(UpstreamId("up-c"), false);
+    world_->Drain(UpstreamId("up-b"));
+    world_->Drain(old);
+    world_->Run(Duration::Seconds(2));
+    world_->database().SetApplyLag(Duration::Millis(400));
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-c"), world_->primary().value());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(3));
+    ExpectInvariantsHold();
+  }
+
   // Commits are acknowledged through the first successor alone until it leaves.
   void Successor_LeavesDuringPlannedChange_NoCommitIsLost() {
     LoseSuccessorDuringPlannedChange(
