--- a/fireflycart/standins/testing/session_store_test.cc
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -104,8 +105,8 @@
   static std::string NameOf(int vm) { return "vm-" + std::to_string(vm); }
 
   std::vector<int> FirstByRank(size_t count) const {
-    std::vector<int> vms;
-    for (int vm = 0; vm < vms_; vm++) vms.push_back(vm);
+    std::vector<int> vms(static_cast<size_t>(vms_));
+    std::iota(vms.begin(), vms.end(), 0);
     std::sort(vms.begin(), vms.end(), [](int a, int b) {
       return proxy::RankOf(VmId(NameOf(a))) < proxy::RankOf(VmId(NameOf(b)));
     });
