--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -77,7 +77,7 @@
   platform::CallerLimits limits;
   limits.sessions = sessions.max_sessions;
   ports_ = platform::OpenPlatform(&io_, addresses, settings_.identity.vm,
-                                  limits, this);
+                                  limits, &clock_, this);
   ready_server_ =
       StartHttpServer(MakeServerOptions(sessions.ready_address), this);
   metrics_server_ =
