Fleet: a VM that knows no other VM follows the store

Since the readers are computed ahead, a VM that had just started took itself for no reader until its first list came. Found when reading the change; it cost a few calls at the start. Vm_KnowsNoOtherVm_FollowsTheStore failed before.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -18,7 +18,9 @@
 }  // namespace
 
 Fleet::Fleet(VmRecord self, HeartbeatHandler* heartbeat_handler)
-    : self_(std::move(self)), heartbeat_handler_(heartbeat_handler) {}
+    : self_(std::move(self)),
+      heartbeat_handler_(heartbeat_handler),
+      store_readers_(ChooseStoreReaders(self_.vm, {}, 0)) {}
 
 void Fleet::SetVms(const VmList& list, ProxyContext* context) {
   for (const auto& item : list.records) AddVm(item.second, context);
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(FleetTest);
   CPPUNIT_TEST(Peer_SendsNoTables_OwnsNothingAndIsNotDown);
   CPPUNIT_TEST(Peer_LacksTablesAndIsSilent_IsAskedUntilItHasThem);
+  CPPUNIT_TEST(Vm_KnowsNoOtherVm_FollowsTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -82,6 +83,13 @@
     CPPUNIT_ASSERT(PeerOwnsSome());
   }
 
+  void Vm_KnowsNoOtherVm_FollowsTheStore() {
+    VmRecord self;
+    self.vm = kSelf;
+    Fleet fleet(self, &handler_);
+    CPPUNIT_ASSERT(fleet.store_readers().has_self);
+  }
+
  private:
   void Advance(Duration time) {
     now_ = now_ + time;
