--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -17,8 +17,8 @@
 // Those that would follow the store next also probe a reader; see
 // store_readers.h.
 //
-// Cost: one probe per period to a contact, and one to each VM that leaves open
-// calls unanswered, whatever the size of the fleet.
+// Cost: one probe per period to a contact, one to a watched reader, and one to
+// each VM that leaves open calls unanswered, whatever the size of the fleet.
 
 #ifndef FIREFLYCART_CORE_PROXY_FLEET_H_
 #define FIREFLYCART_CORE_PROXY_FLEET_H_
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -11,8 +11,8 @@
 // upstreams are replaced only by a newer version. After a restore of the store,
 // a new era, the tables are read whole and completed with what was known.
 //
-// Limits: one call for each table, besides those that were open as an era
-// began.
+// Limits: one call for each table, besides those that were given up: open as an
+// era began, or when another call got no answer.
 
 #ifndef FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
 #define FIREFLYCART_CORE_PROXY_STORE_FOLLOWER_H_
--- a/fireflycart/core/proxy/store_readers.h
+++ b/fireflycart/core/proxy/store_readers.h
@@ -25,6 +25,7 @@
 // VMs that are notified at once when a VM loses or regains the store: those
 // that follow it next. Twice the readers, as some may be cut off, too.
 constexpr size_t kNextStoreReaders = 2 * kStoreReaders;
+// Limit of the VMs that follow by rank while some do not reach the store.
 constexpr size_t kMaxStoreReaders = 2 * kStoreReaders;
 
 struct StoreReaders {
