Take the position of a planned change again after every new hold

Cause: the position to catch up with was taken once in an attempt, after the first complete set of holds. A replica that restarts loses its hold, so what it acknowledges is not covered by that position.

Now the position is dropped whenever a replica that must be held is not, and taken again after all are held.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -247,7 +247,13 @@
     return;
   }
   has_sent_hold_ = true;
-  if (!HoldReplicas(pool, context)) return;
+  if (!HoldReplicas(pool, context)) {
+    // A replica that restarted may have acknowledged commits since the position
+    // was taken.
+    has_catch_up_position_ = false;
+    all_held_at_ = Instant();
+    return;
+  }
   if (is_planned()) {
     if (!HasCaughtUp(pool, context)) return;
   } else {
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(Vm_DoesNotKnowNewPrimary_ReadsNothingStale);
   CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
+  CPPUNIT_TEST(Replica_RestartsWhilePromotionIsRefused_NoCommitIsLost);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Connections_BreakBeforeAnswers_NothingRunsTwiceAndRefusalsHold);
   CPPUNIT_TEST(Owner_KilledRepeatedly_WritesRunAtMostOnce);
@@ -734,6 +735,26 @@
     });
   }
 
+  // The restarted replica acknowledges commits until it is held again. The
+  // successor, which receives nothing meanwhile, lacks them.
+  void Replica_RestartsWhilePromotionIsRefused_NoCommitIsLost() {
+    world_->Run(Duration::Seconds(2));
+    UpstreamId old = world_->primary();
+    world_->RefusePromotions(true);
+    world_->Drain(old);
+    world_->Run(Duration::Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(UpstreamId("up-b"), world_->last_successor());
+    world_->Cut(old.value(), "up-b");
+    RestartReplicaNextTo(old, "up-c");
+    world_->Run(Duration::Millis(300));
+    world_->RefusePromotions(false);
+    world_->Run(Duration::Seconds(3));
+    world_->HealAll();
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(world_->primary() != old);
+    ExpectInvariantsHold();
+  }
+
   void Answers_Lost_NothingRunsTwice() {
     world_->Run(Duration::Seconds(2));
     for (int i = 0; i < 10; i++) {
