Read at the primary only if no promotion can have been requested

Cause: a read may run within 100 ms after a confirmation that no promotion had been requested. Acknowledged commits and the status of a single replica were taken for such a confirmation. Until the successor of a planned change leads, commits are acknowledged through it and its status is unchanged, so both show only that no promotion had taken effect.

Now a confirmation with that lead takes two replicas that receive the log, one of which is not the successor. Otherwise the confirmation must have been requested after the read arrived.

Vm_CommitsThroughUnknownSuccessor_ReadsNothingStale failed before: "stale read s11725 at up-a lacks write WRITE c12-11484".

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -7,10 +7,11 @@
 // to have a position that the primary had at such a time. LeadershipTracker
 // decides which positions qualify.
 //
-// At the primary a read runs only if the leadership of the primary was
-// confirmed shortly before the read arrived. A promotion that was requested
-// after the confirmation takes effect only after the read's arrival, so no
-// other upstream had acknowledged anything when the read arrived.
+// At the primary a read of the newest state runs only if the primary was
+// confirmed to lead after the read arrived, or if no promotion had been
+// requested shortly before it arrived: one that was requested later takes
+// effect only after the read's arrival. So no other upstream had acknowledged
+// anything when the read arrived.
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +25,7 @@
 // A replica's position older than this does not indicate its current one.
 constexpr Duration kAppliedPositionMaxAge = Duration::Millis(20);
 // The platform promotes some hundred milliseconds after the request, so no
-// other upstream is primary within this time after a leadership confirmation.
+// other upstream is primary within this time after no request had been made.
 constexpr Duration kMinPromotionDelay = Duration::Millis(100);
 // A write does not need a confirmation to be correct. Without a recent one its
 // commit would probably wait for a replica that does not acknowledge it.
@@ -64,20 +65,30 @@
   }
 }
 
+// True if the work must observe every commit that was acknowledged before it
+// arrived.
+bool GroupOwner::NeedsUnchallengedPrimary(const Work& work) const {
+  bool only_writes =
+      !work.in_transaction() && work.call.access != Access::kRead;
+  return !only_writes && work.call.consistency == ReadConsistency::kStrong;
+}
+
 // The maximum age of the last leadership confirmation when the work arrives.
 Duration GroupOwner::MaxConfirmationAge(const Work& work) const {
+  if (NeedsUnchallengedPrimary(work)) return kMinPromotionDelay;
   bool only_writes =
       !work.in_transaction() && work.call.access != Access::kRead;
   if (only_writes) return kMaxWriteConfirmationAge;
-  if (work.call.consistency == ReadConsistency::kStrong) {
-    return kMinPromotionDelay;
-  }
   return std::min(work.call.max_age, kMaxWriteConfirmationAge);
 }
 
 bool GroupOwner::IsPrimaryCurrent(const Work& work) const {
-  return leadership_.IsConfirmedSince(work.arrived.time -
-                                      MaxConfirmationAge(work));
+  TimePoint oldest = work.arrived.time - MaxConfirmationAge(work);
+  if (!NeedsUnchallengedPrimary(work)) {
+    return leadership_.IsConfirmedSince(oldest);
+  }
+  return leadership_.IsUnchallengedSince(oldest) ||
+         leadership_.IsConfirmedSince(work.arrived.sequence);
 }
 
 bool GroupOwner::MayStartAtPrimary(const Work& work, ProxyContext* context) {
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -76,13 +76,21 @@
   bool receives = !status.is_primary && status.held_term == 0 &&
                   status.term == primary->status.term;
   if (!receives) return;
-  leadership_.OnConfirmed(command.at);
-  if (command.at.sequence >= probe_sent_.sequence) is_probe_pending_ = false;
+  leadership_.OnReplicaReceives(upstream, command.at);
+  if (IsProbeAnswered()) is_probe_pending_ = false;
+}
+
+bool GroupOwner::IsProbeAnswered() const {
+  return does_probe_need_two_
+             ? leadership_.IsUnchallengedSince(probe_sent_.sequence)
+             : leadership_.IsConfirmedSince(probe_sent_.sequence);
 }
 
 // Requests a confirmation ahead of its expiry while work is queued.
 void GroupOwner::KeepLeadershipConfirmed(ProxyContext* context) {
-  if (primary_ == UpstreamId() || failover_.is_active()) return;
+  // In a planned change, the successor confirms the primary until it leads.
+  bool is_lost = failover_.is_active() && !failover_.is_planned();
+  if (primary_ == UpstreamId() || is_lost) return;
   Work* work = queue_.First(Lane::kPrimary, context->now(),
                             [](const Work&) { return true; });
   if (work == nullptr) {
@@ -90,11 +98,19 @@
                         [](const Work&) { return true; });
   }
   if (work == nullptr) return;
-  Duration age = Duration::Millis(MaxConfirmationAge(*work).millis() / 2);
-  if (!leadership_.IsConfirmedSince(context->now() - age)) SendProbe(context);
+  TimePoint oldest =
+      context->now() - Duration::Millis(MaxConfirmationAge(*work).millis() / 2);
+  bool needs_two = NeedsUnchallengedPrimary(*work);
+  bool is_confirmed = needs_two ? leadership_.IsUnchallengedSince(oldest)
+                                : leadership_.IsConfirmedSince(oldest);
+  // A single replica cannot show that no promotion was requested, but a status
+  // requested after the arrival of the work suffices for it.
+  is_confirmed =
+      is_confirmed || leadership_.IsConfirmedSince(work->arrived.sequence);
+  if (!is_confirmed) SendProbe(needs_two, context);
 }
 
-void GroupOwner::SendProbe(ProxyContext* context) {
+void GroupOwner::SendProbe(bool needs_two, ProxyContext* context) {
   // One request at a time; if it is not answered within this time, the next
   // one goes to all replicas.
   constexpr Duration kProbeTimeout = Duration::Millis(30);
@@ -102,16 +118,18 @@
       is_probe_pending_ && context->now() - probe_sent_.time < kProbeTimeout;
   if (is_pending) return;
   UpstreamCommand status;
-  bool ask_all = is_probe_pending_;  // The last request timed out.
-  bool asked = false;
+  size_t wanted = needs_two ? 2 : 1;
+  if (is_probe_pending_) wanted = pool_.upstreams().size();  // Timed out.
+  size_t asked = 0;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
     bool may_confirm = item.first != primary_ && !upstream.is_down &&
                        upstream.has_status && upstream.status.held_term == 0;
-    if (!may_confirm || (asked && !ask_all)) continue;
-    asked = pool_.SendControl(item.first, status, context) || asked;
+    if (!may_confirm || asked >= wanted) continue;
+    if (pool_.SendControl(item.first, status, context)) asked++;
   }
   is_probe_pending_ = true;
+  does_probe_need_two_ = needs_two && asked > 1;
   probe_sent_ = context->instant();
   context->WakeAt(context->now() + kProbeTimeout);
 }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -147,10 +147,14 @@
   bool IsGroupSteady(ProxyContext* context);
   std::string FormatUpstreams(ProxyContext* context) const;
 
+  bool NeedsUnchallengedPrimary(const Work& work) const;
   Duration MaxConfirmationAge(const Work& work) const;
   bool IsPrimaryCurrent(const Work& work) const;
   void KeepLeadershipConfirmed(ProxyContext* context);
-  void SendProbe(ProxyContext* context);
+  // Requests the status of one replica, or of two if they are to confirm that
+  // no promotion was requested.
+  void SendProbe(bool needs_two, ProxyContext* context);
+  bool IsProbeAnswered() const;
 
   // Defined in group_answers.cc.
   void OnStatementAnswer(Work* work, const SentCommand& command,
@@ -222,6 +226,7 @@
   LogPosition previous_primary_position_;  // One kStatusPeriod ago.
   Instant probe_sent_;
   bool is_probe_pending_ = false;
+  bool does_probe_need_two_ = false;  // Statuses of two replicas.
   bool has_requested_lease_ = false;
   ServiceTimes service_times_;
   std::array<ArrivalLoad, kLanes> arrivals_;
--- a/fireflycart/core/proxy/leadership_tracker.cc
+++ b/fireflycart/core/proxy/leadership_tracker.cc
@@ -26,9 +26,33 @@
   is_confirmed_ = true;
 }
 
+void LeadershipTracker::OnReplicaReceives(const UpstreamId& replica,
+                                          Instant sent) {
+  OnConfirmed(sent);
+  if (replica == last_receiver_) {
+    if (last_received_.sequence < sent.sequence) last_received_ = sent;
+    return;
+  }
+  if (last_receiver_ != UpstreamId() &&
+      sent.sequence < last_received_.sequence) {
+    bool is_newer = other_receiver_ == UpstreamId() ||
+                    other_received_.sequence < sent.sequence;
+    if (!is_newer) return;
+    other_receiver_ = replica;
+    other_received_ = sent;
+    return;
+  }
+  other_receiver_ = last_receiver_;
+  other_received_ = last_received_;
+  last_receiver_ = replica;
+  last_received_ = sent;
+}
+
 void LeadershipTracker::Reset() {
   samples_.clear();
   is_confirmed_ = false;
+  last_receiver_ = UpstreamId();
+  other_receiver_ = UpstreamId();
 }
 
 Duration LeadershipTracker::LagOf(LogPosition applied, TimePoint at) const {
--- a/fireflycart/core/proxy/leadership_tracker.h
+++ b/fireflycart/core/proxy/leadership_tracker.h
@@ -1,11 +1,14 @@
-// Records until when the primary that an owner uses was confirmed to be the one
-// that can acknowledge commits, and which log positions it had.
+// Records until when the primary that an owner uses was confirmed to lead,
+// until when no promotion had been requested, and which log positions the
+// primary had.
 //
-// A promotion is requested only after every replica was ordered to hold, so a
-// replica that receives the log confirms that none had been requested by then.
+// A promotion is requested only after every replica but the successor of a
+// planned change was ordered to hold. So a replica that receives the log
+// confirms that no promotion had taken effect, and two of them that none had
+// been requested: one of the two is not the successor.
 //
 //   leadership.OnPrimaryPosition(sent_at, answer.position);
-//   leadership.OnConfirmed(sent_at);
+//   leadership.OnReplicaReceives(upstream, sent_at);
 //   bool is_current = leadership.IsConfirmedSince(work.arrived.time);
 //   LogPosition min_position = leadership.MinPositionFor(now - max_age);
 //
@@ -16,6 +19,7 @@
 
 #include <deque>
 
+#include "fireflycart/core/ids.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 
 namespace fireflycart::proxy {
@@ -31,14 +35,19 @@
   // position, which thus covers every commit it had acknowledged by then.
   void OnPrimaryPosition(Instant sent, LogPosition position);
 
-  // Records that the primary was able to acknowledge commits at some time after
-  // the instant.
+  // Records that the primary acknowledged a commit sent at that instant, so
+  // that it led at some time after it. A promotion may have been requested,
+  // since the successor of a planned change acknowledges until it leads.
   void OnConfirmed(Instant sent);
 
+  // Records that a replica that was asked at that instant received the log of
+  // the primary.
+  void OnReplicaReceives(const UpstreamId& replica, Instant sent);
+
   // Discards all records, since they apply to a primary that was replaced.
   void Reset();
 
-  // True if the primary was confirmed as current after the given time.
+  // True if the primary was confirmed to lead after the given time.
   bool IsConfirmedSince(uint64_t sequence) const {
     return is_confirmed_ && confirmed_.sequence >= sequence;
   }
@@ -46,6 +55,15 @@
     return is_confirmed_ && confirmed_.time >= time;
   }
 
+  // True if no promotion had been requested by some time after the given one.
+  bool IsUnchallengedSince(uint64_t sequence) const {
+    return other_receiver_ != UpstreamId() &&
+           other_received_.sequence >= sequence;
+  }
+  bool IsUnchallengedSince(TimePoint time) const {
+    return other_receiver_ != UpstreamId() && other_received_.time >= time;
+  }
+
   // Returns the oldest sampled position that covers every commit acknowledged
   // before that time; unknown if there is none.
   LogPosition MinPositionFor(TimePoint time) const;
@@ -67,6 +85,11 @@
   std::deque<Sample> samples_;  // In order of time and position.
   Instant confirmed_;
   bool is_confirmed_ = false;
+  // The replica that received the log last, and the last one besides it.
+  UpstreamId last_receiver_;
+  Instant last_received_;
+  UpstreamId other_receiver_;
+  Instant other_received_;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/testing/leadership_tracker_test.cc
+++ b/fireflycart/core/proxy/testing/leadership_tracker_test.cc
@@ -18,6 +18,10 @@
   CPPUNIT_TEST(MinPositionFor_PositionSentAfterConfirmation_Unknown);
   CPPUNIT_TEST(MinPositionFor_Time_OldestPositionThatCoversIt);
   CPPUNIT_TEST(OnConfirmed_OlderConfirmation_KeepsNewer);
+  CPPUNIT_TEST(OnConfirmed_Commit_PromotionMayBeRequested);
+  CPPUNIT_TEST(OnReplicaReceives_OneReplica_PromotionMayBeRequested);
+  CPPUNIT_TEST(OnReplicaReceives_TwoReplicas_OlderStatusCounts);
+  CPPUNIT_TEST(OnReplicaReceives_AnswersOutOfOrder_NewestOfEachCounts);
   CPPUNIT_TEST(Reset_PrimaryChanged_NothingConfirmed);
   CPPUNIT_TEST(LagOf_Replica_TimeSincePrimaryHadMore);
   CPPUNIT_TEST(ReachedAt_OutsideSamples_ZeroOrLastSample);
@@ -80,12 +84,50 @@
                          leadership_.ReachedAt(LogPosition{1, 9}).millis());
   }
 
+  // The successor of a planned change acknowledges commits until it leads.
+  void OnConfirmed_Commit_PromotionMayBeRequested() {
+    leadership_.OnConfirmed(At(100, 1));
+    CPPUNIT_ASSERT(leadership_.IsConfirmedSince(uint64_t{1}));
+    CPPUNIT_ASSERT(!leadership_.IsUnchallengedSince(TimePoint()));
+  }
+
+  // The replica may be the successor of a planned change.
+  void OnReplicaReceives_OneReplica_PromotionMayBeRequested() {
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(100, 1));
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(120, 2));
+    CPPUNIT_ASSERT(leadership_.IsConfirmedSince(uint64_t{2}));
+    CPPUNIT_ASSERT(!leadership_.IsUnchallengedSince(TimePoint()));
+  }
+
+  void OnReplicaReceives_TwoReplicas_OlderStatusCounts() {
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(100, 1));
+    leadership_.OnReplicaReceives(UpstreamId("c"), At(120, 2));
+    CPPUNIT_ASSERT(leadership_.IsUnchallengedSince(TimePoint::FromMillis(100)));
+    CPPUNIT_ASSERT(
+        !leadership_.IsUnchallengedSince(TimePoint::FromMillis(101)));
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(140, 3));
+    CPPUNIT_ASSERT(leadership_.IsUnchallengedSince(uint64_t{2}));
+    CPPUNIT_ASSERT(!leadership_.IsUnchallengedSince(uint64_t{3}));
+  }
+
+  void OnReplicaReceives_AnswersOutOfOrder_NewestOfEachCounts() {
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(140, 4));
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(100, 1));
+    leadership_.OnReplicaReceives(UpstreamId("c"), At(120, 3));
+    leadership_.OnReplicaReceives(UpstreamId("c"), At(110, 2));
+    CPPUNIT_ASSERT(leadership_.IsUnchallengedSince(uint64_t{3}));
+    CPPUNIT_ASSERT(!leadership_.IsUnchallengedSince(uint64_t{4}));
+  }
+
   void Reset_PrimaryChanged_NothingConfirmed() {
     leadership_.OnPrimaryPosition(At(100, 1), LogPosition{1, 5});
     leadership_.OnConfirmed(At(100, 1));
+    leadership_.OnReplicaReceives(UpstreamId("b"), At(100, 1));
+    leadership_.OnReplicaReceives(UpstreamId("c"), At(100, 1));
     leadership_.Reset();
     CPPUNIT_ASSERT(!leadership_.MinPositionFor(TimePoint()).known());
     CPPUNIT_ASSERT(!leadership_.IsConfirmedSince(TimePoint()));
+    CPPUNIT_ASSERT(!leadership_.IsUnchallengedSince(TimePoint()));
   }
 
  private:
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(HeldReplica_RestartsBeforePromotionTakesEffect_NoCommitIsLost);
   CPPUNIT_TEST(HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Vm_DoesNotKnowNewPrimary_ReadsNothingStale);
+  CPPUNIT_TEST(Vm_CommitsThroughUnknownSuccessor_ReadsNothingStale);
   CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Replica_RestartsWhilePromotionIsRefused_NoCommitIsLost);
@@ -722,6 +723,27 @@
     ExpectInvariantsHold();
   }
 
+  // Review case 4: until the successor leads, the old primary acknowledges the
+  // commits of the VM through it.
+  void Vm_CommitsThroughUnknownSuccessor_ReadsNothingStale() {
+    for (int offset_ms : {0, 50, 100, 150}) {
+      MakeStrongReadWorld();
+      world_->Unregister(UpstreamId("up-c"));
+      world_->Run(Duration::Millis(5000 + offset_ms));
+      for (const char* other : {"store", "vm-1", "vm-2"}) {
+        world_->Cut("vm-0", other);
+      }
+      world_->Run(Duration::Millis(500));
+      UpstreamId old = world_->primary();
+      world_->Register(UpstreamId("up-c"), false);
+      world_->Drain(UpstreamId("up-b"));
+      world_->Drain(old);
+      world_->Run(Duration::Seconds(2));
+      CPPUNIT_ASSERT_EQUAL(std::string("up-c"), world_->primary().value());
+      CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+    }
+  }
+
   // Commits are acknowledged through the first successor alone until it leaves.
   void Successor_LeavesDuringPlannedChange_NoCommitIsLost() {
     LoseSuccessorDuringPlannedChange(
@@ -799,6 +821,16 @@
     MakeWorld(options);
   }
 
+  // Many callers read and write the newest state.
+  void MakeStrongReadWorld() {
+    SessionWorldOptions options;
+    options.mixed_consistencies = false;
+    options.consistency = proxy::ReadConsistency::kStrong;
+    options.callers = 30;
+    options.pause = Duration::Millis(5);
+    MakeWorld(options);
+  }
+
   void MakeWorld(const SessionWorldOptions& options) {
     options_ = options;
     world_ = std::make_unique<SessionWorld>(options, kSeed);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -42,9 +42,15 @@
     Mutant(
         "read at a primary that is not proven current",
         "proxy/group_dispatch.cc",
-        "return leadership_.IsConfirmedSince(work.arrived.time -\n"
-        "                                     MaxConfirmationAge(work));",
-        "(void)work;\n  return true;",
+        "return leadership_.IsUnchallengedSince(oldest) ||\n"
+        "         leadership_.IsConfirmedSince(work.arrived.sequence);",
+        "return true;",
+    ),
+    Mutant(
+        "commit taken for a proof that no promotion was requested",
+        "proxy/group_dispatch.cc",
+        "return leadership_.IsUnchallengedSince(oldest) ||",
+        "return leadership_.IsConfirmedSince(oldest) ||",
     ),
     Mutant(
         "promotion before all replicas hold",
