Keep the drain limit of a leaving upstream across owners and restarts

Cause: the time of the report was kept in the owner's pool of upstreams, which is made when a VM first owns the group. The follower of the store had known of the report all the while.

Now UpstreamTimes, beside the follower, records when each start of an upstream was first known, and known to leave. Heartbeats carry the times as ages, and the earliest known one counts, so a VM that starts or was cut off learns them. An upstream that leaves for a time that nobody knows is sent no statements. An upstream without an entry is taken for gone after the same time.

--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -11,6 +11,7 @@
 
 #include "fireflycart/core/proxy/route.h"
 #include "fireflycart/core/proxy/statement.h"
+#include "fireflycart/core/proxy/upstream_times.h"
 
 namespace fireflycart::proxy {
 
@@ -116,6 +117,7 @@
   // False for an earlier version of the program, which does not notice a new
   // era, so its tables may be out of date.
   bool tells_era = true;
+  std::vector<UpstreamAge> upstream_ages;
 };
 struct HeartbeatCall {
   Heartbeat heartbeat;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -143,7 +143,7 @@
   fleet_.SetGroups(groups);
   std::map<GroupId, std::vector<UpstreamRecord>> by_group;
   for (const auto& item : follower_.upstreams().records) {
-    by_group[item.second.group].push_back(item.second);
+    by_group[item.second.group].push_back(WithTimes(item.second));
   }
   for (auto& item : owners_) {
     auto spec = table.groups.find(item.first);
@@ -179,6 +179,12 @@
   }
 }
 
+UpstreamRecord ProxyReducer::WithTimes(UpstreamRecord record) const {
+  record.known_since = follower_.upstream_times().KnownSince(record.id);
+  record.leaving_since = follower_.upstream_times().LeavingSince(record.id);
+  return record;
+}
+
 GroupOwner* ProxyReducer::OwnerFor(const GroupId& group) {
   auto found = owners_.find(group);
   if (found != owners_.end()) return found->second.get();
@@ -187,7 +193,7 @@
   if (spec == table.groups.end() || !follower_.has_upstreams()) return nullptr;
   std::vector<UpstreamRecord> records;
   for (const auto& item : follower_.upstreams().records) {
-    if (item.second.group == group) records.push_back(item.second);
+    if (item.second.group == group) records.push_back(WithTimes(item.second));
   }
   StatementReplyHandler* reply_handler = this;
   auto owner = std::make_unique<GroupOwner>(spec->second, reply_handler);
@@ -471,6 +477,7 @@
   heartbeat.reaches_store = follower_.reaches_store();
   heartbeat.is_leaving = is_stopping_;
   heartbeat.era = follower_.era();
+  heartbeat.upstream_ages = follower_.upstream_times().Ages(context_.now());
   return heartbeat;
 }
 
@@ -481,6 +488,10 @@
     follower_.OnPeerStoreAge(heartbeat.store_age, heartbeat.store_reader,
                              &context_);
   }
+  follower_.OnUpstreamAges(heartbeat.upstream_ages, &context_);
+  if (heartbeat.known.upstreams == follower_.known().upstreams) {
+    follower_.OnPeerAgrees(heartbeat.store_age, &context_);
+  }
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
   std::string address = fleet_.AddressOf(vm);
   if (address.empty()) address = heartbeat.address;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -118,6 +118,8 @@
   Heartbeat MakeHeartbeat() const override;
   void OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) override;
 
+  // Adds when the upstream was first known, and known to leave.
+  UpstreamRecord WithTimes(UpstreamRecord record) const;
   GroupOwner* OwnerFor(const GroupId& group);
   GroupOwner* OwnerOfConnection(ConnectionId connection);
   // Selects the VM for a statement, and pins it if a transaction begins.
--- a/fireflycart/core/proxy/route.h
+++ b/fireflycart/core/proxy/route.h
@@ -62,6 +62,10 @@
   bool leaving = false;
   bool is_primary = false;  // As the upstream itself reports.
   int64_t started_ms = 0;   // By its wall clock; distinguishes restarts.
+  // On the clock of the VM that uses the record; see upstream_times.h. Not
+  // compared.
+  TimePoint known_since;
+  TimePoint leaving_since;
 
   bool operator==(const UpstreamRecord& o) const {
     return id == o.id && group == o.group && address == o.address &&
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -112,11 +112,13 @@
   table->call = context->NextCall();
   table->is_reading = !table->is_current;
   if (table->is_reading) {
+    table->is_continuous = false;
     context->Emit(
         StoreCall{table->call, kReadTimeout, ReadTable{table->table, ""}});
     return;
   }
   Duration wait = WaitOf(*table, context->now());
+  table->is_continuous = !table->is_first_follow && table->failures == 0;
   table->is_first_follow = false;
   context->Emit(StoreCall{table->call, wait + kFollowTimeoutMargin,
                           FollowTable{table->table, table->version, wait}});
@@ -328,6 +330,9 @@
     return;
   }
   Apply(*table, answer, table->is_reading, context);
+  if (table->table == StoreTable::kUpstreams) {
+    upstreams_confirmed_at_ = context->now();
+  }
   table->version = answer.version;
   table->is_current = true;
 }
@@ -457,15 +462,43 @@
                   {"version", FormatVersion(answer.version)}});
   }
   list.version = answer.version;
+  bool is_continuous = false;
+  for (const Table& table : tables_) {
+    if (table.table == StoreTable::kUpstreams) {
+      is_continuous = table.is_continuous;
+    }
+  }
   if (is_whole) {
     upstreams_.SetAll(std::move(list), context->now());
     ExpireKeptRecords(context);
   } else {
     upstreams_.Change(list.records, removed, answer.version);
   }
+  UpdateUpstreamTimes(is_continuous, context);
   changes_++;
 }
 
+void StoreFollower::UpdateUpstreamTimes(bool is_continuous,
+                                        ProxyContext* context) {
+  bool is_gap_short =
+      context->now() - upstreams_confirmed_at_ <= kMaxUpstreamGap;
+  TimePoint unchanged_until =
+      is_gap_short ? upstreams_confirmed_at_ : TimePoint();
+  if (is_continuous) unchanged_until = context->now();
+  upstream_times_.Update(upstreams_.merged().records, unchanged_until,
+                         context->now());
+}
+
+void StoreFollower::OnUpstreamAges(const std::vector<UpstreamAge>& ages,
+                                   ProxyContext* context) {
+  if (upstream_times_.Merge(ages, context->now())) changes_++;
+}
+
+void StoreFollower::OnPeerAgrees(Duration store_age, ProxyContext* context) {
+  upstreams_confirmed_at_ =
+      std::max(upstreams_confirmed_at_, context->now() - store_age);
+}
+
 void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole,
                              ProxyContext* context) {
   bool has_changes = is_whole || !answer.rows.empty();
@@ -510,6 +543,8 @@
                  {{"version", FormatVersion(reply.upstreams.version)},
                   {"before", FormatVersion(upstreams_.version())}});
     upstreams_.SetAll(reply.upstreams, context->now());
+    UpdateUpstreamTimes(true, context);
+    upstreams_confirmed_at_ = context->now();
     changes_++;
     AdvanceVersion(StoreTable::kUpstreams, upstreams_.version());
   }
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -26,6 +26,7 @@
 #include "fireflycart/core/proxy/restored_list.h"
 #include "fireflycart/core/proxy/route.h"
 #include "fireflycart/core/proxy/store_readers.h"
+#include "fireflycart/core/proxy/upstream_times.h"
 
 namespace fireflycart::proxy {
 
@@ -77,6 +78,9 @@
   // kFollowPeriod, and heartbeats tell all VMs of it in 1 s to 2 s.
   static constexpr Duration kStoreAgeLimit = Duration::Millis(3600);
   static constexpr Duration kReadTimeout = Duration::Millis(1000);
+  // After a gap in the following of upstreams that is longer than this, the
+  // time of a change within it counts as unknown.
+  static constexpr Duration kMaxUpstreamGap = Duration::Millis(1000);
   // Delay after a failed call, doubled with each failure up to the maximum.
   static constexpr Duration kRetryDelay = Duration::Millis(200);
   static constexpr Duration kMaxRetryDelay = Duration::Millis(1600);
@@ -107,11 +111,18 @@
   void OnWake(ProxyContext* context);
   // Sets the VMs that follow the store for all.
   void SetReaders(const StoreReaders& readers, ProxyContext* context);
+  // A peer sent what it knows of the upstreams.
+  void OnUpstreamAges(const std::vector<UpstreamAge>& ages,
+                      ProxyContext* context);
+  // A peer has the same list of upstreams, and knows of an answer of the store
+  // that long ago.
+  void OnPeerAgrees(Duration store_age, ProxyContext* context);
   // A peer reported that the store answered that VM this long ago.
   void OnPeerStoreAge(Duration age, const VmId& reader, ProxyContext* context);
 
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_.merged(); }
+  const UpstreamTimes& upstream_times() const { return upstream_times_; }
   const VmList& vms() const { return vms_.merged(); }
   // As the store has them, for peers.
   const UpstreamList& stored_upstreams() const { return upstreams_.stored(); }
@@ -150,6 +161,8 @@
     bool is_first_follow = false;  // The next call is the first as reader.
     bool is_current = false;       // Was read; later changes are followed.
     StoreVersion version;
+    // The open call followed the last answer without a gap.
+    bool is_continuous = false;
     int failures = 0;
     TimePoint next;
   };
@@ -170,6 +183,7 @@
                    ProxyContext* context);
   void ApplyUpstreams(const StoreAnswered& answer, bool is_whole,
                       ProxyContext* context);
+  void UpdateUpstreamTimes(bool is_continuous, ProxyContext* context);
   void ApplyVms(const StoreAnswered& answer, bool is_whole,
                 ProxyContext* context);
   void MergeVms(const VmList& vms, ProxyContext* context);
@@ -196,6 +210,9 @@
   TimePoint restored_at_;
   RouteTable routes_;
   RestoredList<UpstreamList, RestoredUpstreamPolicy> upstreams_{kUpstreamGrace};
+  UpstreamTimes upstream_times_;
+  // The list of upstreams includes all changes up to then.
+  TimePoint upstreams_confirmed_at_;
   RestoredList<VmList, RestoredVmPolicy> vms_{kVmGrace};
   // Version at which a record was last removed.
   StoreVersion vms_removed_version_;
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(NewEra_OwnRowMissing_IsAnnouncedAgain);
   CPPUNIT_TEST(OlderEra_AnswerArrivesLate_IsNotApplied);
   CPPUNIT_TEST(OlderEra_SnapshotOfPeer_IsNotApplied);
+  CPPUNIT_TEST(Upstream_LeavesWhileFollowed_TimeIsThatOfTheAnswer);
+  CPPUNIT_TEST(Upstream_LeavesAfterFailedCalls_TimeIsThatOfPeers);
   CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
   CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
@@ -186,6 +188,30 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
   }
 
+  void Upstream_LeavesWhileFollowed_TimeIsThatOfTheAnswer() {
+    AnswerLeaving(UpstreamId("up-b"), false, 101);
+    Wait(Duration::Seconds(3));
+    AnswerLeaving(UpstreamId("up-b"), true, 102);
+    CPPUNIT_ASSERT(LeavingSince("up-b") == now_);
+    // It had been leaving before this VM started.
+    CPPUNIT_ASSERT(LeavingSince("up-a") == TimePoint());
+  }
+
+  void Upstream_LeavesAfterFailedCalls_TimeIsThatOfPeers() {
+    AnswerLeaving(UpstreamId("up-b"), false, 101);
+    Wait(Duration::Seconds(4));
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kUnknown,
+           {kFirst, 0});
+    Wait(StoreFollower::kMaxRetryDelay);
+    AnswerLeaving(UpstreamId("up-b"), true, 102);
+    CPPUNIT_ASSERT(LeavingSince("up-b") == TimePoint());
+    Begin();
+    follower_.OnUpstreamAges(
+        {UpstreamAge{UpstreamId("up-b"), 60, {}, Duration::Millis(900)}},
+        &context_);
+    CPPUNIT_ASSERT(LeavingSince("up-b") == now_ - Duration::Millis(900));
+  }
+
   void NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers() {
     LeaveStoreToPeers();
     Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
@@ -292,6 +318,17 @@
     }
   }
 
+  void AnswerLeaving(const UpstreamId& id, bool leaving, uint64_t number) {
+    StoreAnswered answer;
+    answer.upstreams = {MakeChange(id, 60, leaving)};
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kFirst, number}, answer);
+  }
+
+  TimePoint LeavingSince(const char* id) const {
+    return follower_.upstream_times().LeavingSince(UpstreamId(id));
+  }
+
   size_t Count(const char* id) const {
     return follower_.upstreams().records.count(UpstreamId(id));
   }
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -42,9 +42,6 @@
                     {"address", record.address}});
     }
     if (restarted) upstream.has_status = false;
-    bool begins_to_leave =
-        record.leaving && (is_new || restarted || !upstream.record.leaving);
-    if (begins_to_leave) upstream.leaving_since = context->now();
     bool moved = !is_new && upstream.record.address != record.address;
     if (moved) upstream.failed_opens = 0;
     upstream.record = record;
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -56,7 +56,6 @@
   UpstreamRecord record;
   bool is_registered = true;
   TimePoint unregistered_at;
-  TimePoint leaving_since;  // When its record was first marked as leaving.
   ConnectionId control;
   Instant control_opened;  // Sequence 0: the control connection is not open.
   int running = 0;         // Statements sent and not yet answered.
@@ -155,11 +154,15 @@
   std::vector<ConnectionId> ConnectionsOf(const UpstreamId& id) const;
   // True if one more statement may be sent to the upstream now.
   bool HasSlot(const PooledUpstream& upstream) const;
-  // True if the upstream has been leaving for so long that it is sent no new
-  // statements.
+  // True if the upstream has been leaving or without an entry for so long that
+  // it is sent no new statements. One that has been leaving for an unknown time
+  // is sent none.
   bool IsDrained(const PooledUpstream& upstream, TimePoint now) const {
-    return upstream.record.leaving &&
-           now - upstream.leaving_since >= drain_limit_;
+    bool has_left = upstream.record.leaving &&
+                    now - upstream.record.leaving_since >= drain_limit_;
+    bool is_gone = !upstream.is_registered &&
+                   now - upstream.unregistered_at >= drain_limit_;
+    return has_left || is_gone;
   }
   void SetDrainLimit(Duration limit) { drain_limit_ = limit; }
 
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -1,6 +1,7 @@
 // There is one pair of functions for each type. ToJson writes the fields in a
-// fixed order and FromJson reads them in the same order. Eras of the store come
-// last, since earlier versions neither send nor read them; they count as 0.
+// fixed order and FromJson reads them in the same order. Eras of the store and
+// ages of upstreams come last, since earlier versions neither send nor read
+// them; missing eras count as 0.
 
 #include "fireflycart/net/proxy_codec.h"
 
@@ -188,10 +189,32 @@
       .TakeOptional(&k->vms.era);
 }
 
+// A missing age is null.
+Json AgeToJson(const std::optional<Duration>& age) {
+  return age ? Json(age->millis()) : Json();
+}
+std::optional<Duration> AgeFromJson(const Json& json) {
+  if (json.is_null()) return std::nullopt;
+  return Duration::Millis(json.get<int64_t>());
+}
+
+Json ToJson(const UpstreamAge& a) {
+  return Json::array({a.id.value(), a.started_ms, AgeToJson(a.known_for),
+                      AgeToJson(a.leaving_for)});
+}
+void FromJson(const Json& json, UpstreamAge* a) {
+  Unpacker fields(json);
+  fields.Take(&a->id).Take(&a->started_ms);
+  a->known_for = AgeFromJson(fields.Next());
+  a->leaving_for = AgeFromJson(fields.Next());
+}
+
 Json ToJson(const Heartbeat& f) {
+  Json ages = Json::array();
+  for (const UpstreamAge& age : f.upstream_ages) ages.push_back(ToJson(age));
   return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
                       f.is_leaving, f.address, f.takes_receiver_for_lost, f.era,
-                      f.store_reader.value()});
+                      f.store_reader.value(), std::move(ages)});
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
@@ -201,6 +224,12 @@
   fields.TakeOptional(&f->address).TakeOptional(&f->takes_receiver_for_lost);
   f->tells_era = fields.HasNext();
   fields.TakeOptional(&f->era).TakeOptional(&f->store_reader);
+  if (!fields.HasNext()) return;
+  for (const Json& item : fields.Next()) {
+    UpstreamAge age;
+    FromJson(item, &age);
+    f->upstream_ages.push_back(age);
+  }
 }
 
 }  // namespace
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(ProxyCodecTest);
   CPPUNIT_TEST(Heartbeat_Decoded_HasEras);
   CPPUNIT_TEST(Heartbeat_OfEarlierVersion_TellsNoEra);
+  CPPUNIT_TEST(Heartbeat_Decoded_HasUpstreamAges);
   CPPUNIT_TEST(Snapshot_Decoded_HasEras);
   CPPUNIT_TEST(Snapshot_OfEarlierVersion_HasEraZero);
   CPPUNIT_TEST(Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces);
@@ -54,6 +55,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7"), call.heartbeat.address);
   }
 
+  void Heartbeat_Decoded_HasUpstreamAges() {
+    HeartbeatCall sent = MakeHeartbeat();
+    sent.heartbeat.upstream_ages = {
+        UpstreamAge{UpstreamId("up-a"), 50, Duration::Millis(900), {}},
+        UpstreamAge{UpstreamId("up-b"), 60, {}, Duration::Millis(70)}};
+    HeartbeatCall call;
+    FromJson(ToJson(sent), &call);
+    const std::vector<UpstreamAge>& ages = call.heartbeat.upstream_ages;
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, ages.size());
+    CPPUNIT_ASSERT(ages[0].id == UpstreamId("up-a"));
+    CPPUNIT_ASSERT_EQUAL(int64_t{50}, ages[0].started_ms);
+    CPPUNIT_ASSERT(ages[0].known_for == Duration::Millis(900));
+    CPPUNIT_ASSERT(!ages[0].leaving_for);
+    CPPUNIT_ASSERT(!ages[1].known_for);
+    CPPUNIT_ASSERT(ages[1].leaving_for == Duration::Millis(70));
+  }
+
   void Snapshot_Decoded_HasEras() {
     SnapshotReply reply;
     FromJson(ToJson(MakeSnapshot()), &reply);
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -33,6 +33,9 @@
   CPPUNIT_TEST(Primary_CutFromReplicasOnly_IsReplaced);
   CPPUNIT_TEST(Primary_LostWhileReplicaLeaves_RemainingReplicaIsPromoted);
   CPPUNIT_TEST(Primary_LeavingAndNotReplaceable_StopsReceivingWrites);
+  CPPUNIT_TEST(Primary_LeavingWhileOwnerChanges_KeepsItsLimit);
+  CPPUNIT_TEST(Primary_LeavingWhileAllVmsRestart_ReceivesNoWrites);
+  CPPUNIT_TEST(Primary_UnregisteredAndNotReplaceable_StopsReceivingWrites);
   CPPUNIT_TEST(Primary_Unregistered_IsReplacedWithShortWriteGap);
   CPPUNIT_TEST(Primary_RegisteredAgainInTime_IsKept);
   CPPUNIT_TEST(Replicas_FarBehind_ReadsAreServedWithinMaxAge);
@@ -217,9 +220,7 @@
 
   void Primary_LeavingAndNotReplaceable_StopsReceivingWrites() {
     world_->Run(Duration::Seconds(3));
-    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
-      world_->Cut(vm, "promotion");
-    }
+    CutFromPromotion();
     world_->Drain(world_->primary());
     world_->Run(Duration::Seconds(5));
     int before = world_->counts().writes;
@@ -230,6 +231,51 @@
     CPPUNIT_ASSERT_EQUAL(writes_at_limit, world_->counts().writes);
   }
 
+  // Review case 5: the next owner has never owned the group.
+  void Primary_LeavingWhileOwnerChanges_KeepsItsLimit() {
+    world_->Run(Duration::Seconds(3));
+    int owner = IndexOf(world_->owner());
+    for (int vm = 0; vm < 3; vm++) {
+      if (vm == owner) continue;
+      world_->KillVm(vm);
+      world_->StartVm(vm);
+    }
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(owner, IndexOf(world_->owner()));
+    CutFromPromotion();
+    world_->Drain(world_->primary());
+    world_->Run(Duration::Seconds(3));
+    world_->KillVm(owner);
+    world_->Run(Duration::Seconds(3));
+    int writes_at_limit = world_->counts().writes;
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(writes_at_limit, world_->counts().writes);
+  }
+
+  // Nobody knows for how long it has been leaving.
+  void Primary_LeavingWhileAllVmsRestart_ReceivesNoWrites() {
+    world_->Run(Duration::Seconds(3));
+    CutFromPromotion();
+    world_->Drain(world_->primary());
+    world_->Run(Duration::Seconds(5));
+    for (int vm = 0; vm < 3; vm++) world_->KillVm(vm);
+    world_->Run(Duration::Millis(100));
+    int writes = world_->counts().writes;
+    for (int vm = 0; vm < 3; vm++) world_->StartVm(vm);
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(writes, world_->counts().writes);
+  }
+
+  void Primary_UnregisteredAndNotReplaceable_StopsReceivingWrites() {
+    world_->Run(Duration::Seconds(3));
+    CutFromPromotion();
+    world_->Unregister(world_->primary());
+    world_->Run(Duration::Seconds(7));
+    int writes_at_limit = world_->counts().writes;
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(writes_at_limit, world_->counts().writes);
+  }
+
   void Primary_Unregistered_IsReplacedWithShortWriteGap() {
     world_->Run(Duration::Seconds(3));
     UpstreamId old = world_->primary();
@@ -813,6 +859,12 @@
   }
 
  private:
+  void CutFromPromotion() {
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      world_->Cut(vm, "promotion");
+    }
+  }
+
   void MakeWriteOnlyWorld() {
     SessionWorldOptions options;
     options.only_writes = true;
