Load test: overload the primary clearly when the replicas are late

Replicas_ApplyLate_ChangeOfPrimaryRelievesReads expects a change of the primary within 3 s. With 240 callers the expected wait is close to the target, so whether the overload lasts for the 400 ms that a change needs depends on the moments at which it is looked at: in a run with a later change the wait was 300, 279, 197, 194, 340 and 286 ms at a target of 200 ms, and the change came 1 s later. Its decision was right each time.

With 280 callers the overload is clear. All bounds stay: one change within 3 s, 200 ms without a write, 90% in target afterwards.

--- a/fireflycart/standins/testing/session_load_test.cc
+++ b/fireflycart/standins/testing/session_load_test.cc
@@ -31,7 +31,9 @@
   // Both replicas are too far behind for the reads, whose load fits three
   // upstreams and not one.
   void Replicas_ApplyLate_ChangeOfPrimaryRelievesReads() {
-    MakeWorld(ReadLoad());
+    SessionWorldOptions options = ReadLoad();
+    options.callers = 280;  // Clearly more than the primary serves alone.
+    MakeWorld(options);
     world_->Run(kWarmUp);
     SetReplicasLate();
     world_->ResetGaps();
