Send nothing to an upstream that leaves for an unknown time, at any clock

A primary that had reported that it leaves before all VMs started got statements for up to 5.5 s of the VMs' clocks. The unknown time is TimePoint(), and its age was compared with the limit, so it counted as known while the clock itself, which begins at the start of the machine, was below the limit. Seen in virtual time only, where clocks begin at 1 s.

Primary_LeavingBeforeVmsStart_ReceivesNoWrites failed before: 267 writes.

--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -158,8 +158,10 @@
   // it is sent no new statements. One that has been leaving for an unknown time
   // is sent none.
   bool IsDrained(const PooledUpstream& upstream, TimePoint now) const {
-    bool has_left = upstream.record.leaving &&
-                    now - upstream.record.leaving_since >= drain_limit_;
+    TimePoint leaving_since = upstream.record.leaving_since;
+    bool has_left =
+        upstream.record.leaving &&
+        (leaving_since == TimePoint() || now - leaving_since >= drain_limit_);
     bool is_gone = !upstream.is_registered &&
                    now - upstream.unregistered_at >= drain_limit_;
     return has_left || is_gone;
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(Primary_LeavingAndNotReplaceable_StopsReceivingWrites);
   CPPUNIT_TEST(Primary_LeavingWhileOwnerChanges_KeepsItsLimit);
   CPPUNIT_TEST(Primary_LeavingWhileAllVmsRestart_ReceivesNoWrites);
+  CPPUNIT_TEST(Primary_LeavingBeforeVmsStart_ReceivesNoWrites);
   CPPUNIT_TEST(Primary_UnregisteredAndNotReplaceable_StopsReceivingWrites);
   CPPUNIT_TEST(Primary_Unregistered_IsReplacedWithShortWriteGap);
   CPPUNIT_TEST(Primary_RegisteredAgainInTime_IsKept);
@@ -266,6 +267,14 @@
     CPPUNIT_ASSERT_EQUAL(writes, world_->counts().writes);
   }
 
+  // The clock of the VMs is near zero.
+  void Primary_LeavingBeforeVmsStart_ReceivesNoWrites() {
+    CutFromPromotion();
+    world_->Drain(world_->primary());
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().writes);
+  }
+
   void Primary_UnregisteredAndNotReplaceable_StopsReceivingWrites() {
     world_->Run(Duration::Seconds(3));
     CutFromPromotion();
