Pass on a commit once a replica that every failover includes has it

Cause: an acknowledgement says that some replica has the commit. Only the VM that itself replaced the primary checked whether that replica is one that leads or is there for the next attempt.

Now a commit is passed on once a lasting replica has received it: one that has been known to any VM for 8 s, has not restarted and does not leave, so that every failover includes it. Without one, all replicas must have it. In a steady group the last status of a replica suffices. A write is not sent while no replica could confirm it.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -142,9 +142,7 @@
 
 bool Failover::IsCommitKept(LogPosition position, const UpstreamPool& pool,
                             ProxyContext* context) const {
-  bool is_promoting = stage_ == FailoverStage::kPromotionRequested ||
-                      stage_ == FailoverStage::kAwaitingNewPrimary;
-  if (!is_promoting || position.term > term_) return true;
+  if (!is_promoting() || position.term > term_) return true;
   if (is_planned()) return AreReplicasHeld(pool, context);
   return !(held_position_ < position);
 }
@@ -290,6 +288,7 @@
   successor_ = UpstreamId();
   LogPosition best;
   bool best_leaves = false;
+  bool best_lasts = false;
   for (const auto& item : pool->upstreams()) {
     const PooledUpstream& upstream = item.second;
     bool is_candidate = item.first != old_primary_ && upstream.has_status &&
@@ -307,12 +306,17 @@
     }
     if (!is_candidate) continue;
     LogPosition received = upstream.status.received;
+    // In a planned change, prefers an upstream that other VMs know, since they
+    // pass on what it alone has received.
+    bool lasts = is_planned() && pool->IsLasting(upstream, context->now());
     // Of equal logs, prefers an upstream that is not leaving.
     bool wins_tie = received == best && best_leaves;
-    if (successor_ == UpstreamId() || best < received || wins_tie) {
+    bool is_better = lasts != best_lasts ? lasts : best < received || wins_tie;
+    if (successor_ == UpstreamId() || is_better) {
       successor_ = item.first;
       best = received;
       best_leaves = upstream.record.leaving;
+      best_lasts = lasts;
     }
   }
   bool may_wait = context->now() - started_.time < kShortLogTimeout;
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -116,6 +116,16 @@
   }
 
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
+  bool is_promoting() const {
+    return stage_ == FailoverStage::kPromotionRequested ||
+           stage_ == FailoverStage::kAwaitingNewPrimary;
+  }
+  // True during a planned change in which no other VM can replace the primary,
+  // since this one has the lease.
+  bool IsChangeExclusive(TimePoint now) const {
+    return is_active() && is_planned() && lease_.has_token() &&
+           now - lease_.granted_at() < DutyLease::kLeaseDuration;
+  }
   FailoverCause cause() const { return cause_; }
   // True if the old primary serves until the successor leads.
   bool is_planned() const {
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -2,7 +2,8 @@
 // again only if the upstream reports that it did not run, or if it only reads.
 // A write or a commit without an answer has an unknown outcome. Any failure
 // inside a transaction ends it: the upstream rolls it back, so none of its
-// changes persist.
+// changes persist. What an acknowledged commit waits for is in
+// group_commits.cc.
 
 #include <algorithm>
 #include <string>
@@ -85,9 +86,11 @@
       OnStatementOrBeginFailed(work, upstream, answer, context);
       return;
     }
-    bool is_lost = work->call.access == Access::kWrite &&
-                   !OnCommitted(work, command, answer, context);
-    if (!is_lost) Finish(work, context);
+    if (work->call.access == Access::kWrite) {
+      OnCommitted(work, answer, context);
+    } else {
+      Finish(work, context);
+    }
     return;
   }
   Transaction& transaction = transactions_[work->transaction()];
@@ -103,34 +106,25 @@
     if (!has_written) work->reply.position = LogPosition();
     connection->is_pinned = false;
     transactions_.erase(work->transaction());
-    bool is_lost = has_written && !OnCommitted(work, command, answer, context);
-    if (!is_lost) Finish(work, context);
+    if (has_written) {
+      OnCommitted(work, answer, context);
+    } else {
+      Finish(work, context);
+    }
     return;
   }
   Finish(work, context);
 }
 
-bool GroupOwner::OnCommitted(Work* work, const SentCommand& command,
-                             const UpstreamAnswer& answer,
+void GroupOwner::OnCommitted(Work* work, const UpstreamAnswer& answer,
                              ProxyContext* context) {
   if (!failover_.IsCommitKept(answer.position, pool_, context)) {
     Fail(work, Outcome::kUnknown, "acknowledged_by_replaced_primary", context);
-    return false;
-  }
-  if (spec_.sync_replicas > 0) {
-    leadership_.OnConfirmed(command.at);
-    failover_.OnAcknowledged(answer.position);
-  }
-  if (measures_write_gap_) {
-    measures_write_gap_ = false;
-    Duration gap = context->now() - last_commit_at_;
-    context->Log(LogLevel::kInfo, kPart, "write_gap",
-                 {{"group", spec_.id.value()},
-                  {"primary", primary_.value()},
-                  {"gap_ms", std::to_string(gap.millis())}});
+  } else if (IsSteady(*work, context) || IsKept(answer.position, context)) {
+    PassOnCommit(work, context);
+  } else {
+    AwaitReplica(work, context);
   }
-  last_commit_at_ = context->now();
-  return true;
 }
 
 void GroupOwner::OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
--- /dev/null
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -0,0 +1,205 @@
+// Decides when an acknowledged commit is passed on to its caller.
+//
+// A VM that replaces the primary holds the upstreams that it knows and promotes
+// the one with the longest log. A commit that was acknowledged by a replica
+// that this VM does not know, or that ends before it leads, is lost. So a
+// commit is kept for certain once a lasting replica has received it: one that
+// every VM knows and that does not leave. If there is none, all replicas must
+// have it. In a planned change by this VM, whose lease excludes other
+// failovers, the successor suffices.
+//
+// In a steady group, every replica is lasting and one has just shown that it
+// receives the log, so no status is requested. Otherwise the status of a
+// replica is requested after the acknowledgement. A commit that no replica
+// confirms until its deadline has an unknown outcome.
+
+#include <algorithm>
+#include <utility>
+
+#include "fireflycart/core/proxy/group_owner.h"
+
+namespace fireflycart::proxy {
+namespace {
+
+constexpr char kPart[] = "commit";
+// A commit that took longer may have waited for a replica that has just joined.
+constexpr Duration kMaxSteadyCommitTime = Duration::Millis(100);
+// A replica whose status is older may be held by now.
+constexpr Duration kMaxSteadyStatusAge = Duration::Millis(100);
+// Interval of status requests for commits, and after kFastRequestTime without a
+// new commit.
+constexpr Duration kRequestInterval = Duration::Millis(4);
+constexpr Duration kSlowRequestInterval = Duration::Millis(24);
+constexpr Duration kFastRequestTime = Duration::Millis(20);
+
+bool HasReceived(const PooledUpstream& upstream, LogPosition position) {
+  return !upstream.is_down && upstream.is_status_of_this_connection() &&
+         upstream.status.received.term == position.term &&
+         !(upstream.status.received < position);
+}
+
+bool IsReceiving(const PooledUpstream& upstream) {
+  return !upstream.is_down && upstream.is_status_of_this_connection() &&
+         upstream.status.held_term == 0;
+}
+
+}  // namespace
+
+// True if a failover of another VM cannot have begun when the commit was
+// acknowledged.
+bool GroupOwner::IsSteady(const Work& work, ProxyContext* context) const {
+  if (spec_.sync_replicas == 0) return true;
+  // The holds of this VM exclude others.
+  if (failover_.is_promoting() && failover_.is_planned()) return true;
+  bool may_be_steady = unconfirmed_.empty() &&
+                       pool_.IsListCurrent(context->now()) &&
+                       context->now() - work.sent.time <= kMaxSteadyCommitTime;
+  if (!may_be_steady) return false;
+  bool is_receiving = false;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    if (item.first == primary_) continue;
+    if (!pool_.IsLasting(upstream, context->now())) return false;
+    Duration age = context->now() - upstream.status_sent.time;
+    is_receiving =
+        is_receiving || (IsReceiving(upstream) &&
+                         upstream.status.term == work.reply.position.term &&
+                         age <= kMaxSteadyStatusAge);
+  }
+  return is_receiving;
+}
+
+bool GroupOwner::IsKept(LogPosition position, ProxyContext* context) const {
+  bool has_lasting = false;
+  bool has_replica = false;
+  bool have_all = true;
+  for (const auto& item : pool_.upstreams()) {
+    if (item.first == primary_) continue;
+    bool is_lasting = pool_.IsLasting(item.second, context->now());
+    bool has_received = HasReceived(item.second, position);
+    if (is_lasting && has_received) return true;
+    has_lasting = has_lasting || is_lasting;
+    have_all = have_all && has_received;
+    has_replica = true;
+  }
+  auto successor = pool_.upstreams().find(failover_.successor());
+  bool has_successor = failover_.IsChangeExclusive(context->now()) &&
+                       successor != pool_.upstreams().end() &&
+                       HasReceived(successor->second, position);
+  if (has_successor) return true;
+  return !has_lasting && has_replica && have_all &&
+         pool_.IsListCurrent(context->now());
+}
+
+// True if commits that are sent now can be confirmed, as far as is known.
+bool GroupOwner::CanKeepCommits(ProxyContext* context) const {
+  if (spec_.sync_replicas == 0) return true;
+  if (failover_.is_active() && failover_.is_planned()) return true;
+  bool has_lasting = false;
+  bool has_replica = false;
+  bool receive_all = true;
+  for (const auto& item : pool_.upstreams()) {
+    if (item.first == primary_) continue;
+    bool is_lasting = pool_.IsLasting(item.second, context->now());
+    bool is_receiving = IsReceiving(item.second);
+    if (is_lasting && is_receiving) return true;
+    has_lasting = has_lasting || is_lasting;
+    receive_all = receive_all && is_receiving;
+    has_replica = true;
+  }
+  return !has_lasting && has_replica && receive_all &&
+         pool_.IsListCurrent(context->now());
+}
+
+bool GroupOwner::HasEstablishedReplica(ProxyContext* context) const {
+  for (const auto& item : pool_.upstreams()) {
+    bool is_established = item.first != primary_ &&
+                          pool_.IsEstablished(item.second, context->now());
+    if (is_established) return true;
+  }
+  return false;
+}
+
+void GroupOwner::PassOnCommit(Work* work, ProxyContext* context) {
+  if (spec_.sync_replicas > 0) {
+    leadership_.OnConfirmed(work->sent);
+    failover_.OnAcknowledged(work->reply.position);
+  }
+  if (measures_write_gap_) {
+    measures_write_gap_ = false;
+    Duration gap = context->now() - last_commit_at_;
+    context->Log(LogLevel::kInfo, kPart, "write_gap",
+                 {{"group", spec_.id.value()},
+                  {"primary", primary_.value()},
+                  {"gap_ms", std::to_string(gap.millis())}});
+  }
+  last_commit_at_ = context->now();
+  Finish(work, context);
+}
+
+void GroupOwner::AwaitReplica(Work* work, ProxyContext* context) {
+  work->stage = WorkStage::kConfirming;
+  work->connection = ConnectionId();
+  unconfirmed_.push_back(work->number);
+  last_unconfirmed_at_ = context->now();
+  RequestCommitEvidence(context);
+}
+
+void GroupOwner::RequestCommitEvidence(ProxyContext* context) {
+  if (unconfirmed_.empty()) return;
+  bool is_slow = context->now() - last_unconfirmed_at_ > kFastRequestTime;
+  Duration interval = is_slow ? kSlowRequestInterval : kRequestInterval;
+  TimePoint next = evidence_requested_at_ + interval;
+  if (context->now() < next) {
+    context->WakeAt(next);
+    return;
+  }
+  evidence_requested_at_ = context->now();
+  context->WakeAt(context->now() + interval);
+  // One lasting replica is asked first, then all.
+  UpstreamCommand status;
+  if (!is_slow) {
+    for (const auto& item : pool_.upstreams()) {
+      bool may_confirm = item.first != primary_ && IsReceiving(item.second) &&
+                         pool_.IsLasting(item.second, context->now());
+      if (may_confirm && pool_.SendControl(item.first, status, context)) return;
+    }
+  }
+  for (const auto& item : pool_.upstreams()) {
+    if (item.first != primary_) pool_.SendControl(item.first, status, context);
+  }
+}
+
+void GroupOwner::PassOnKeptCommits(ProxyContext* context) {
+  if (unconfirmed_.empty()) return;
+  std::vector<StatementNumber> waiting;
+  waiting.swap(unconfirmed_);
+  std::vector<StatementNumber> kept;
+  for (StatementNumber number : waiting) {
+    const Work* work = FindWork(number);
+    if (work == nullptr) continue;
+    bool is_kept = IsKept(work->reply.position, context);
+    (is_kept ? kept : unconfirmed_).push_back(number);
+  }
+  for (StatementNumber number : kept) {
+    if (Work* work = FindWork(number)) PassOnCommit(work, context);
+  }
+  RequestCommitEvidence(context);
+}
+
+void GroupOwner::SettleCommits(const PooledUpstream& new_primary,
+                               ProxyContext* context) {
+  std::vector<StatementNumber> waiting;
+  waiting.swap(unconfirmed_);
+  for (StatementNumber number : waiting) {
+    Work* work = FindWork(number);
+    if (work == nullptr) continue;
+    if (HasReceived(new_primary, work->reply.position)) {
+      PassOnCommit(work, context);
+    } else {
+      Fail(work, Outcome::kUnknown, "primary_replaced", context);
+    }
+  }
+}
+
+}  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -93,6 +93,10 @@
 
 bool GroupOwner::MayStartAtPrimary(const Work& work, ProxyContext* context) {
   if (context->now() < work.not_before || !IsPrimaryCurrent(work)) return false;
+  bool may_write = work.in_transaction()
+                       ? work.call.transaction == TransactionKind::kReadWrite
+                       : work.call.access != Access::kRead;
+  if (may_write && !CanKeepCommits(context)) return false;
   const PooledUpstream* primary = Primary();
   if (primary == nullptr || pool_.IsDrained(*primary, context->now())) {
     return false;
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -66,7 +66,8 @@
 
 void GroupOwner::OnControlAnswer(const UpstreamId& upstream,
                                  const SentCommand& command,
-                                 const UpstreamAnswer& answer) {
+                                 const UpstreamAnswer& answer,
+                                 ProxyContext* context) {
   if (!answer.has_status) return;  // Busy: shows only that it is alive.
   const PooledUpstream* primary = Primary();
   if (primary == nullptr || upstream == primary_ || !primary->has_status) {
@@ -76,6 +77,11 @@
   bool receives = !status.is_primary && status.held_term == 0 &&
                   status.term == primary->status.term;
   if (!receives) return;
+  // A VM that does not know the replica does not hold it.
+  bool is_evidence =
+      pool_.IsEstablished(*pool_.FindUpstream(upstream), context->now()) ||
+      !HasEstablishedReplica(context);
+  if (!is_evidence) return;
   leadership_.OnReplicaReceives(upstream, command.at);
   if (IsProbeAnswered()) is_probe_pending_ = false;
 }
@@ -155,6 +161,7 @@
                 {"from", primary_.value()},
                 {"to", best.value()},
                 {"term", std::to_string(best_term)}});
+  SettleCommits(*pool_.FindUpstream(best), context);
   UpstreamId old = primary_;
   primary_ = best;
   without_primary_since_ = context->now();
@@ -187,6 +194,10 @@
       Fail(work, Outcome::kBusy, "queue_wait", context);
       continue;
     }
+    if (work->stage == WorkStage::kConfirming) {
+      Fail(work, Outcome::kUnknown, "commit_not_confirmed", context);
+      continue;
+    }
     if (work->in_transaction()) {
       TransactionKey key = work->transaction();
       bool is_outcome_unknown = work->call.access == Access::kCommit &&
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -1,8 +1,8 @@
 // Each entry point updates the state and then re-evaluates the group: the
 // failover takes its next step, the owner requests the leadership confirmations
 // that queued work needs, and it dispatches work. Dispatch, the handling of
-// answers and the health checks are in group_dispatch.cc, group_answers.cc and
-// group_health.cc.
+// answers, the confirmation of commits and the health checks are in
+// group_dispatch.cc, group_answers.cc, group_commits.cc and group_health.cc.
 
 #include "fireflycart/core/proxy/group_owner.h"
 
@@ -208,7 +208,8 @@
     leadership_.OnPrimaryPosition(command.at, event.answer.position);
   }
   if (is_control) {
-    OnControlAnswer(upstream, command, event.answer);
+    OnControlAnswer(upstream, command, event.answer, context);
+    PassOnKeptCommits(context);
   } else if (command.kind == CommandKind::kRollback) {
     connection->is_rolling_back = false;
   } else if (Work* work = FindWork(command.work)) {
@@ -246,6 +247,7 @@
   CheckUnanswered(context);
   RequestStatus(context);
   ReconcileUpstreams(context);
+  RequestCommitEvidence(context);
   failover_.OnWake(context);
   Reevaluate(context);
 }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -62,6 +62,8 @@
   }
   // Time after which a leaving upstream is sent no new statements.
   void SetDrainLimit(Duration limit) { pool_.SetDrainLimit(limit); }
+  // The upstreams that were set include the changes up to about this time.
+  void SetListTime(TimePoint list_time) { pool_.SetListTime(list_time); }
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
                     ProxyContext* context);
   // Sets whether placement assigns the group to this VM.
@@ -169,15 +171,27 @@
   void OnConnectionLost(const PooledConnection& lost, ProxyContext* context);
   void OnWorkConnectionLost(Work* work, bool was_sent, ProxyContext* context);
   void OnControlAnswer(const UpstreamId& upstream, const SentCommand& command,
-                       const UpstreamAnswer& answer);
+                       const UpstreamAnswer& answer, ProxyContext* context);
   // Repeats a read that an upstream has failed, at another upstream if there is
   // one. Returns false if it may not be repeated.
   bool RepeatFailedRead(Work* work, const UpstreamId& upstream,
                         const UpstreamAnswer& answer, ProxyContext* context);
-  // Handles the success of a statement or transaction that writes. Returns
-  // false if its commit may be lost in the change of the primary.
-  bool OnCommitted(Work* work, const SentCommand& command,
-                   const UpstreamAnswer& answer, ProxyContext* context);
+  // Handles the success of a statement or transaction that writes: passes it on
+  // now or once a replica has it, or fails it.
+  void OnCommitted(Work* work, const UpstreamAnswer& answer,
+                   ProxyContext* context);
+
+  // Defined in group_commits.cc.
+  bool IsSteady(const Work& work, ProxyContext* context) const;
+  bool IsKept(LogPosition position, ProxyContext* context) const;
+  bool CanKeepCommits(ProxyContext* context) const;
+  bool HasEstablishedReplica(ProxyContext* context) const;
+  void PassOnCommit(Work* work, ProxyContext* context);
+  void AwaitReplica(Work* work, ProxyContext* context);
+  void RequestCommitEvidence(ProxyContext* context);
+  void PassOnKeptCommits(ProxyContext* context);
+  // Ends the commits that wait for a replica when that upstream has taken over.
+  void SettleCommits(const PooledUpstream& new_primary, ProxyContext* context);
   void AbortTransaction(const TransactionKey& key, bool close,
                         ProxyContext* context);
   void Finish(Work* work, ProxyContext* context);
@@ -228,6 +242,9 @@
   bool is_probe_pending_ = false;
   bool does_probe_need_two_ = false;  // Statuses of two replicas.
   bool has_requested_lease_ = false;
+  std::vector<StatementNumber> unconfirmed_;  // In stage kConfirming.
+  TimePoint last_unconfirmed_at_;
+  TimePoint evidence_requested_at_;
   ServiceTimes service_times_;
   std::array<ArrivalLoad, kLanes> arrivals_;
   std::array<ArrivalLoad, kLanes> late_starts_;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -67,6 +67,9 @@
   ProxyEffects effects;
   bool is_due = context_.Begin(event.now, &effects);
   std::visit([this](const auto& body) { Handle(body); }, event.body);
+  for (auto& item : owners_) {
+    item.second->SetListTime(follower_.store_answered_at());
+  }
   ApplyChanges();
   if (is_due) OnWake();
   ApplyChanges();
@@ -202,6 +205,7 @@
   if (follower_.restored_at() != TimePoint()) {
     owner->OnStoreRestored(follower_.era(), follower_.restored_at());
   }
+  owner->SetListTime(follower_.store_answered_at());
   owner->SetUpstreams(records, &context_);
   GroupOwner* created = owner.get();
   owners_[group] = std::move(owner);
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -145,6 +145,7 @@
   // The VM that received the last known answer of the store.
   const VmId& store_reader() const { return store_reader_; }
   Duration store_age(TimePoint now) const { return now - store_answered_at_; }
+  TimePoint store_answered_at() const { return store_answered_at_; }
   // Count the changes of routes and upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
   uint64_t vm_changes() const { return vm_changes_; }
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -57,6 +57,19 @@
   }
 }
 
+bool UpstreamPool::IsEstablished(const PooledUpstream& upstream,
+                                 TimePoint now) const {
+  TimePoint known_since = upstream.record.known_since;
+  bool is_young =
+      known_since != TimePoint() && now - known_since < kEstablishedAge;
+  if (is_young) return false;
+  TimePoint lost_at = upstream.control_lost_at;
+  bool may_have_restarted = lost_at != TimePoint() &&
+                            now - lost_at < kEstablishedAge &&
+                            list_time_ - lost_at < kRestartNoticeTime;
+  return !may_have_restarted;
+}
+
 int UpstreamPool::MaxDataConnections() const {
   int shared_limit = (max_connections_ - 1) / 2;
   int sole_owner_limit =
@@ -266,6 +279,9 @@
   PooledConnection removed = Remove(closed.connection);
   if (removed.id == ConnectionId()) return removed;
   PooledUpstream& upstream = upstreams_[removed.upstream];
+  if (removed.is_control && removed.is_open) {
+    upstream.control_lost_at = context->now();
+  }
   if (!removed.is_open && closed.outcome == Outcome::kTooManyConnections) {
     // The upstream is alive; it still counts connections of an earlier owner.
     upstream.next_open = context->now() + kOpenRetryDelay;
@@ -296,7 +312,11 @@
 
 PooledConnection UpstreamPool::Close(ConnectionId id, ProxyContext* context) {
   context->Emit(CloseUpstream{id});
-  return Remove(id);
+  PooledConnection removed = Remove(id);
+  if (removed.is_control && removed.is_open) {
+    upstreams_[removed.upstream].control_lost_at = context->now();
+  }
+  return removed;
 }
 
 void UpstreamPool::CloseIdle(ProxyContext* context) {
@@ -311,6 +331,8 @@
   std::vector<ConnectionId> ids;
   for (const auto& item : connections_) ids.push_back(item.first);
   for (ConnectionId id : ids) Close(id, context);
+  // These connections did not break.
+  for (auto& item : upstreams_) item.second.control_lost_at = TimePoint();
 }
 
 std::vector<PooledConnection> UpstreamPool::MarkDown(const UpstreamId& id,
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -57,12 +57,13 @@
   bool is_registered = true;
   TimePoint unregistered_at;
   ConnectionId control;
-  Instant control_opened;  // Sequence 0: the control connection is not open.
-  int running = 0;         // Statements sent and not yet answered.
-  int connections = 0;     // Data connections, opening ones included.
-  int failed_opens = 0;    // Consecutive.
-  bool is_down = false;    // It does not answer.
-  TimePoint next_open;     // Earliest next attempt to connect.
+  Instant control_opened;     // Sequence 0: the control connection is not open.
+  TimePoint control_lost_at;  // When the last one broke; it may have restarted.
+  int running = 0;            // Statements sent and not yet answered.
+  int connections = 0;        // Data connections, opening ones included.
+  int failed_opens = 0;       // Consecutive.
+  bool is_down = false;       // It does not answer.
+  TimePoint next_open;        // Earliest next attempt to connect.
   TimePoint last_answer;
   bool has_status = false;
   UpstreamStatus status;
@@ -92,11 +93,34 @@
   // busy during the round trip.
   static constexpr int kExtraInFlight = 1;
 
+  // An upstream that was first known this long ago is included in every
+  // failover that takes effect from now on. The list of a VM that orders a
+  // promotion is at most kListMaxAge old, and the order takes effect within 3.5
+  // s.
+  static constexpr Duration kEstablishedAge = Duration::Seconds(8);
+  // A list of upstreams that was confirmed within this time is current; it is
+  // StoreFollower::kStoreAgeLimit.
+  static constexpr Duration kListMaxAge = Duration::Millis(3600);
+  // Time until the list of upstreams shows the restart of one.
+  static constexpr Duration kRestartNoticeTime = Duration::Millis(1500);
+
   explicit UpstreamPool(GroupId group) : group_(std::move(group)) {}
 
   // Updates the registered upstreams of the group.
   void SetRecords(const std::vector<UpstreamRecord>& records,
                   ProxyContext* context);
+  // The records include the changes up to about this time.
+  void SetListTime(TimePoint list_time) { list_time_ = list_time; }
+  bool IsListCurrent(TimePoint now) const {
+    return now - list_time_ <= kListMaxAge;
+  }
+  // True if every VM knows the present process of the upstream.
+  bool IsEstablished(const PooledUpstream& upstream, TimePoint now) const;
+  // True if it is also not about to end, as far as is known.
+  bool IsLasting(const PooledUpstream& upstream, TimePoint now) const {
+    return upstream.is_registered && !upstream.record.leaving &&
+           IsEstablished(upstream, now);
+  }
   void SetMaxConnections(int max_connections) {
     max_connections_ = max_connections;
   }
@@ -178,6 +202,7 @@
   GroupId group_;
   int max_connections_ = 1;
   bool is_sole_owner_ = false;
+  TimePoint list_time_;
   Duration drain_limit_ = Duration::Millis(5500);
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -34,9 +34,10 @@
 };
 
 enum class WorkStage {
-  kQueued,     // Awaits a slot, a connection or a leadership confirmation.
-  kBeginning,  // BEGIN is sent and not yet answered.
-  kRunning,    // The statement is sent and not yet answered.
+  kQueued,      // Awaits a slot, a connection or a leadership confirmation.
+  kBeginning,   // BEGIN is sent and not yet answered.
+  kRunning,     // The statement is sent and not yet answered.
+  kConfirming,  // Its commit is acknowledged and may yet be lost in a failover.
 };
 
 struct Work {
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "fireflycart/standins/testing/session_world.h"
 
@@ -73,6 +75,10 @@
   CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Replica_RestartsWhilePromotionIsRefused_NoCommitIsLost);
+  CPPUNIT_TEST(Replica_JoinsDuringPromotion_NoCommitIsLost);
+  CPPUNIT_TEST(Replica_LeavesDuringPromotion_NoCommitIsLost);
+  CPPUNIT_TEST(Replica_RestartsDuringPromotionOfOtherVm_NoCommitIsLost);
+  CPPUNIT_TEST(AllReplicas_YoungOrLeaving_WritesAreServed);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Connections_BreakBeforeAnswers_NothingRunsTwiceAndRefusalsHold);
   CPPUNIT_TEST(Owner_KilledRepeatedly_WritesRunAtMostOnce);
@@ -832,6 +838,74 @@
     ExpectInvariantsHold();
   }
 
+  // Review case 1: the joining replica acknowledges commits of the old primary,
+  // which a VM on its side passes on.
+  void Replica_JoinsDuringPromotion_NoCommitIsLost() {
+    UpstreamId joining("up-c");
+    world_->CrashUpstream(joining);
+    world_->Unregister(joining);
+    world_->Run(Duration::Seconds(10));
+    SplitWithVm(world_->owner().value(), {"up-b"});
+    RunUntilLogged("failover.promotion_ordered");
+    world_->ReplaceUpstream(joining);
+    CutOtherVmsFrom("up-c");
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-b"), world_->primary().value());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(2));
+    ExpectInvariantsHold();
+  }
+
+  // The leaving replica alone acknowledges commits, is to be promoted, and ends
+  // before it leads.
+  void Replica_LeavesDuringPromotion_NoCommitIsLost() {
+    UpstreamId leaving("up-b");
+    world_->Run(Duration::Seconds(10));
+    world_->Drain(leaving);
+    world_->Run(Duration::Seconds(3));
+    SplitWithVm(world_->owner().value(), {"up-c"});
+    RunUntilLogged("failover.promotion_ordered");
+    world_->CrashUpstream(leaving);
+    world_->Unregister(leaving);
+    world_->Run(Duration::Seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-c"), world_->primary().value());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(2));
+    ExpectInvariantsHold();
+  }
+
+  // A restart ends the hold of another VM, so that the replica acknowledges
+  // commits of the old primary again.
+  void Replica_RestartsDuringPromotionOfOtherVm_NoCommitIsLost() {
+    UpstreamId restarted("up-c");
+    world_->Run(Duration::Seconds(10));
+    SplitWithVm("vm-0", {"up-b", "up-c"});
+    RunUntilLogged("failover.promotion_ordered");
+    CutOtherVmsFrom("up-c");
+    RestartReplicaNextTo(world_->primary(), restarted.value());
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-b"), world_->primary().value());
+    world_->HealAll();
+    world_->Run(Duration::Seconds(2));
+    ExpectInvariantsHold();
+  }
+
+  // Commits are passed on once all replicas have them.
+  void AllReplicas_YoungOrLeaving_WritesAreServed() {
+    world_->CrashUpstream(UpstreamId("up-c"));
+    world_->Unregister(UpstreamId("up-c"));
+    world_->Run(Duration::Seconds(10));
+    world_->ReplaceUpstream(UpstreamId("up-c"));
+    world_->Drain(UpstreamId("up-b"));
+    world_->Run(Duration::Millis(200));
+    world_->ResetGaps();
+    int writes = world_->counts().writes;
+    world_->Run(Duration::Seconds(3));
+    CPPUNIT_ASSERT(world_->counts().writes > writes + 100);
+    ExpectWriteGapAtMost(200);
+    ExpectInvariantsHold();
+  }
+
   void Answers_Lost_NothingRunsTwice() {
     world_->Run(Duration::Seconds(2));
     for (int i = 0; i < 10; i++) {
@@ -911,6 +985,25 @@
     CPPUNIT_FAIL("not logged: " + event);
   }
 
+  // The primary and one VM are on one side. The other VMs, the store and the
+  // replicas named are on the other side; that VM reaches all upstreams.
+  void SplitWithVm(const std::string& lone,
+                   const std::vector<std::string>& replicas) {
+    std::string old = world_->primary().value();
+    for (const std::string& replica : replicas) world_->Cut(old, replica);
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      if (vm == lone) continue;
+      other_vms_.emplace_back(vm);
+      world_->Cut(vm, lone);
+      world_->Cut(vm, old);
+    }
+    world_->Cut(lone, "store");
+  }
+
+  void CutOtherVmsFrom(const std::string& upstream) {
+    for (const std::string& vm : other_vms_) world_->Cut(vm, upstream);
+  }
+
   // Restarts a replica and lets it receive the log of the primary.
   void RestartReplicaNextTo(const UpstreamId& primary,
                             const std::string& replica) {
@@ -981,6 +1074,7 @@
 
   SessionWorldOptions options_;
   std::unique_ptr<SessionWorld> world_;
+  std::vector<std::string> other_vms_;  // Those without the primary in a split.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionFailureTest);
--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -21,6 +21,9 @@
 ABSL_FLAG(bool, restores, false,
           "Also restore the store from older copies. The other faults of a "
           "seed stay the same.");
+ABSL_FLAG(bool, releases, false,
+          "Also replace upstreams by new ones. The other faults of a seed stay "
+          "the same.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
 
 namespace fireflycart::standins {
@@ -32,7 +35,10 @@
 class RandomRun {
  public:
   explicit RandomRun(uint64_t seed)
-      : random_(seed), restore_random_(seed), world_(Options(), seed) {}
+      : random_(seed),
+        restore_random_(seed),
+        release_random_(seed),
+        world_(Options(), seed) {}
 
   // Returns the first violation of an invariant; empty if there is none.
   std::string Run() {
@@ -40,6 +46,7 @@
     for (int i = 0; i < kFaultsPerRun; i++) {
       InjectFault();
       if (absl::GetFlag(FLAGS_restores)) RestoreStoreAtTimes();
+      if (absl::GetFlag(FLAGS_releases)) StepRelease();
       world_.Run(Duration::Millis(static_cast<int64_t>(Random(900))));
     }
     RepairAll();
@@ -139,6 +146,42 @@
     world_.RestoreStore(Duration::Millis(age), Duration::Millis(outage));
   }
 
+  // Lets an upstream leave, end, and a new one join in its place, a step at a
+  // time. Draws from numbers of its own.
+  void StepRelease() {
+    constexpr int64_t kDrainMs = 2000;
+    switch (release_step_) {
+      case ReleaseStep::kNone: {
+        const char* letters = "abc";
+        released_ =
+            UpstreamId(std::string("up-") + letters[release_random_() % 3]);
+        if (!world_.database().IsRunning(released_)) return;
+        world_.Drain(released_);
+        drained_at_ = world_.now();
+        release_step_ = ReleaseStep::kLeaving;
+        return;
+      }
+      case ReleaseStep::kLeaving: {
+        bool has_drained =
+            world_.now() - drained_at_ >= Duration::Millis(kDrainMs);
+        // A primary that could not be replaced stays.
+        if (!has_drained || world_.primary() == released_) return;
+        world_.Unregister(released_);
+        CrashOne(released_);
+        bool has_ended = !world_.database().IsRunning(released_);
+        release_step_ = has_ended ? ReleaseStep::kEnded : ReleaseStep::kLeaving;
+        if (!has_ended) world_.Drain(released_);
+        return;
+      }
+      case ReleaseStep::kEnded:
+        if (world_.primary() == UpstreamId()) return;
+        joined_ = released_;
+        joined_size_ = world_.database().LogOf(world_.primary()).size();
+        world_.ReplaceUpstream(released_);
+        release_step_ = ReleaseStep::kNone;
+    }
+  }
+
   void CutPair() {
     std::string a = RandomVm();
     std::string b = RandomPeer();
@@ -146,9 +189,11 @@
   }
 
   // At most one upstream is down at a time, since two upstreams may hold the
-  // only copies of a commit.
+  // only copies of a commit. A new one counts once it has what was in the log
+  // when it joined.
   void CrashOne(const UpstreamId& id) {
-    bool all_running = true;
+    bool all_running = joined_ == UpstreamId() ||
+                       world_.database().LogOf(joined_).size() >= joined_size_;
     for (const char* name : {"up-a", "up-b", "up-c"}) {
       all_running =
           all_running && world_.database().IsRunning(UpstreamId(name));
@@ -165,7 +210,10 @@
   void RestartAll() {
     for (const char* name : {"up-a", "up-b", "up-c"}) {
       UpstreamId id(name);
-      if (!world_.database().IsRunning(id)) world_.RestartUpstream(id);
+      bool has_ended = release_step_ == ReleaseStep::kEnded && id == released_;
+      if (!world_.database().IsRunning(id) && !has_ended) {
+        world_.RestartUpstream(id);
+      }
     }
   }
 
@@ -173,10 +221,18 @@
     world_.HealAll();
     StartStoppedVms();
     RestartAll();
+    if (release_step_ == ReleaseStep::kEnded) StepRelease();
   }
 
   std::mt19937_64 random_;
   std::mt19937_64 restore_random_;
+  std::mt19937_64 release_random_;
+  enum class ReleaseStep { kNone, kLeaving, kEnded };
+  ReleaseStep release_step_ = ReleaseStep::kNone;
+  UpstreamId released_;
+  TimePoint drained_at_;
+  UpstreamId joined_;  // The last new upstream.
+  size_t joined_size_ = 0;
   SessionWorld world_;
 };
 
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -438,6 +438,14 @@
 
 void SessionWorld::RestartUpstream(const UpstreamId& id) {
   database_->Restart(id);
+  records_[id].started_ms = now_.millis();
+  if (unregistered_.count(id) == 0) PutUpstream(id);
+}
+
+void SessionWorld::ReplaceUpstream(const UpstreamId& id) {
+  database_->Rebirth(id);
+  records_[id].started_ms = now_.millis();
+  Register(id, false);
 }
 
 VmId SessionWorld::owner() const {
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -84,7 +84,10 @@
   void FreezeVm(int vm, Duration time);
   void StopVm(int vm);
   void CrashUpstream(const UpstreamId& id);
+  // Starts the upstream again with its log; it registers itself.
   void RestartUpstream(const UpstreamId& id);
+  // Starts a new upstream with an empty log in its place.
+  void ReplaceUpstream(const UpstreamId& id);
   void Drain(const UpstreamId& id);
   void Unregister(const UpstreamId& id);
   void Register(const UpstreamId& id, bool leaving);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -46,6 +46,31 @@
         "         leadership_.IsConfirmedSince(work.arrived.sequence);",
         "return true;",
     ),
+    Mutant(
+        "position of a planned change kept after a lost hold",
+        "proxy/failover.cc",
+        "    has_catch_up_position_ = false;\n    all_held_at_ = Instant();\n"
+        "    return;\n",
+        "    return;\n",
+    ),
+    Mutant(
+        "leaving for an unknown time taken for just leaving",
+        "proxy/upstream_times.cc",
+        "  return found == times_.end() ? TimePoint() : found->second.leaving_since;",
+        "  return TimePoint::FromMillis(1LL << 40);",
+    ),
+    Mutant(
+        "commit passed on though other VMs may not know its replica",
+        "proxy/group_commits.cc",
+        "if (is_lasting && has_received) return true;",
+        "if (has_received) return true;",
+    ),
+    Mutant(
+        "restart of a replica not noticed",
+        "proxy/upstream_pool.cc",
+        "return !may_have_restarted;",
+        "return true;",
+    ),
     Mutant(
         "commit taken for a proof that no promotion was requested",
         "proxy/group_dispatch.cc",
@@ -61,8 +86,8 @@
     Mutant(
         "successor with the shortest log",
         "proxy/failover.cc",
-        "if (successor_ == UpstreamId() || best < received || wins_tie) {",
-        "if (successor_ == UpstreamId() || received < best || wins_tie) {",
+        "bool is_better = lasts != best_lasts ? lasts : best < received || wins_tie;",
+        "bool is_better = lasts != best_lasts ? lasts : received < best || wins_tie;",
     ),
     Mutant(
         "lost write sent again by the owner",
