Ages of upstreams: pass on only corrections of 100 ms and more

VMs learn of a change within some milliseconds of each other, and took each other's earlier time, however little earlier. Each correction was a change that a VM notified its contacts of, so a release sent several extra heartbeats through a large fleet.

New: Merge_SlightlyEarlier_NothingChanges. Comments on the ages and on the delay of a promotion are worded anew.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -24,8 +24,8 @@
 
 // A replica's position older than this does not indicate its current one.
 constexpr Duration kAppliedPositionMaxAge = Duration::Millis(20);
-// The platform promotes some hundred milliseconds after the request, so no
-// other upstream is primary within this time after no request had been made.
+// A promotion takes effect at least this long after its request: the platform
+// promotes some hundred milliseconds later.
 constexpr Duration kMinPromotionDelay = Duration::Millis(100);
 // A write does not need a confirmation to be correct. Without a recent one its
 // commit would probably wait for a replica that does not acknowledge it.
--- a/fireflycart/core/proxy/testing/upstream_times_test.cc
+++ b/fireflycart/core/proxy/testing/upstream_times_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(Update_EntryReturns_TimesAreKept);
   CPPUNIT_TEST(Merge_TimeUnknown_TakesAgeOfPeer);
   CPPUNIT_TEST(Merge_TwoPeers_EarliestCounts);
+  CPPUNIT_TEST(Merge_SlightlyEarlier_NothingChanges);
   CPPUNIT_TEST(Merge_OtherStartOrNotLeaving_IsIgnored);
   CPPUNIT_TEST(Ages_UnknownOrOld_AreNotSent);
   CPPUNIT_TEST_SUITE_END();
@@ -96,6 +97,15 @@
     CPPUNIT_ASSERT(times_.LeavingSince(kUpstream) == At(2500));
   }
 
+  // Else each VM of a large fleet would pass on several corrections.
+  void Merge_SlightlyEarlier_NothingChanges() {
+    times_.Update(Records(false), At(1000), At(1000));
+    times_.Update(Records(true), At(5000), At(5000));
+    Duration earlier = UpstreamTimes::kTolerance - Duration::Millis(1);
+    CPPUNIT_ASSERT(!times_.Merge(Ages(std::nullopt, earlier), At(5000)));
+    CPPUNIT_ASSERT(times_.LeavingSince(kUpstream) == At(5000));
+  }
+
   void Merge_OtherStartOrNotLeaving_IsIgnored() {
     times_.Update(Records(false), At(5000), At(5000));
     CPPUNIT_ASSERT(
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -93,10 +93,9 @@
   // busy during the round trip.
   static constexpr int kExtraInFlight = 1;
 
-  // An upstream that was first known this long ago is included in every
-  // failover that takes effect from now on. The list of a VM that orders a
-  // promotion is at most kListMaxAge old, and the order takes effect within 3.5
-  // s.
+  // Every failover that takes effect from now on includes an upstream that was
+  // first known this long ago: the list of the VM that orders the promotion is
+  // at most kListMaxAge old, and an order takes effect within 3.5 s.
   static constexpr Duration kEstablishedAge = Duration::Seconds(8);
   // A list of upstreams that was confirmed within this time is current; it is
   // StoreFollower::kStoreAgeLimit.
--- a/fireflycart/core/proxy/upstream_times.cc
+++ b/fireflycart/core/proxy/upstream_times.cc
@@ -12,7 +12,9 @@
 
 // Sets the time to the earlier one; TimePoint() is unknown. True on a change.
 bool SetEarlier(TimePoint candidate, TimePoint* time) {
-  if (*time != TimePoint() && *time <= candidate) return false;
+  bool is_earlier =
+      *time == TimePoint() || *time - candidate >= UpstreamTimes::kTolerance;
+  if (!is_earlier) return false;
   *time = candidate;
   return true;
 }
--- a/fireflycart/core/proxy/upstream_times.h
+++ b/fireflycart/core/proxy/upstream_times.h
@@ -8,8 +8,8 @@
 //   record.leaving_since = times.LeavingSince(id);
 //
 // Limits: what happened before any running VM knew the upstream is unknown, and
-// its time is TimePoint(). Each VM corrects the times of the others by at most
-// the time that a heartbeat takes.
+// its time is TimePoint(). A time that came from another VM is late by the time
+// that the heartbeats took, and by kTolerance.
 
 #ifndef FIREFLYCART_CORE_PROXY_UPSTREAM_TIMES_H_
 #define FIREFLYCART_CORE_PROXY_UPSTREAM_TIMES_H_
@@ -39,6 +39,9 @@
   // The times of an upstream without an entry are kept for this long, since its
   // entry may return.
   static constexpr Duration kMissingKept = Duration::Seconds(60);
+  // VMs learn of a change within some milliseconds of each other. These
+  // differences are not corrected, as each correction is passed on.
+  static constexpr Duration kTolerance = Duration::Millis(100);
   // Maximum number of ages in one message; the latest are sent.
   static constexpr size_t kMaxAges = 64;
 
@@ -50,7 +53,8 @@
               TimePoint unchanged_until, TimePoint now);
 
   // Applies the ages that another VM sent, but for upstreams that are not
-  // listed here; true if a time changed. The earliest known time counts.
+  // listed here; true if a time changed. The earliest known time counts; one
+  // that is earlier by less than kTolerance changes nothing.
   bool Merge(const std::vector<UpstreamAge>& ages, TimePoint now);
 
   // The known ages within kMaxAge.
