--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(HeldReplica_RestartsDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Vm_DoesNotKnowNewPrimary_ReadsNothingStale);
   CPPUNIT_TEST(Vm_CommitsThroughUnknownSuccessor_ReadsNothingStale);
+  CPPUNIT_TEST(Vm_DoesNotKnowEstablishedSuccessor_ReadsNothingStale);
   CPPUNIT_TEST(Successor_LeavesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Successor_CrashesDuringPlannedChange_NoCommitIsLost);
   CPPUNIT_TEST(Replica_RestartsWhilePromotionIsRefused_NoCommitIsLost);
@@ -805,6 +806,29 @@
     }
   }
 
+  // A replica that the VM knows is held, and one that it does not know takes
+  // over. Commits at the new primary do not wait for the old one.
+  void Vm_DoesNotKnowEstablishedSuccessor_ReadsNothingStale() {
+    MakeStrongReadWorld();
+    world_->Unregister(UpstreamId("up-c"));
+    world_->Run(Duration::Seconds(3));
+    for (const char* other : {"store", "vm-1", "vm-2"}) {
+      world_->Cut("vm-0", other);
+    }
+    UpstreamId old = world_->primary();
+    world_->Register(UpstreamId("up-c"), false);
+    world_->Run(Duration::Seconds(9));
+    // The owner chooses the replica that has received more.
+    world_->Cut(old.value(), "up-b");
+    world_->Run(Duration::Millis(300));
+    world_->Drain(old);
+    RunUntilLogged("failover.promotion_ordered");
+    world_->Heal(old.value(), "up-b");
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-c"), world_->primary().value());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+  }
+
   // Commits are acknowledged through the first successor alone until it leaves.
   void Successor_LeavesDuringPlannedChange_NoCommitIsLost() {
     LoseSuccessorDuringPlannedChange(
