Ages of upstreams: send only those that others need

Cause: an age was sent for 30 s. VMs start before the upstreams register, so for 30 s after a start of everything each heartbeat carried the ages of up to 64 upstreams. The time since which an upstream is known matters for 8 s only; that since which it leaves matters longer, to a VM that was cut off, but few upstreams leave.

New: Ages_KnownForLong_AreNotSent.

--- a/fireflycart/core/proxy/testing/upstream_times_test.cc
+++ b/fireflycart/core/proxy/testing/upstream_times_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(Merge_SlightlyEarlier_NothingChanges);
   CPPUNIT_TEST(Merge_OtherStartOrNotLeaving_IsIgnored);
   CPPUNIT_TEST(Ages_UnknownOrOld_AreNotSent);
+  CPPUNIT_TEST(Ages_KnownForLong_AreNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,7 +124,19 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, ages.size());
     CPPUNIT_ASSERT(!ages[0].known_for);
     CPPUNIT_ASSERT(ages[0].leaving_for == Duration::Millis(500));
-    CPPUNIT_ASSERT(times_.Ages(At(2000) + UpstreamTimes::kMaxAge).empty());
+    CPPUNIT_ASSERT(
+        times_.Ages(At(2000) + UpstreamTimes::kMaxLeavingAge).empty());
+  }
+
+  // Else all heartbeats of a large fleet are several times as long for a while
+  // after its start.
+  void Ages_KnownForLong_AreNotSent() {
+    times_.Update({}, At(1000), At(1000));
+    times_.Update(Records(false), At(2000), At(2000));
+    Duration limit = UpstreamTimes::kMaxKnownAge;
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{1}, times_.Ages(At(2000) + limit - Duration::Millis(1)).size());
+    CPPUNIT_ASSERT(times_.Ages(At(2000) + limit).empty());
   }
 
  private:
--- a/fireflycart/core/proxy/upstream_times.cc
+++ b/fireflycart/core/proxy/upstream_times.cc
@@ -69,9 +69,9 @@
 }
 
 std::vector<UpstreamAge> UpstreamTimes::Ages(TimePoint now) const {
-  auto age_of = [now](TimePoint since) {
+  auto age_of = [now](TimePoint since, Duration limit) {
     Duration age = now - since;
-    bool is_sent = since != TimePoint() && age < kMaxAge;
+    bool is_sent = since != TimePoint() && age < limit;
     return is_sent ? std::optional<Duration>(age) : std::nullopt;
   };
   std::vector<UpstreamAge> ages;
@@ -80,14 +80,16 @@
     UpstreamAge age;
     age.id = item.first;
     age.started_ms = times.started_ms;
-    age.known_for = age_of(times.known_since);
-    if (times.is_leaving) age.leaving_for = age_of(times.leaving_since);
+    age.known_for = age_of(times.known_since, kMaxKnownAge);
+    if (times.is_leaving) {
+      age.leaving_for = age_of(times.leaving_since, kMaxLeavingAge);
+    }
     if (age.known_for || age.leaving_for) ages.push_back(age);
   }
   if (ages.size() <= kMaxAges) return ages;
   auto latest = [](const UpstreamAge& age) {
-    return std::min(age.known_for.value_or(kMaxAge),
-                    age.leaving_for.value_or(kMaxAge));
+    return std::min(age.known_for.value_or(kMaxLeavingAge),
+                    age.leaving_for.value_or(kMaxLeavingAge));
   };
   std::sort(ages.begin(), ages.end(),
             [&](const UpstreamAge& a, const UpstreamAge& b) {
--- a/fireflycart/core/proxy/upstream_times.h
+++ b/fireflycart/core/proxy/upstream_times.h
@@ -34,8 +34,11 @@
 
 class UpstreamTimes {
  public:
-  // Ages beyond this make no difference and are not sent.
-  static constexpr Duration kMaxAge = Duration::Seconds(30);
+  // Ages beyond these are not sent. An upstream that has been known for longer
+  // is established in any case; that one has been leaving for longer still
+  // matters to a VM that was cut off.
+  static constexpr Duration kMaxKnownAge = Duration::Seconds(8);
+  static constexpr Duration kMaxLeavingAge = Duration::Seconds(30);
   // The times of an upstream without an entry are kept for this long, since its
   // entry may return.
   static constexpr Duration kMissingKept = Duration::Seconds(60);
@@ -57,7 +60,7 @@
   // that is earlier by less than kTolerance changes nothing.
   bool Merge(const std::vector<UpstreamAge>& ages, TimePoint now);
 
-  // The known ages within kMaxAge.
+  // The known ages within their limits.
   std::vector<UpstreamAge> Ages(TimePoint now) const;
 
   // When the present start was first known; TimePoint() if that is unknown.
