Log what an order of promotion rests on, and who ended a hold

The hypotheses of the incident (a hold that does not last, the longest log passed over, an old list) could not be told apart: an order named its successor and token only. Now promotion_evidence has the position, hold, status age and entry of each replica and the ages of token and list; hold_lost names a replica that was held and is not any more, with its hold; resume_ordered names who ended it. One line an order, none in steady operation. No logic is changed.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -82,6 +82,7 @@
   has_sent_hold_ = false;
   is_fleet_reachable_ = false;
   command_sent_at_.clear();
+  held_.clear();
   context->Log(LogLevel::kWarning, kPart, "started",
                {{"group", group_.value()},
                 {"cause", FailoverCauseName(cause)},
@@ -178,6 +179,7 @@
     Finish(pool, context);
     return;
   }
+  LogLostHolds(*pool, context);
   if (stage_ == FailoverStage::kHoldingReplicas) {
     StepHoldingReplicas(pool, context);
   } else {
@@ -237,7 +239,9 @@
     }
   }
   if (!RenewToken(*pool, context)) return;
-  hold_term_ = HoldTermOf(term_, lease_.token());
+  uint64_t hold_term = HoldTermOf(term_, lease_.token());
+  if (hold_term != hold_term_) held_.clear();  // They are held anew.
+  hold_term_ = hold_term;
   // With a token that the store confirmed, such a hold is one left behind.
   if (!lease_.has_token() && IsAnyHoldNewer(*pool)) {
     has_sent_hold_ = false;  // The other VM needs these holds.
@@ -259,7 +263,7 @@
     if (successor_ == UpstreamId()) return;
     held_position_ = pool->FindUpstream(successor_)->status.received;
   }
-  RequestPromotion(context);
+  RequestPromotion(*pool, context);
 }
 
 // True if a token may be used now. Writes the row again to replace a token that
@@ -373,7 +377,58 @@
   return is_fleet_reachable_ && lease_.MayUseOldToken(term_);
 }
 
-void Failover::RequestPromotion(ProxyContext* context) {
+void Failover::LogEvidence(const UpstreamPool& pool,
+                           ProxyContext* context) const {
+  std::string replicas;
+  for (const auto& item : pool.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    if (item.first == old_primary_) continue;
+    Duration age = context->now() - upstream.status_sent.time;
+    Duration missing = context->now() - upstream.unregistered_at;
+    if (!replicas.empty()) replicas += ", ";
+    replicas += item.first.value() + " " +
+                FormatPosition(upstream.status.received) +
+                (IsHeld(upstream) ? " held" : " not_held") +
+                " status_age_ms=" + std::to_string(age.millis());
+    if (upstream.is_down) replicas += " down";
+    if (upstream.record.leaving) replicas += " leaving";
+    if (!upstream.is_registered) {
+      replicas += " entry_missing_ms=" + std::to_string(missing.millis());
+    }
+  }
+  Duration token_age = context->now() - lease_.granted_at();
+  Duration list_age = pool.ListAge(context->now());
+  context->Log(LogLevel::kInfo, kPart, "promotion_evidence",
+               {{"group", group_.value()},
+                {"successor", successor_.value()},
+                {"replicas", replicas},
+                {"acknowledged", FormatPosition(acknowledged_)},
+                {"token_age_ms", std::to_string(token_age.millis())},
+                {"list_age_ms", std::to_string(list_age.millis())}});
+}
+
+// A replica whose hold ends before the promotion takes effect may acknowledge
+// commits that the successor lacks.
+void Failover::LogLostHolds(const UpstreamPool& pool, ProxyContext* context) {
+  for (const auto& item : pool.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    if (IsHeld(upstream)) {
+      held_.insert(item.first);
+      continue;
+    }
+    if (held_.erase(item.first) == 0 || !MustHold(item.first)) continue;
+    context->Log(LogLevel::kWarning, kPart, "hold_lost",
+                 {{"group", group_.value()},
+                  {"upstream", item.first.value()},
+                  {"held_term", std::to_string(upstream.status.held_term)},
+                  {"expected", std::to_string(hold_term_)},
+                  {"down", upstream.is_down ? "yes" : "no"},
+                  {"ordered", is_promoting() ? "yes" : "no"}});
+  }
+}
+
+void Failover::RequestPromotion(const UpstreamPool& pool,
+                                ProxyContext* context) {
   stage_ = FailoverStage::kPromotionRequested;
   promotion_ = context->NextCall();
   promotion_requested_at_ = context->now();
@@ -382,6 +437,7 @@
                 {"successor", successor_.value()},
                 {"token", std::to_string(lease_.token())},
                 {"cause", FailoverCauseName(cause_)}});
+  LogEvidence(pool, context);
   context->Emit(PromoteUpstream{promotion_, kPromotionCallTimeout, group_,
                                 successor_, lease_.token()});
 }
@@ -434,7 +490,11 @@
   command.kind = CommandKind::kResume;
   for (const auto& item : pool->upstreams()) {
     bool may_hold = item.first != old_primary_ && !item.second.is_down;
-    if (may_hold) pool->SendControl(item.first, command, context);
+    if (!may_hold || !pool->SendControl(item.first, command, context)) continue;
+    context->Log(LogLevel::kInfo, kPart, "resume_ordered",
+                 {{"group", group_.value()},
+                  {"upstream", item.first.value()},
+                  {"held_term", std::to_string(item.second.status.held_term)}});
   }
 }
 
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -22,6 +22,7 @@
 #define FIREFLYCART_CORE_PROXY_FAILOVER_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "fireflycart/core/proxy/duty_lease.h"
@@ -172,7 +173,10 @@
   bool HasCaughtUp(UpstreamPool* pool, ProxyContext* context);
   bool HasUsableToken(const UpstreamPool& pool, ProxyContext* context) const;
   bool RenewToken(const UpstreamPool& pool, ProxyContext* context);
-  void RequestPromotion(ProxyContext* context);
+  void RequestPromotion(const UpstreamPool& pool, ProxyContext* context);
+  // Logs what an order of promotion rests on.
+  void LogEvidence(const UpstreamPool& pool, ProxyContext* context) const;
+  void LogLostHolds(const UpstreamPool& pool, ProxyContext* context);
   void SendCommand(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
                    ProxyContext* context);
   bool HasPrimaryReturned(UpstreamPool* pool) const;
@@ -203,6 +207,7 @@
   Duration replacement_time_;  // Of the last lost primary; zero: none yet.
   TimePoint retry_at_;
   std::map<UpstreamId, TimePoint> command_sent_at_;
+  std::set<UpstreamId> held_;  // Those that were last seen to be held.
   std::map<UpstreamId, TimePoint> excluded_until_;
 };
 
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -110,8 +110,9 @@
                   ProxyContext* context);
   // The records include the changes up to about this time.
   void SetListTime(TimePoint list_time) { list_time_ = list_time; }
+  Duration ListAge(TimePoint now) const { return now - list_time_; }
   bool IsListCurrent(TimePoint now) const {
-    return now - list_time_ <= kListMaxAge;
+    return ListAge(now) <= kListMaxAge;
   }
   // True if every VM knows the present process of the upstream.
   bool IsEstablished(const PooledUpstream& upstream, TimePoint now) const;
