Stand-in: read the role commands that came before the end of a connection

An upstream reads what was sent before the end of a connection. The model dropped what had not run when the connection closed, so an order to hold or resume that arrived together with the close had no effect, and no test in virtual time could show an order that arrives late.

--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -16,6 +16,12 @@
 using proxy::UpstreamAnswer;
 using proxy::UpstreamCommand;
 
+bool IsRoleCommand(const UpstreamCommand& command) {
+  return command.kind == CommandKind::kHold ||
+         command.kind == CommandKind::kResume ||
+         command.kind == CommandKind::kDemote;
+}
+
 bool IsStatement(const UpstreamCommand& command) {
   return command.kind == CommandKind::kVerbatim ||
          command.kind == CommandKind::kExecute;
@@ -65,13 +71,19 @@
 void DatabaseModel::Close(ConnectionId connection) {
   auto found = connections_.find(connection);
   if (found == connections_.end()) return;
-  if (found->second.has_slot) upstreams_[found->second.upstream].running--;
+  Connection& closed = found->second;
+  // What was sent before the end of the connection is read before it.
+  for (const UpstreamCommand& command : closed.commands) {
+    if (IsRoleCommand(command)) RunOwn(&closed, command, now_);
+  }
+  if (closed.has_slot) upstreams_[closed.upstream].running--;
   connections_.erase(found);
 }
 
 std::vector<DatabaseOutput> DatabaseModel::Advance(TimePoint now) {
   std::vector<DatabaseOutput> outputs;
   outputs.swap(opened_);
+  now_ = now;
   ApplyPromotions(now);
   StepDown(now);
   Replicate(now);
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -181,6 +181,7 @@
 
   DatabaseOptions options_;
   DatabaseObserver* observer_;
+  TimePoint now_;  // Of the last Advance().
   std::map<UpstreamId, Upstream> upstreams_;
   std::map<ConnectionId, Connection> connections_;
   std::set<std::pair<UpstreamId, UpstreamId>> cuts_;
