--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -5,9 +5,12 @@
 //   fireflycart_session_random_test --seed=1 --runs=20
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
+#include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/flags/flag.h"
@@ -24,13 +27,22 @@
 ABSL_FLAG(bool, releases, false,
           "Also replace upstreams by new ones. The other faults of a seed stay "
           "the same.");
+ABSL_FLAG(bool, silences, false,
+          "Also let connections go silent, entries of upstreams go missing, "
+          "replacements be disturbed, and links hold up what was sent; runs "
+          "three times as long. The other faults of a seed stay the same.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
 
 namespace fireflycart::standins {
 namespace {
 
 constexpr int kFaultsPerRun = 14;
+constexpr int kFaultsPerLongRun = 42;  // With silences.
 constexpr Duration kWarmUp = Duration::Seconds(3);
+constexpr const char* kUpstreams[] = {"up-a", "up-b", "up-c"};
+// What a link holds up for longer, its connections lose.
+constexpr Duration kLongestHoldUp = Duration::Millis(1400);
+constexpr Duration kLongestFault = Duration::Seconds(4);  // Of silences.
 
 class RandomRun {
  public:
@@ -38,18 +50,24 @@
       : random_(seed),
         restore_random_(seed),
         release_random_(seed),
+        silence_random_(seed),
         world_(Options(), seed) {}
 
   // Returns the first violation of an invariant; empty if there is none.
   std::string Run() {
     world_.Run(kWarmUp);
-    for (int i = 0; i < kFaultsPerRun; i++) {
+    bool has_silences = absl::GetFlag(FLAGS_silences);
+    int faults = has_silences ? kFaultsPerLongRun : kFaultsPerRun;
+    for (int i = 0; i < faults; i++) {
       InjectFault();
       if (absl::GetFlag(FLAGS_restores)) RestoreStoreAtTimes();
       if (absl::GetFlag(FLAGS_releases)) StepRelease();
-      world_.Run(Duration::Millis(static_cast<int64_t>(Random(900))));
+      if (has_silences) StepSilence();
+      RunDisturbed(Duration::Millis(static_cast<int64_t>(Random(900))));
     }
     RepairAll();
+    disturbs_failover_ = false;
+    if (has_silences) RunDisturbed(kLongestFault);
     world_.Run(Duration::Seconds(8));
     int before = world_.counts().done;
     world_.Run(Duration::Seconds(2));
@@ -68,6 +86,7 @@
 
   void PrintLog() {
     for (const std::string& line : world_.TakeLog()) std::cout << line << "\n";
+    for (const std::string& fault : faults_) std::cout << fault << "\n";
   }
 
  private:
@@ -149,7 +168,9 @@
   // Lets an upstream leave, end, and a new one join in its place, a step at a
   // time. Draws from numbers of its own.
   void StepRelease() {
-    constexpr int64_t kDrainMs = 2000;
+    // With silences, a VM may be cut off for as long as the platform's drain
+    // time allows.
+    const int64_t kDrainMs = absl::GetFlag(FLAGS_silences) ? 7000 : 2000;
     switch (release_step_) {
       case ReleaseStep::kNone: {
         const char* letters = "abc";
@@ -182,6 +203,186 @@
     }
   }
 
+  uint64_t RandomSilence(uint64_t bound) { return silence_random_() % bound; }
+  Duration RandomSilenceTime(int64_t least_ms, uint64_t range_ms) {
+    return Duration::Millis(least_ms +
+                            static_cast<int64_t>(RandomSilence(range_ms)));
+  }
+  int RandomSilenceVm() { return static_cast<int>(RandomSilence(4)); }
+  UpstreamId RandomSilenceUpstream() {
+    const char* letters = "abc";
+    return UpstreamId(std::string("up-") + letters[RandomSilence(3)]);
+  }
+
+  void Note(const std::string& fault) {
+    faults_.push_back(std::to_string(world_.now().millis()) + " fault " +
+                      fault);
+  }
+
+  // Draws from numbers of its own.
+  void StepSilence() {
+    switch (RandomSilence(8)) {
+      case 0:
+        MuteOne(RandomSilenceVm(), RandomSilenceUpstream());
+        break;
+      case 1: {
+        int vm = RandomSilenceVm();
+        for (const char* id : kUpstreams) MuteOne(vm, UpstreamId(id));
+        break;
+      }
+      case 2: {
+        UpstreamId upstream = RandomSilenceUpstream();
+        for (int vm = 0; vm < 4; vm++) MuteOne(vm, upstream);
+        break;
+      }
+      case 3:
+        LoseEntry(RandomSilenceUpstream());
+        break;
+      case 4:
+        SplitOffPrimary();
+        break;
+      case 5:
+        disturbs_failover_ = true;
+        break;
+      case 6:
+        HoldUp();
+        break;
+      default:
+        break;
+    }
+  }
+
+  void MuteOne(int vm, const UpstreamId& upstream) {
+    Note("mute vm-" + std::to_string(vm) + " " + upstream.value());
+    world_.MuteConnections(vm, upstream);
+  }
+
+  // The upstream lives, and its entry returns. One that leaves still does.
+  void LoseEntry(const UpstreamId& id) {
+    bool has_ended = release_step_ == ReleaseStep::kEnded && id == released_;
+    if (has_ended || !world_.database().IsRunning(id)) return;
+    Note("entry missing " + id.value());
+    world_.Unregister(id);
+    At(RandomSilenceTime(500, 1500), [this, id] {
+      bool is_released = release_step_ != ReleaseStep::kNone && id == released_;
+      if (is_released && release_step_ == ReleaseStep::kEnded) return;
+      Note("entry back " + id.value());
+      world_.Register(id, is_released);
+    });
+  }
+
+  // Leaves one VM and one replica with the primary.
+  void SplitOffPrimary() {
+    UpstreamId primary = world_.primary();
+    UpstreamId replica = RandomSilenceUpstream();
+    std::string lone = "vm-" + std::to_string(RandomSilenceVm());
+    Duration time = RandomSilenceTime(500, 3500);
+    if (primary == UpstreamId() || replica == primary) return;
+    Note("split " + primary.value() + " " + replica.value() + " " + lone +
+         " for " + std::to_string(time.millis()));
+    std::vector<std::string> inside = {primary.value(), replica.value(), lone};
+    auto is_inside = [&](const std::string& name) {
+      return std::find(inside.begin(), inside.end(), name) != inside.end();
+    };
+    std::vector<std::string> outside = {"store", "promotion"};
+    for (const char* id : kUpstreams) {
+      if (!is_inside(id)) outside.emplace_back(id);
+    }
+    for (int vm = 0; vm < 4; vm++) {
+      std::string name = "vm-" + std::to_string(vm);
+      if (!is_inside(name)) outside.push_back(name);
+    }
+    for (const std::string& a : inside) {
+      for (const std::string& b : outside) CutOff(a, b, time);
+    }
+  }
+
+  // A connection across a long cut ends.
+  void CutOff(const std::string& a, const std::string& b, Duration time) {
+    world_.CutFor(a, b, time);
+    if (time <= kLongestHoldUp) return;
+    for (int vm = 0; vm < 4; vm++) {
+      std::string name = "vm-" + std::to_string(vm);
+      for (const char* id : kUpstreams) {
+        bool is_meant = (a == name && b == id) || (b == name && a == id);
+        if (is_meant) world_.MuteConnections(vm, UpstreamId(id));
+      }
+    }
+  }
+
+  // Links between a VM and upstreams deliver later what is sent now.
+  void HoldUp() {
+    std::string vm = "vm-" + std::to_string(RandomSilenceVm());
+    uint64_t which = RandomSilence(4);
+    for (uint64_t i = 0; i < 3; i++) {
+      if (which != 3 && which != i) continue;
+      Duration time = RandomSilenceTime(
+          50, static_cast<uint64_t>(kLongestHoldUp.millis()) - 50);
+      Note("hold up " + vm + " " + kUpstreams[i] + " for " +
+           std::to_string(time.millis()));
+      world_.CutFor(vm, kUpstreams[i], time);
+    }
+  }
+
+  // Pauses or isolates the VM that logged this line.
+  void DisturbFailover(const std::string& line) {
+    size_t start = line.find("vm-");
+    int vm = line[start + 3] - '0';
+    Duration delay = RandomSilenceTime(0, 40);
+    if (RandomSilence(2) == 0) delay = RandomSilenceTime(0, 900);
+    Duration time = RandomSilenceTime(200, 3800);
+    bool freezes = RandomSilence(2) == 0;
+    uint64_t others = RandomSilence(8);
+    At(delay, [this, vm, time, freezes, others] {
+      std::string name = "vm-" + std::to_string(vm);
+      Note((freezes ? "freeze " : "isolate ") + name + " for " +
+           std::to_string(time.millis()));
+      if (freezes) {
+        world_.FreezeVm(vm, time);
+        return;
+      }
+      for (int other = 0; other < 4; other++) {
+        if (other != vm) CutOff(name, "vm-" + std::to_string(other), time);
+      }
+      if ((others & 1) != 0) CutOff(name, "store", time);
+      for (uint64_t i = 0; i < 3; i++) {
+        if (((others >> 1) & 1) != 0 || i == others % 3) {
+          CutOff(name, kUpstreams[i], time);
+        }
+      }
+    });
+  }
+
+  void At(Duration delay, std::function<void()> action) {
+    actions_.emplace(world_.now() + delay, std::move(action));
+  }
+
+  // Runs what At() has planned.
+  void RunDisturbed(Duration time) {
+    if (!absl::GetFlag(FLAGS_silences)) {
+      world_.Run(time);
+      return;
+    }
+    TimePoint end = world_.now() + time;
+    while (world_.now() < end) {
+      world_.Run(Duration::Millis(1));
+      const std::vector<std::string>& log = world_.log();
+      for (; read_lines_ < log.size(); read_lines_++) {
+        const std::string& line = log[read_lines_];
+        bool is_met = disturbs_failover_ &&
+                      line.find("failover.started") != std::string::npos;
+        if (!is_met) continue;
+        disturbs_failover_ = false;
+        DisturbFailover(line);
+      }
+      while (!actions_.empty() && actions_.begin()->first <= world_.now()) {
+        std::function<void()> action = actions_.begin()->second;
+        actions_.erase(actions_.begin());
+        action();
+      }
+    }
+  }
+
   void CutPair() {
     std::string a = RandomVm();
     std::string b = RandomPeer();
@@ -227,6 +428,11 @@
   std::mt19937_64 random_;
   std::mt19937_64 restore_random_;
   std::mt19937_64 release_random_;
+  std::mt19937_64 silence_random_;
+  std::multimap<TimePoint, std::function<void()>> actions_;
+  bool disturbs_failover_ = false;  // The next one that starts.
+  size_t read_lines_ = 0;           // Of the world's log.
+  std::vector<std::string> faults_;
   enum class ReleaseStep { kNone, kLeaving, kEnded };
   ReleaseStep release_step_ = ReleaseStep::kNone;
   UpstreamId released_;
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -178,6 +178,7 @@
     if (found == connections_.end()) continue;
     Vm* vm = found->second.first;
     ConnectionId connection = found->second.second;
+    uint64_t number = found->first;
     uint64_t incarnation = vm->incarnation;
     if (output.is_lost) {
       database_->Close(output.connection);
@@ -189,8 +190,12 @@
                              connection, output.answer.position})
                        : proxy::ProxyEventBody(proxy::UpstreamAnswered{
                              connection, output.answer});
-    Send(upstream_of_[output.connection.value()].value(), vm->name,
-         [this, vm, incarnation, body] { Deliver(vm, incarnation, body); });
+    Send(upstream_of_[number].value(), vm->name,
+         [this, vm, incarnation, number, body] {
+           if (IsMute(number)) return;
+           opened_connections_.insert(number);
+           Deliver(vm, incarnation, body);
+         });
   }
   for (auto& answer : store_.Advance(now_)) {
     auto found = store_calls_.find(answer.handle);
@@ -234,21 +239,25 @@
 }
 
 bool SessionWorld::IsCut(const std::string& a, const std::string& b) const {
-  return cuts_.count({std::min(a, b), std::max(a, b)}) != 0;
+  Link link(std::min(a, b), std::max(a, b));
+  return cuts_.count(link) != 0 || passing_cuts_.count(link) != 0;
 }
 
-void SessionWorld::Cut(const std::string& a, const std::string& b) {
-  cuts_.insert({std::min(a, b), std::max(a, b)});
+void SessionWorld::ApplyCut(const std::string& a, const std::string& b) {
   bool are_upstreams =
       records_.count(UpstreamId(a)) != 0 && records_.count(UpstreamId(b)) != 0;
-  if (are_upstreams) database_->SetCut(UpstreamId(a), UpstreamId(b), true);
+  if (!are_upstreams) return;
+  database_->SetCut(UpstreamId(a), UpstreamId(b), IsCut(a, b));
+}
+
+void SessionWorld::Cut(const std::string& a, const std::string& b) {
+  cuts_.insert({std::min(a, b), std::max(a, b)});
+  ApplyCut(a, b);
 }
 
 void SessionWorld::Heal(const std::string& a, const std::string& b) {
   cuts_.erase({std::min(a, b), std::max(a, b)});
-  bool are_upstreams =
-      records_.count(UpstreamId(a)) != 0 && records_.count(UpstreamId(b)) != 0;
-  if (are_upstreams) database_->SetCut(UpstreamId(a), UpstreamId(b), false);
+  ApplyCut(a, b);
 }
 
 void SessionWorld::HealAll() {
@@ -386,8 +395,9 @@
       continue;
     }
     uint64_t number = it->first;
-    Send(vm->name, upstream_of_[number].value(),
-         [this, number] { database_->Close(ConnectionId(number)); });
+    Send(vm->name, upstream_of_[number].value(), [this, number] {
+      if (!IsMute(number)) database_->Close(ConnectionId(number));
+    });
     connection_numbers_.erase({vm, it->second.second});
     it = connections_.erase(it);
   }
@@ -423,7 +433,7 @@
 
 void SessionWorld::LoseConnection(ConnectionId number) {
   auto found = connections_.find(number.value());
-  if (found == connections_.end()) return;
+  if (found == connections_.end() || IsMute(number.value())) return;
   Vm* vm = found->second.first;
   ConnectionId connection = found->second.second;
   uint64_t incarnation = vm->incarnation;
@@ -542,6 +552,7 @@
   uint64_t number = found->second;
   for (const proxy::UpstreamCommand& command : e.commands) {
     Send(vm->name, upstream_of_[number].value(), [this, number, command] {
+      if (IsMute(number)) return;
       database_->Execute(ConnectionId(number), command);
     });
   }
@@ -553,8 +564,9 @@
   uint64_t number = found->second;
   connection_numbers_.erase(found);
   connections_.erase(number);
-  Send(vm->name, upstream_of_[number].value(),
-       [this, number] { database_->Close(ConnectionId(number)); });
+  Send(vm->name, upstream_of_[number].value(), [this, number] {
+    if (!IsMute(number)) database_->Close(ConnectionId(number));
+  });
 }
 
 void SessionWorld::PerformOne(Vm* vm, const CallPeer& e) {
@@ -624,8 +636,18 @@
     Send("store", vm->name, [end, answered] { end(answered); });
   };
   StoreBody body = e.body;
-  Send(vm->name, "store",
-       [this, number, body] { store_.Call(number, body, now_); });
+  proxy::StoreTable table =
+      std::visit([](const auto& call_body) { return call_body.table; }, body);
+  Send(vm->name, "store", [this, vm, number, body, table, end] {
+    if (refused_tables_.count({vm->name, table}) == 0) {
+      store_.Call(number, body, now_);
+      return;
+    }
+    proxy::StoreAnswered refused;
+    refused.status = proxy::StoreStatus::kRefused;
+    refused.version.era = store_.era();
+    Send("store", vm->name, [end, refused] { end(refused); });
+  });
   timers_.emplace(now_ + e.timeout, [end] { end(proxy::StoreAnswered()); });
 }
 
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -78,6 +78,15 @@
   void Cut(const std::string& a, const std::string& b);
   void Heal(const std::string& a, const std::string& b);
   void HealAll();
+  // A cut beside those of Cut(), which ends by itself. What was sent meanwhile
+  // is delivered then.
+  void CutFor(const std::string& a, const std::string& b, Duration time);
+  // The open connections between a VM and an upstream go silent for good: what
+  // is on its way is lost, in both directions, and so is the end of the
+  // connection. New connections work. The upstream drops them after 3 s.
+  void MuteConnections(int vm, const UpstreamId& upstream);
+  // The store refuses the calls of a VM for this table.
+  void RefuseTable(int vm, proxy::StoreTable table, bool refuses);
   void CutPrimaryFromReplicas();
   void KillVm(int vm);
   void StartVm(int vm);
@@ -124,6 +133,7 @@
   // after all faults are repaired.
   void CheckEffects();
   std::vector<std::string> TakeLog();
+  const std::vector<std::string>& log() const { return log_; }
 
  private:
   struct Vm;
@@ -135,6 +145,11 @@
   void Send(const std::string& from, const std::string& to, Delivery deliver);
   void DeliverDue();
   bool IsCut(const std::string& a, const std::string& b) const;
+  // Tells the database whether the link is cut, if it is between upstreams.
+  void ApplyCut(const std::string& a, const std::string& b);
+  bool IsMute(uint64_t connection) const {
+    return mute_connections_.count(connection) != 0;
+  }
   void Report(const std::string& problem);
 
   void Reduce(Vm* vm, proxy::ProxyEventBody body);
@@ -208,6 +223,8 @@
   std::multimap<TimePoint, Delivery> timers_;
   std::map<Link, std::deque<std::pair<TimePoint, Delivery>>> links_;
   std::set<Link> cuts_;
+  std::multiset<Link> passing_cuts_;  // Those of CutFor().
+  std::set<std::pair<std::string, proxy::StoreTable>> refused_tables_;
   std::map<uint64_t, std::pair<Vm*, ConnectionId>> connections_;
   std::map<std::pair<Vm*, ConnectionId>, uint64_t> connection_numbers_;
   std::map<uint64_t, std::function<void(proxy::StoreAnswered)>> store_calls_;
@@ -217,6 +234,8 @@
   std::map<uint64_t, std::string> call_senders_;    // By peer call.
   std::map<uint64_t, UpstreamId> upstream_of_;      // By connection.
   std::set<uint64_t> accepted_connections_;
+  std::set<uint64_t> opened_connections_;  // The VM was told.
+  std::set<uint64_t> mute_connections_;
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
   bool ignores_readiness_ = false;
