Promote the longest held log, also while its registry entry is missing

What callers saw: writes that had been acknowledged were gone after a failover. The successor was chosen among the held replicas that have a registry entry. An entry lapses when heartbeats do not reach the store, or with an outage of the store, and returns within two seconds; the replica lives, is held, and may alone have the last commits. The next longest log was then promoted. A holder that had seen commits waited for their position; one that had just taken the group over had not ("acknowledged 0.0"), so nothing held it back. The same choice was open after the platform had refused the longest log (409), within a second.

Evidence: LongestLog_EntryMissingDuringFailover_NoCommitIsLost failed before: "stale read s16025 at up-c lacks write WRITE c10-15193", with promotion_evidence naming up-b, held, at the higher position.

Now every held replica is a candidate, and of equal logs one with an entry that does not leave is preferred. If the longest log cannot be ordered yet, the attempt waits. It ends as before: an upstream that is gone is no longer held or known, and an attempt is given up after 5 s.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -288,41 +288,51 @@
   return all_hold;
 }
 
+bool Failover::IsExcluded(const UpstreamId& id, ProxyContext* context) const {
+  auto excluded = excluded_until_.find(id);
+  return excluded != excluded_until_.end() && context->now() < excluded->second;
+}
+
+// Every held replica is a candidate for a lost primary, also one whose registry
+// entry is missing, as it may return: the longest log may be there alone.
+bool Failover::IsCandidate(const PooledUpstream& upstream,
+                           ProxyContext* context) const {
+  bool is_replica = upstream.record.id != old_primary_ && upstream.has_status &&
+                    !upstream.is_down && !upstream.status.is_primary;
+  if (!is_planned()) return is_replica && IsHeld(upstream);
+  return is_replica && upstream.is_registered && !upstream.record.leaving &&
+         !IsExcluded(upstream.record.id, context);
+}
+
 void Failover::ChooseSuccessor(UpstreamPool* pool, ProxyContext* context) {
   successor_ = UpstreamId();
   LogPosition best;
-  bool best_leaves = false;
   bool best_lasts = false;
+  int best_obstacles = 0;
   for (const auto& item : pool->upstreams()) {
     const PooledUpstream& upstream = item.second;
-    bool is_candidate = item.first != old_primary_ && upstream.has_status &&
-                        upstream.is_registered && !upstream.is_down &&
-                        !upstream.status.is_primary;
-    if (is_planned()) {
-      is_candidate = is_candidate && !upstream.record.leaving;
-    } else {
-      is_candidate = is_candidate && IsHeld(upstream);
-    }
-    auto excluded = excluded_until_.find(item.first);
-    if (excluded != excluded_until_.end() &&
-        context->now() < excluded->second) {
-      is_candidate = false;
-    }
-    if (!is_candidate) continue;
+    if (!IsCandidate(upstream, context)) continue;
     LogPosition received = upstream.status.received;
     // In a planned change, prefers an upstream that other VMs know, since they
     // pass on what it alone has received.
     bool lasts = is_planned() && pool->IsLasting(upstream, context->now());
-    // Of equal logs, prefers an upstream that is not leaving.
-    bool wins_tie = received == best && best_leaves;
+    int obstacles = (upstream.record.leaving ? 1 : 0) +
+                    (upstream.is_registered ? 0 : 1) +
+                    (IsExcluded(item.first, context) ? 1 : 0);
+    bool wins_tie = received == best && obstacles < best_obstacles;
     bool is_better = lasts != best_lasts ? lasts : best < received || wins_tie;
     if (successor_ == UpstreamId() || is_better) {
       successor_ = item.first;
       best = received;
-      best_leaves = upstream.record.leaving;
       best_lasts = lasts;
+      best_obstacles = obstacles;
     }
   }
+  // A shorter log is no substitute for one that cannot take over yet.
+  if (successor_ != UpstreamId() && IsExcluded(successor_, context)) {
+    context->WakeAt(excluded_until_[successor_]);
+    successor_ = UpstreamId();
+  }
   bool may_wait = context->now() - started_.time < kShortLogTimeout;
   bool is_short = !is_planned() && best < acknowledged_ && may_wait;
   if (successor_ != UpstreamId() && is_short) {
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -169,6 +169,8 @@
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
+  bool IsExcluded(const UpstreamId& id, ProxyContext* context) const;
+  bool IsCandidate(const PooledUpstream& upstream, ProxyContext* context) const;
   void ChooseSuccessor(UpstreamPool* pool, ProxyContext* context);
   bool HasCaughtUp(UpstreamPool* pool, ProxyContext* context);
   bool HasUsableToken(const UpstreamPool& pool, ProxyContext* context) const;
