Order replicas to resume only under the lease, and keep it until they have

What callers saw: writes that had been acknowledged were gone after a failover by another VM. RESUME names no term and cannot be called back. A VM that gave an attempt up ordered its replicas to resume and released the lease at once, without waiting for answers; the owner also resumed replicas without any lease. An order that waited on a stalled connection then ended the hold of the next holder: the replica received the log again, the old primary acknowledged through it, a VM beside it passed the commits on, and the promotion, which had been ordered on the strength of that hold, took effect without them.

Evidence: OrderToResume_OnClosedConnection_NoCommitIsLost and OrderToResume_OfFrozenVm_NoCommitIsLost failed before: "promoted upstream up-c lacks acknowledged write". OrderToResume_VmWasSuspendedSince_IsNotSent and OrderToResume_Closed_IsDiscardedWithItsConnection (platform) failed with the two mechanisms of the connection taken out: RESUME was sent, "End of file" instead of a reset.

Now an order to resume, also of the owner's tidying, is given under the lease only, at most 1.2 s after it was granted; it is written within 300 ms or not at all; a connection to an upstream is reset when it is closed, so nothing follows; and the lease is released once the orders were answered or cannot arrive any more. A VM waits for the same time before it counts its own new hold. Before an order of promotion, each hold is seen twice, the last time within 200 ms. A planned change takes its holds for exclusive only while it has the lease. The model of the world resets connections that a VM closes on a cut link.

--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -40,6 +40,7 @@
   void Acquire(bool is_promoting, uint64_t term, ProxyContext* context);
   // Starts to mark the row as idle after a promotion. Keeps the token.
   void Release(uint64_t term, ProxyContext* context);
+  bool is_acquiring() const { return requested_row_ != RequestedRow::kNone; }
   // Stops an acquisition in progress.
   void Cancel() { requested_row_ = RequestedRow::kNone; }
 
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -82,7 +82,9 @@
   has_sent_hold_ = false;
   is_fleet_reachable_ = false;
   command_sent_at_.clear();
-  held_.clear();
+  held_at_.clear();
+  resuming_.clear();
+  releases_lease_ = false;
   context->Log(LogLevel::kWarning, kPart, "started",
                {{"group", group_.value()},
                 {"cause", FailoverCauseName(cause)},
@@ -115,6 +117,7 @@
 bool Failover::IsHeld(const PooledUpstream& upstream) const {
   return upstream.is_status_of_this_connection() &&
          upstream.status_sent.sequence > started_.sequence &&
+         !(upstream.status_sent.time < upstream.resume_may_arrive_until) &&
          !upstream.is_down && upstream.status.held_term == hold_term_;
 }
 
@@ -174,12 +177,15 @@
 }
 
 void Failover::Step(UpstreamPool* pool, ProxyContext* context) {
-  if (stage_ == FailoverStage::kIdle) return;
+  if (stage_ == FailoverStage::kIdle) {
+    StepResuming(pool, context);
+    return;
+  }
   if (HasNewPrimary(pool)) {
     Finish(pool, context);
     return;
   }
-  LogLostHolds(*pool, context);
+  TrackHolds(pool, context);
   if (stage_ == FailoverStage::kHoldingReplicas) {
     StepHoldingReplicas(pool, context);
   } else {
@@ -240,7 +246,7 @@
   }
   if (!RenewToken(*pool, context)) return;
   uint64_t hold_term = HoldTermOf(term_, lease_.token());
-  if (hold_term != hold_term_) held_.clear();  // They are held anew.
+  if (hold_term != hold_term_) held_at_.clear();  // They are held anew.
   hold_term_ = hold_term;
   // With a token that the store confirmed, such a hold is one left behind.
   if (!lease_.has_token() && IsAnyHoldNewer(*pool)) {
@@ -256,6 +262,11 @@
     all_held_at_ = Instant();
     return;
   }
+  TrackHolds(pool, context);
+  if (!AreHoldsConfirmed(*pool, context)) {
+    RequestHoldEvidence(pool, context);
+    return;
+  }
   if (is_planned()) {
     if (!HasCaughtUp(pool, context)) return;
   } else {
@@ -304,6 +315,15 @@
          !IsExcluded(upstream.record.id, context);
 }
 
+void Failover::RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context) {
+  for (const auto& item : pool->upstreams()) {
+    bool is_missing =
+        MustHold(item.first) && !IsHoldConfirmed(item.second, context);
+    if (!is_missing) continue;
+    SendCommand(item.first, CommandKind::kStatus, pool, context);
+  }
+}
+
 void Failover::ChooseSuccessor(UpstreamPool* pool, ProxyContext* context) {
   successor_ = UpstreamId();
   LogPosition best;
@@ -418,15 +438,19 @@
 }
 
 // A replica whose hold ends before the promotion takes effect may acknowledge
-// commits that the successor lacks.
-void Failover::LogLostHolds(const UpstreamPool& pool, ProxyContext* context) {
-  for (const auto& item : pool.upstreams()) {
+// commits that the successor lacks. So a hold is confirmed by a status that was
+// requested after it was first seen: the upstream has then read what had
+// reached it before, an order to resume included.
+void Failover::TrackHolds(UpstreamPool* pool, ProxyContext* context) {
+  for (const auto& item : pool->upstreams()) {
     const PooledUpstream& upstream = item.second;
     if (IsHeld(upstream)) {
-      held_.insert(item.first);
+      bool is_first = held_at_.emplace(item.first, context->instant()).second;
+      UpstreamCommand status;
+      if (is_first) pool->SendControl(item.first, status, context);
       continue;
     }
-    if (held_.erase(item.first) == 0 || !MustHold(item.first)) continue;
+    if (held_at_.erase(item.first) == 0 || !MustHold(item.first)) continue;
     context->Log(LogLevel::kWarning, kPart, "hold_lost",
                  {{"group", group_.value()},
                   {"upstream", item.first.value()},
@@ -437,6 +461,24 @@
   }
 }
 
+bool Failover::IsHoldConfirmed(const PooledUpstream& upstream,
+                               ProxyContext* context) const {
+  auto held = held_at_.find(upstream.record.id);
+  Duration age = context->now() - upstream.status_sent.time;
+  return held != held_at_.end() &&
+         held->second.sequence < upstream.status_sent.sequence &&
+         age <= kHoldEvidenceAge;
+}
+
+bool Failover::AreHoldsConfirmed(const UpstreamPool& pool,
+                                 ProxyContext* context) const {
+  for (const auto& item : pool.upstreams()) {
+    bool counts = MustHold(item.first) && MayAcknowledge(item.second, context);
+    if (counts && !IsHoldConfirmed(item.second, context)) return false;
+  }
+  return true;
+}
+
 void Failover::RequestPromotion(const UpstreamPool& pool,
                                 ProxyContext* context) {
   stage_ = FailoverStage::kPromotionRequested;
@@ -492,35 +534,95 @@
   }
   // A replica that has restarted is held again.
   HoldReplicas(pool, context);
+  // The replicas are to be resumed as soon as the successor leads.
+  if (!MayResume(context) && lease_.has_token()) {
+    lease_.Acquire(true, term_, context);
+  }
   SendCommand(successor_, CommandKind::kStatus, pool, context);
 }
 
-void Failover::Resume(UpstreamPool* pool, ProxyContext* context) {
+// An order to resume cannot be called back, and would end the hold of another
+// VM if it arrived after it. So it is given only while the lease lasts for the
+// time that the order may take to arrive.
+bool Failover::MayResume(ProxyContext* context) const {
+  if (!lease_.has_token()) {
+    return is_fleet_reachable_ && lease_.MayUseOldToken(term_);
+  }
+  Duration age = context->now() - lease_.granted_at();
+  return age + UpstreamPool::kResumeMaxTransit < DutyLease::kLeaseDuration;
+}
+
+void Failover::ResumeReplicas(UpstreamPool* pool, ProxyContext* context) {
+  uint64_t newest_hold = HoldTermOf(term_, lease_.token());
   UpstreamCommand command;
   command.kind = CommandKind::kResume;
-  for (const auto& item : pool->upstreams()) {
-    bool may_hold = item.first != old_primary_ && !item.second.is_down;
-    if (!may_hold || !pool->SendControl(item.first, command, context)) continue;
+  for (const UpstreamId& id : resuming_) {
+    const PooledUpstream* upstream = pool->FindUpstream(id);
+    bool may_resume = upstream != nullptr && !upstream->is_down &&
+                      upstream->status.held_term <= newest_hold;
+    if (!may_resume || !pool->SendControl(id, command, context)) continue;
     context->Log(LogLevel::kInfo, kPart, "resume_ordered",
                  {{"group", group_.value()},
-                  {"upstream", item.first.value()},
-                  {"held_term", std::to_string(item.second.status.held_term)}});
+                  {"upstream", id.value()},
+                  {"held_term", std::to_string(upstream->status.held_term)}});
+  }
+  resuming_.clear();
+}
+
+void Failover::StepResuming(UpstreamPool* pool, ProxyContext* context) {
+  if (is_ending_holds() && MayResume(context)) {
+    ResumeReplicas(pool, context);
+  } else if (is_ending_holds() && context->now() < resume_deadline_) {
+    if (!lease_.is_acquiring()) lease_.Acquire(true, term_, context);
+    context->WakeAt(resume_deadline_);
+    return;
+  } else if (is_ending_holds()) {
+    resuming_.clear();
+    context->Log(LogLevel::kWarning, kPart, "resume_not_ordered",
+                 {{"group", group_.value()}, {"reason", "no lease"}});
+  }
+  if (!releases_lease_) return;
+  TimePoint until;
+  if (pool->MayResumeArrive(context->now(), &until)) {
+    context->WakeAt(until);
+    return;
+  }
+  releases_lease_ = false;
+  lease_.Release(release_term_, context);
+}
+
+void Failover::EndHolds(const std::set<UpstreamId>& replicas, uint64_t term,
+                        ProxyContext* context) {
+  if (is_active() || is_ending_holds()) return;
+  term_ = term;
+  resuming_ = replicas;
+  resume_deadline_ = context->now() + kResumeTimeout;
+  releases_lease_ = true;
+  release_term_ = term;
+  lease_.Acquire(true, term, context);
+}
+
+void Failover::EndAttempt(uint64_t term, UpstreamPool* pool,
+                          ProxyContext* context) {
+  stage_ = FailoverStage::kIdle;
+  held_position_ = LogPosition();
+  releases_lease_ = true;
+  release_term_ = term;
+  if (has_sent_hold_) {
+    for (const auto& item : pool->upstreams()) {
+      if (item.first != old_primary_) resuming_.insert(item.first);
+    }
+    resume_deadline_ = context->now() + kResumeTimeout;
   }
+  StepResuming(pool, context);
 }
 
 void Failover::GiveUp(const char* reason, UpstreamPool* pool,
                       ProxyContext* context) {
   context->Log(LogLevel::kWarning, kPart, "given_up",
                {{"group", group_.value()}, {"reason", reason}});
-  // If kLeaseDuration passed, for example while this VM was paused, another VM
-  // may hold the replicas by now, so they are not resumed.
-  bool is_holder = has_sent_hold_ && context->now() - lease_.granted_at() <
-                                         DutyLease::kLeaseDuration;
-  if (is_holder) Resume(pool, context);
-  stage_ = FailoverStage::kIdle;
-  held_position_ = LogPosition();
   retry_at_ = context->now() + kRetryDelay;
-  lease_.Release(term_, context);
+  EndAttempt(term_, pool, context);
 }
 
 void Failover::OnOwnershipLost(UpstreamPool* pool, ProxyContext* context) {
@@ -535,11 +637,8 @@
       {{"group", group_.value()},
        {"cause", FailoverCauseName(cause_)},
        {"took_ms", std::to_string((context->now() - started_.time).millis())}});
-  if (has_sent_hold_) Resume(pool, context);
   if (!is_planned()) replacement_time_ = context->now() - started_.time;
-  stage_ = FailoverStage::kIdle;
-  held_position_ = LogPosition();
-  lease_.Release(term_ + 1, context);
+  EndAttempt(term_ + 1, pool, context);
 }
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -69,6 +69,13 @@
   // A token may be used for this long after it was granted.
   static constexpr Duration kTokenMaxAge = Duration::Seconds(1);
 
+  // Replicas that this VM may not order to resume for this time, since it has
+  // no lease, are left to the VM that owns the group by then.
+  static constexpr Duration kResumeTimeout = Duration::Seconds(5);
+  // A promotion is ordered only if each replica has shown within this time that
+  // it is held.
+  static constexpr Duration kHoldEvidenceAge = Duration::Millis(200);
+
   // How long to wait for a replica that has the last acknowledged position.
   // That position is the end of the log when the primary answered, so it may
   // lie above what was acknowledged.
@@ -100,7 +107,7 @@
   // Acquires the lease before it is needed, so that an outage of the store does
   // not delay a replacement.
   void AcquireLeaseInAdvance(uint64_t term, ProxyContext* context) {
-    if (stage_ == FailoverStage::kIdle) lease_.Acquire(false, term, context);
+    if (is_settled()) lease_.Acquire(false, term, context);
   }
 
   // This VM no longer owns the group. Gives up an attempt that has not
@@ -116,7 +123,18 @@
     return has_changed;
   }
 
+  // Ends the holds of these replicas, which no failover needs any more, as soon
+  // as this VM has the lease.
+  void EndHolds(const std::set<UpstreamId>& replicas, uint64_t term,
+                ProxyContext* context);
+
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
+  // True until the replicas that were held are ordered to resume.
+  bool is_ending_holds() const { return !resuming_.empty(); }
+  // True if nothing is left to do after an attempt.
+  bool is_settled() const {
+    return !is_active() && !is_ending_holds() && !releases_lease_;
+  }
   bool is_promoting() const {
     return stage_ == FailoverStage::kPromotionRequested ||
            stage_ == FailoverStage::kAwaitingNewPrimary;
@@ -169,6 +187,7 @@
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
+  void RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context);
   bool IsExcluded(const UpstreamId& id, ProxyContext* context) const;
   bool IsCandidate(const PooledUpstream& upstream, ProxyContext* context) const;
   void ChooseSuccessor(UpstreamPool* pool, ProxyContext* context);
@@ -178,14 +197,21 @@
   void RequestPromotion(const UpstreamPool& pool, ProxyContext* context);
   // Logs what an order of promotion rests on.
   void LogEvidence(const UpstreamPool& pool, ProxyContext* context) const;
-  void LogLostHolds(const UpstreamPool& pool, ProxyContext* context);
+  void TrackHolds(UpstreamPool* pool, ProxyContext* context);
+  bool IsHoldConfirmed(const PooledUpstream& upstream,
+                       ProxyContext* context) const;
+  bool AreHoldsConfirmed(const UpstreamPool& pool, ProxyContext* context) const;
   void SendCommand(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
                    ProxyContext* context);
   bool HasPrimaryReturned(UpstreamPool* pool) const;
   bool HasNewPrimary(UpstreamPool* pool) const;
   void GiveUp(const char* reason, UpstreamPool* pool, ProxyContext* context);
   void Finish(UpstreamPool* pool, ProxyContext* context);
-  void Resume(UpstreamPool* pool, ProxyContext* context);
+  // Ends the attempt; the replicas are resumed and the lease is released.
+  void EndAttempt(uint64_t term, UpstreamPool* pool, ProxyContext* context);
+  void ResumeReplicas(UpstreamPool* pool, ProxyContext* context);
+  bool MayResume(ProxyContext* context) const;
+  void StepResuming(UpstreamPool* pool, ProxyContext* context);
 
   GroupId group_;
   DutyLease lease_;
@@ -209,7 +235,12 @@
   Duration replacement_time_;  // Of the last lost primary; zero: none yet.
   TimePoint retry_at_;
   std::map<UpstreamId, TimePoint> command_sent_at_;
-  std::set<UpstreamId> held_;  // Those that were last seen to be held.
+  // When those that are held were first seen to be.
+  std::map<UpstreamId, Instant> held_at_;
+  std::set<UpstreamId> resuming_;  // Still to be ordered to resume.
+  TimePoint resume_deadline_;
+  bool releases_lease_ = false;  // Once no order to resume is on its way.
+  uint64_t release_term_ = 0;
   std::map<UpstreamId, TimePoint> excluded_until_;
 };
 
--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -50,7 +50,9 @@
 bool GroupOwner::IsSteady(const Work& work, ProxyContext* context) const {
   if (spec_.sync_replicas == 0) return true;
   // The holds of this VM exclude others.
-  if (failover_.is_promoting() && failover_.is_planned()) return true;
+  if (failover_.is_promoting() && failover_.IsChangeExclusive(context->now())) {
+    return true;
+  }
   bool may_be_steady = unconfirmed_.empty() &&
                        pool_.IsListCurrent(context->now()) &&
                        context->now() - work.sent.time <= kMaxSteadyCommitTime;
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -49,7 +49,7 @@
 
 void GroupOwner::Deactivate(ProxyContext* context) {
   bool is_needed = is_assigned_ || !work_.empty() || !transactions_.empty() ||
-                   failover_.is_active() ||
+                   !failover_.is_settled() ||
                    context->now() - last_used_ < kIdleTimeout;
   if (is_needed) return;
   pool_.CloseAll(context);
@@ -316,30 +316,28 @@
   PooledUpstream* primary = Primary();
   if (primary == nullptr || failover_.is_active() || !is_assigned_) return;
   uint64_t term = primary->status.term;
+  std::set<UpstreamId> resumable;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
     if (item.first == primary_ || !upstream.has_status) continue;
-    UpstreamCommand command;
     if (upstream.status.is_primary && upstream.status.term < term) {
-      command.kind = CommandKind::kDemote;
-      command.term = term;
+      UpstreamCommand demote;
+      demote.kind = CommandKind::kDemote;
+      demote.term = term;
+      if (!pool_.SendControl(item.first, demote, context)) continue;
+      context->Log(LogLevel::kInfo, kPart, "demoted",
+                   {{"group", spec_.id.value()},
+                    {"upstream", item.first.value()},
+                    {"term", std::to_string(term)}});
     } else if (upstream.status.held_term != 0) {
       bool is_over = Failover::IsHoldOver(upstream.status.held_term, term);
       bool is_stuck =
           context->now() - upstream.held_since > kStuckHoldTimeout &&
           context->now() - assigned_since_ > kStuckHoldTimeout;
-      if (!is_over && !is_stuck) continue;
-      command.kind = CommandKind::kResume;
-    } else {
-      continue;
+      if (is_over || is_stuck) resumable.insert(item.first);
     }
-    if (!pool_.SendControl(item.first, command, context)) continue;
-    context->Log(LogLevel::kInfo, kPart,
-                 command.kind == CommandKind::kDemote ? "demoted" : "resumed",
-                 {{"group", spec_.id.value()},
-                  {"upstream", item.first.value()},
-                  {"term", std::to_string(term)}});
   }
+  if (!resumable.empty()) failover_.EndHolds(resumable, term, context);
 }
 
 void GroupOwner::RemoveGoneUpstreams(ProxyContext* context) {
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -50,6 +50,7 @@
     PooledUpstream* upstream = pool_.FindUpstream(id);
     upstream->has_status = false;
     upstream->is_down = false;
+    upstream->resume_may_arrive_until = TimePoint();
     upstream->next_open = context->now();
   }
   Reevaluate(context);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -95,7 +95,9 @@
   bool is_assigned() const { return is_assigned_; }
   size_t open_transactions() const { return transactions_.size(); }
   size_t work_count() const { return work_.size(); }
-  bool is_replacing_primary() const { return failover_.is_active(); }
+  bool is_replacing_primary() const {
+    return failover_.is_active() || failover_.is_ending_holds();
+  }
   // Sets whether the other VMs have answered recently. Matters only while a
   // primary is being replaced.
   void SetFleetReachable(bool is_confirmed, ProxyContext* context);
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -137,6 +137,8 @@
   std::string arguments;
   PreparedShape prepared;
   uint64_t term = 0;  // kHold, kDemote.
+  // If set, a status request is sent instead after this time.
+  TimePoint expires;
 };
 
 // Status that an upstream reports.
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -20,6 +20,13 @@
 // Connections that transactions may not pin, reserved for single statements.
 constexpr int kUnpinnedReserve = 2;
 
+bool HasUnansweredResume(const PooledConnection& connection) {
+  return std::any_of(connection.sent.begin(), connection.sent.end(),
+                     [](const SentCommand& command) {
+                       return command.kind == CommandKind::kResume;
+                     });
+}
+
 std::string PreparedStatementName(const PreparedShape& shape) {
   return (shape.writes ? "w_" : "r_") + shape.shape;
 }
@@ -202,10 +209,23 @@
   if (upstream == nullptr) return false;
   PooledConnection* control = Find(upstream->control);
   if (control == nullptr || !control->is_open) return false;
-  Send(control, {command}, StatementNumber(), context);
+  UpstreamCommand sent = command;
+  if (command.kind == CommandKind::kResume) {
+    sent.expires = context->now() + kResumeExpiry;
+    upstream->resume_may_arrive_until = context->now() + kResumeMaxTransit;
+  }
+  Send(control, {sent}, StatementNumber(), context);
   return true;
 }
 
+bool UpstreamPool::MayResumeArrive(TimePoint now, TimePoint* until) const {
+  *until = now;
+  for (const auto& item : upstreams_) {
+    *until = std::max(*until, item.second.resume_may_arrive_until);
+  }
+  return now < *until;
+}
+
 void UpstreamPool::OnOpened(ConnectionId id, LogPosition position,
                             ProxyContext* context) {
   PooledConnection* connection = Find(id);
@@ -236,6 +256,11 @@
                       command.kind == CommandKind::kExecute;
   if (is_statement) upstream.running--;
   upstream.last_answer = context->now();
+  bool resumes = command.kind == CommandKind::kResume;
+  // Only the last order counts: those before it were answered before it.
+  if (resumes && !HasUnansweredResume(*connection)) {
+    upstream.resume_may_arrive_until = TimePoint();
+  }
   if (answer.position.known()) {
     upstream.applied = answer.position;
     upstream.applied_at = context->now();
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -69,7 +69,9 @@
   UpstreamStatus status;
   Instant status_sent;
   TimePoint held_since;  // When its answers first reported the hold.
-  LogPosition applied;   // Position in the last answer.
+  // Until then, an order to resume that was not answered may still arrive.
+  TimePoint resume_may_arrive_until;
+  LogPosition applied;  // Position in the last answer.
   TimePoint applied_at;
 
   // True if the status came on the present control connection. A restart of the
@@ -102,6 +104,12 @@
   static constexpr Duration kListMaxAge = Duration::Millis(3600);
   // Time until the list of upstreams shows the restart of one.
   static constexpr Duration kRestartNoticeTime = Duration::Millis(1500);
+  // An order to resume is sent within this time after it was given, or not.
+  static constexpr Duration kResumeExpiry = Duration::Millis(300);
+  // Time after which an order to resume that was given has arrived or never
+  // will: its expiry and the time for which the transport repeats what the
+  // upstream has not acknowledged.
+  static constexpr Duration kResumeMaxTransit = Duration::Millis(1800);
 
   explicit UpstreamPool(GroupId group) : group_(std::move(group)) {}
 
@@ -149,6 +157,10 @@
   void Send(PooledConnection* connection, std::vector<UpstreamCommand> commands,
             StatementNumber work, ProxyContext* context);
 
+  // True if an order to resume of this VM may still arrive at an upstream; sets
+  // `until` to the latest time at which one may.
+  bool MayResumeArrive(TimePoint now, TimePoint* until) const;
+
   // Sends on the control connection; false if none is open.
   bool SendControl(const UpstreamId& upstream, const UpstreamCommand& command,
                    ProxyContext* context);
--- a/fireflycart/net/stream_socket.cc
+++ b/fireflycart/net/stream_socket.cc
@@ -42,6 +42,14 @@
   WaitForReadable();
 }
 
+void StreamSocket::ResetOnClose() {
+  constexpr int kNoLingerSeconds = 0;
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(true, kNoLingerSeconds),
+                     ignored);
+  resets_on_close_ = true;
+}
+
 void StreamSocket::WaitForReadable() {
   auto self = shared_from_this();
   socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
@@ -122,7 +130,9 @@
   if (closed_) return;
   closed_ = true;
   boost::system::error_code ignored;
-  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  if (!resets_on_close_) {
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  }
   socket_.close(ignored);
 }
 
--- a/fireflycart/net/stream_socket.h
+++ b/fireflycart/net/stream_socket.h
@@ -33,6 +33,9 @@
   // Starts reading. The connection fails if sent bytes remain unacknowledged
   // for user_timeout (TCP_USER_TIMEOUT).
   void Start(Duration user_timeout);
+  // From now on, closing discards what the peer has not received and resets the
+  // connection, also if the process ends. Otherwise the kernel goes on sending.
+  void ResetOnClose();
   void Write(const std::string& bytes);
   // Closes once the kernel has accepted all written bytes.
   void CloseAfterWrites();
@@ -58,6 +61,7 @@
   std::string unsent_;
   bool is_waiting_for_writable_ = false;
   bool closes_after_writes_ = false;
+  bool resets_on_close_ = false;
   bool closed_ = false;
 };
 
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -386,6 +386,7 @@
       continue;
     }
     uint64_t number = it->first;
+    ResetIfCut(vm, number);
     Send(vm->name, upstream_of_[number].value(),
          [this, number] { database_->Close(ConnectionId(number)); });
     connection_numbers_.erase({vm, it->second.second});
@@ -542,6 +543,7 @@
   uint64_t number = found->second;
   for (const proxy::UpstreamCommand& command : e.commands) {
     Send(vm->name, upstream_of_[number].value(), [this, number, command] {
+      if (reset_connections_.count(number) != 0) return;
       database_->Execute(ConnectionId(number), command);
     });
   }
@@ -553,10 +555,18 @@
   uint64_t number = found->second;
   connection_numbers_.erase(found);
   connections_.erase(number);
+  ResetIfCut(vm, number);
   Send(vm->name, upstream_of_[number].value(),
        [this, number] { database_->Close(ConnectionId(number)); });
 }
 
+// A VM resets the connections to upstreams that it closes: what waits on a cut
+// link does not arrive any more.
+void SessionWorld::ResetIfCut(const Vm* vm, uint64_t connection) {
+  bool is_cut = IsCut(vm->name, upstream_of_[connection].value());
+  if (is_cut) reset_connections_.insert(connection);
+}
+
 void SessionWorld::PerformOne(Vm* vm, const CallPeer& e) {
   uint64_t number = ++last_number_;
   uint64_t incarnation = vm->incarnation;
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -155,6 +155,7 @@
   void PerformOne(Vm* vm, const Exit& e);
   Vm* FindVm(const VmId& id);
   void LoseConnection(ConnectionId number);
+  void ResetIfCut(const Vm* vm, uint64_t connection);
   void EndPeerCall(uint64_t number, PeerCallError error,
                    const PeerReplyBody& body);
   void EndProcess(Vm* vm, uint64_t incarnation);
@@ -217,6 +218,7 @@
   std::map<uint64_t, std::string> call_senders_;    // By peer call.
   std::map<uint64_t, UpstreamId> upstream_of_;      // By connection.
   std::set<uint64_t> accepted_connections_;
+  std::set<uint64_t> reset_connections_;  // Closed while their link was cut.
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
   bool ignores_readiness_ = false;
