Keep the lease for an order to resume only until its connection was reset

Callers of a group whose holder had given an attempt up while a connection to a replica was silent waited: the lease was kept for 1.8 s after the order, so no other VM could replace the primary. A control connection that does not answer for 250 ms is closed, and closing resets it; what had not arrived by then does not arrive any more. So 100 ms after that the order counts as over. A VM that is paused does not close it, and keeps the lease to its end.

--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -304,9 +304,7 @@
   PooledConnection removed = Remove(closed.connection);
   if (removed.id == ConnectionId()) return removed;
   PooledUpstream& upstream = upstreams_[removed.upstream];
-  if (removed.is_control && removed.is_open) {
-    upstream.control_lost_at = context->now();
-  }
+  OnControlLost(removed, context);
   if (!removed.is_open && closed.outcome == Outcome::kTooManyConnections) {
     // The upstream is alive; it still counts connections of an earlier owner.
     upstream.next_open = context->now() + kOpenRetryDelay;
@@ -338,12 +336,20 @@
 PooledConnection UpstreamPool::Close(ConnectionId id, ProxyContext* context) {
   context->Emit(CloseUpstream{id});
   PooledConnection removed = Remove(id);
-  if (removed.is_control && removed.is_open) {
-    upstreams_[removed.upstream].control_lost_at = context->now();
-  }
+  OnControlLost(removed, context);
   return removed;
 }
 
+void UpstreamPool::OnControlLost(const PooledConnection& lost,
+                                 ProxyContext* context) {
+  if (!lost.is_control || !lost.is_open) return;
+  PooledUpstream& upstream = upstreams_[lost.upstream];
+  upstream.control_lost_at = context->now();
+  if (!HasUnansweredResume(lost)) return;
+  upstream.resume_may_arrive_until = std::min(
+      upstream.resume_may_arrive_until, context->now() + kResetMaxTransit);
+}
+
 void UpstreamPool::CloseIdle(ProxyContext* context) {
   std::vector<ConnectionId> idle;
   for (const auto& item : connections_) {
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -110,6 +110,8 @@
   // will: its expiry and the time for which the transport repeats what the
   // upstream has not acknowledged.
   static constexpr Duration kResumeMaxTransit = Duration::Millis(1800);
+  // The same for an order whose connection was reset.
+  static constexpr Duration kResetMaxTransit = Duration::Millis(100);
 
   explicit UpstreamPool(GroupId group) : group_(std::move(group)) {}
 
@@ -210,6 +212,8 @@
   void OnOpenFailed(PooledUpstream* upstream, const std::string& reason,
                     ProxyContext* context);
   PooledConnection Remove(ConnectionId id);
+  // An open control connection has ended and was reset.
+  void OnControlLost(const PooledConnection& lost, ProxyContext* context);
 
   GroupId group_;
   int max_connections_ = 1;
