Count a replica as lasting only if no other VM can know better

What callers saw: writes that had been acknowledged were gone after a failover. A VM beside the primary that was cut off from the store and from the other VMs went on taking a replica for one that every failover includes, by a list of any age. The others knew that it was leaving, or had taken it for gone, and replaced the primary without it.

Now such a replica suffices only if the list is current, or all contacts of the VM answer and none has heard of the store either, as in an outage of the store for all. Otherwise every known replica must have the commit. Writes that could not be confirmed are not sent.

--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -4,9 +4,9 @@
 // the one with the longest log. A commit that was acknowledged by a replica
 // that this VM does not know, or that ends before it leads, is lost. So a
 // commit is kept for certain once a lasting replica has received it: one that
-// every VM knows and that does not leave. If there is none, all replicas must
-// have it. In a planned change by this VM, whose lease excludes other
-// failovers, the successor suffices.
+// every VM knows and that does not leave. If there is none, or this VM may not
+// know who leaves, all replicas must have it. In a planned change by this VM,
+// whose lease excludes other failovers, the successor suffices.
 //
 // In a steady group, every replica is lasting and one has just shown that it
 // receives the log, so no status is requested. Otherwise the status of a
@@ -72,6 +72,7 @@
 }
 
 bool GroupOwner::IsKept(LogPosition position, ProxyContext* context) const {
+  bool is_list_trusted = pool_.IsListTrusted(context->now());
   bool has_lasting = false;
   bool has_replica = false;
   bool have_all = true;
@@ -79,7 +80,7 @@
     if (item.first == primary_) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool has_received = HasReceived(item.second, position);
-    if (is_lasting && has_received) return true;
+    if (is_lasting && has_received && is_list_trusted) return true;
     has_lasting = has_lasting || is_lasting;
     have_all = have_all && has_received;
     has_replica = true;
@@ -89,14 +90,15 @@
                        successor != pool_.upstreams().end() &&
                        HasReceived(successor->second, position);
   if (has_successor) return true;
-  return !has_lasting && has_replica && have_all &&
-         pool_.IsListCurrent(context->now());
+  if (!has_replica || !have_all) return false;
+  return has_lasting ? !is_list_trusted : pool_.IsListCurrent(context->now());
 }
 
 // True if commits that are sent now can be confirmed, as far as is known.
 bool GroupOwner::CanKeepCommits(ProxyContext* context) const {
   if (spec_.sync_replicas == 0) return true;
   if (failover_.is_active() && failover_.is_planned()) return true;
+  bool is_list_trusted = pool_.IsListTrusted(context->now());
   bool has_lasting = false;
   bool has_replica = false;
   bool receive_all = true;
@@ -104,13 +106,13 @@
     if (item.first == primary_) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool is_receiving = IsReceiving(item.second);
-    if (is_lasting && is_receiving) return true;
+    if (is_lasting && is_receiving && is_list_trusted) return true;
     has_lasting = has_lasting || is_lasting;
     receive_all = receive_all && is_receiving;
     has_replica = true;
   }
-  return !has_lasting && has_replica && receive_all &&
-         pool_.IsListCurrent(context->now());
+  if (!has_replica || !receive_all) return false;
+  return has_lasting ? !is_list_trusted : pool_.IsListCurrent(context->now());
 }
 
 bool GroupOwner::HasEstablishedReplica(ProxyContext* context) const {
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -74,6 +74,7 @@
 }
 
 void GroupOwner::SetFleetReachable(bool is_confirmed, ProxyContext* context) {
+  pool_.SetFleetReachable(is_confirmed, context->now());
   if (failover_.SetFleetReachable(is_confirmed)) Reevaluate(context);
 }
 
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -98,8 +98,12 @@
   bool is_replacing_primary() const {
     return failover_.is_active() || failover_.is_ending_holds();
   }
-  // Sets whether the other VMs have answered recently. Matters only while a
-  // primary is being replaced.
+  // True while a primary is replaced, or the list of upstreams is out of date:
+  // then it matters whether the other VMs answer.
+  bool needs_fleet_check(TimePoint now) const {
+    return is_replacing_primary() || (is_active_ && !pool_.IsListCurrent(now));
+  }
+  // Sets whether the other VMs have answered recently.
   void SetFleetReachable(bool is_confirmed, ProxyContext* context);
   UpstreamId primary() const { return primary_; }
   size_t connection_count() const { return pool_.connection_count(); }
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -170,11 +170,12 @@
 }
 
 // An owner that replaces a primary needs confirmation that no other VM is doing
-// the same.
+// the same, and one whose list of upstreams is old that no other VM has a newer
+// one.
 void ProxyReducer::CheckFleetReachability() {
   bool has_requested = false;
   for (auto& item : owners_) {
-    if (!item.second->is_replacing_primary()) continue;
+    if (!item.second->needs_fleet_check(context_.now())) continue;
     if (!has_requested) fleet_.ProbeStaleContacts(&context_);
     has_requested = true;
     item.second->SetFleetReachable(fleet_.IsFullyReachable(context_.now()),
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -102,6 +102,7 @@
   // A list of upstreams that was confirmed within this time is current; it is
   // StoreFollower::kStoreAgeLimit.
   static constexpr Duration kListMaxAge = Duration::Millis(3600);
+  static constexpr Duration kFleetCheckMaxAge = Duration::Millis(500);
   // Time until the list of upstreams shows the restart of one.
   static constexpr Duration kRestartNoticeTime = Duration::Millis(1500);
   // An order to resume is sent within this time after it was given, or not.
@@ -124,6 +125,18 @@
   bool IsListCurrent(TimePoint now) const {
     return ListAge(now) <= kListMaxAge;
   }
+  // Sets whether the other VMs have answered recently.
+  void SetFleetReachable(bool is_reachable, TimePoint now) {
+    is_fleet_reachable_ = is_reachable;
+    fleet_checked_at_ = now;
+  }
+  // True if no other VM has a newer list: this one is current, or the store
+  // answers no VM. A VM that is cut off from the store and from other VMs does
+  // not know which upstreams have left since.
+  bool IsListTrusted(TimePoint now) const {
+    bool is_checked = now - fleet_checked_at_ <= kFleetCheckMaxAge;
+    return IsListCurrent(now) || (is_fleet_reachable_ && is_checked);
+  }
   // True if every VM knows the present process of the upstream.
   bool IsEstablished(const PooledUpstream& upstream, TimePoint now) const;
   // True if it is also not about to end, as far as is known.
@@ -219,6 +232,8 @@
   int max_connections_ = 1;
   bool is_sole_owner_ = false;
   TimePoint list_time_;
+  bool is_fleet_reachable_ = false;
+  TimePoint fleet_checked_at_;
   Duration drain_limit_ = Duration::Millis(5500);
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
