Take for written to the lease row what was written, not what is wanted by then

A VM that asked for the promoting row while its idle row was being written took the answer for the promoting one: it believed in an exclusive lease while any VM could replace the row at once. Orders of promotion and to resume rest on that lease.

Now the lease keeps what the write under way contains, and writes the row again if another one is wanted when the answer comes.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -109,7 +109,8 @@
   WriteRow row;
   row.table = StoreTable::kDuties;
   row.key = group_.value();
-  row.value = ValueFor(requested_row_ == RequestedRow::kPromotingRow, context);
+  is_writing_promoting_ = requested_row_ == RequestedRow::kPromotingRow;
+  row.value = ValueFor(is_writing_promoting_, context);
   row.has_condition = true;
   row.expected_version = row_version_;
   context->Emit(StoreCall{write_, kStoreTimeout, row});
@@ -158,12 +159,15 @@
 
 void DutyLease::OnRowWritten(const StoreAnswered& answer,
                              ProxyContext* context) {
-  bool is_promoting = requested_row_ == RequestedRow::kPromotingRow;
+  // Another row may have been requested since the write was sent.
+  bool is_promoting = is_writing_promoting_;
+  RequestedRow written =
+      is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
   has_row_ = true;
   row_version_ = answer.version;
   row_value_ = ValueFor(is_promoting, context);
   row_seen_at_ = context->now();
-  requested_row_ = RequestedRow::kNone;
+  if (requested_row_ == written) requested_row_ = RequestedRow::kNone;
   has_token_ = MakeToken(answer.version, &token_);
   if (!has_token_) {
     context->Log(LogLevel::kError, kPart, "token_too_large",
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(Acquire_RestoredAndHolder_WritesAtOnce);
   CPPUNIT_TEST(Write_AppliedInLaterEra_GivesNoToken);
   CPPUNIT_TEST(Write_AnswerOfEarlierEra_GivesNoToken);
+  CPPUNIT_TEST(Acquire_WhileIdleWriteIsUnanswered_GivesNoTokenYet);
+  CPPUNIT_TEST(Release_WhilePromotingWriteIsUnanswered_RowIsMarkedIdle);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +176,30 @@
     CPPUNIT_ASSERT(!lease_.has_token());
   }
 
+  // The row says idle, so any other VM may replace it at once.
+  void Acquire_WhileIdleWriteIsUnanswered_GivesNoTokenYet() {
+    Begin();
+    lease_.Acquire(false, 4, &context_);
+    AnswerRead({});
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-1 1 idle"), LastWrite().value);
+    lease_.Acquire(true, 4, &context_);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(!lease_.has_token());
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-1 1 promoting"), LastWrite().value);
+  }
+
+  // Otherwise another VM waits for kLeaseDuration.
+  void Release_WhilePromotingWriteIsUnanswered_RowIsMarkedIdle() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    lease_.Release(4, &context_);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(HasOpen<WriteRow>());
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-1 1 idle"), LastWrite().value);
+  }
+
  private:
   void Begin() { context_.Begin(now_, &effects_); }
 
