Follow up orders to resume, and do not press slow replicas

Now an order is followed until a status shows that the replica has resumed, only replicas that can be reached are resumed, a command waits until the last one is answered, and evidence of a hold may be 500 ms old, as an order of promotion may.

No test slows a status down: the model answers it at once. OrderToResume_OnClosedConnection_ expects up-c again, and OfFrozenVm_ that the old primary is replaced: there the order arrives before the next hold, so up-b, which has more then, takes over.

--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -41,6 +41,8 @@
   // Starts to mark the row as idle after a promotion. Keeps the token.
   void Release(uint64_t term, ProxyContext* context);
   bool is_acquiring() const { return requested_row_ != RequestedRow::kNone; }
+  // True if the store did not answer the last call.
+  bool is_failing() const { return store_failures_ > 0; }
   // Stops an acquisition in progress.
   void Cancel() { requested_row_ = RequestedRow::kNone; }
 
@@ -81,6 +83,7 @@
   uint64_t term_ = 0;
   CallId read_;
   CallId write_;
+  bool is_writing_promoting_ = false;  // What the write under way contains.
   TimePoint write_sent_at_;
   bool has_row_ = false;
   StoreVersion row_version_;
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -17,12 +17,16 @@
 
 #include "fireflycart/core/proxy/failover.h"
 
+#include <iterator>
+
 namespace fireflycart::proxy {
 namespace {
 
 constexpr char kPart[] = "failover";
 // How long an upstream that cannot be promoted is no candidate.
 constexpr Duration kNotRunningExclusion = Duration::Seconds(1);
+// Maximum age of a status by which a hold is ended without the lease.
+constexpr Duration kOwnHoldMaxAge = Duration::Millis(100);
 // The lower bits of the term of a hold are those of the token: of its version's
 // number, and above them of its era.
 constexpr int kHoldNumberBits = 32;
@@ -156,24 +160,27 @@
   return !is_planned() || id != successor_;
 }
 
-void Failover::SendCommand(const UpstreamId& id, CommandKind kind,
+bool Failover::SendCommand(const UpstreamId& id, CommandKind kind,
                            UpstreamPool* pool, ProxyContext* context) {
   TimePoint& sent_at = command_sent_at_[id];
   if (sent_at != TimePoint() && context->now() - sent_at < kCommandInterval) {
     context->WakeAt(sent_at + kCommandInterval);
-    return;
+    return false;
   }
+  // A slow upstream is not sent more before it has answered.
+  if (pool->IsControlBusy(id)) return false;
   UpstreamCommand command;
   command.kind = kind;
   command.term = hold_term_;
   bool may_hide_newer = kind == CommandKind::kHold && !lease_.has_token();
   if (may_hide_newer) {
     UpstreamCommand status;
-    if (!pool->SendControl(id, status, context)) return;
+    if (!pool->SendControl(id, status, context)) return false;
   }
-  if (!pool->SendControl(id, command, context)) return;
+  if (!pool->SendControl(id, command, context)) return false;
   sent_at = context->now();
   context->WakeAt(sent_at + kCommandInterval);
+  return true;
 }
 
 void Failover::Step(UpstreamPool* pool, ProxyContext* context) {
@@ -545,41 +552,64 @@
 // VM if it arrived after it. So it is given only while the lease lasts for the
 // time that the order may take to arrive.
 bool Failover::MayResume(ProxyContext* context) const {
-  if (!lease_.has_token()) {
-    return is_fleet_reachable_ && lease_.MayUseOldToken(term_);
-  }
   Duration age = context->now() - lease_.granted_at();
-  return age + UpstreamPool::kResumeMaxTransit < DutyLease::kLeaseDuration;
+  return lease_.has_token() &&
+         age + UpstreamPool::kResumeMaxTransit < DutyLease::kLeaseDuration;
+}
+
+bool Failover::IsResumeOver(const PooledUpstream* upstream) const {
+  if (upstream == nullptr || upstream->is_down) return true;
+  // Without a connection, nothing can be ordered.
+  if (upstream->control_opened.sequence == 0) return true;
+  bool is_known = upstream->is_status_of_this_connection() &&
+                  upstream->status_sent.sequence > resuming_since_.sequence;
+  bool is_held_by_other =
+      upstream->status.held_term > HoldTermOf(term_, lease_.token());
+  return is_known && (upstream->status.held_term == 0 || is_held_by_other);
 }
 
+// While the store does not answer, the lease cannot be renewed. If the replicas
+// stayed held, no commit could be acknowledged until it returns. So a replica
+// that has just shown the hold of this VM is resumed then.
 void Failover::ResumeReplicas(UpstreamPool* pool, ProxyContext* context) {
-  uint64_t newest_hold = HoldTermOf(term_, lease_.token());
-  UpstreamCommand command;
-  command.kind = CommandKind::kResume;
   for (const UpstreamId& id : resuming_) {
     const PooledUpstream* upstream = pool->FindUpstream(id);
-    bool may_resume = upstream != nullptr && !upstream->is_down &&
-                      upstream->status.held_term <= newest_hold;
-    if (!may_resume || !pool->SendControl(id, command, context)) continue;
+    Duration age = context->now() - upstream->status_sent.time;
+    bool shows_own_hold =
+        upstream->is_status_of_this_connection() &&
+        upstream->status_sent.sequence > resuming_since_.sequence &&
+        age <= kOwnHoldMaxAge && upstream->status.held_term == hold_term_;
+    bool may_resume =
+        MayResume(context) || (lease_.is_failing() && shows_own_hold);
+    if (!may_resume && !lease_.is_failing()) continue;
+    CommandKind kind = may_resume ? CommandKind::kResume : CommandKind::kStatus;
+    bool is_sent = SendCommand(id, kind, pool, context);
+    if (!is_sent || !may_resume) continue;
     context->Log(LogLevel::kInfo, kPart, "resume_ordered",
                  {{"group", group_.value()},
                   {"upstream", id.value()},
-                  {"held_term", std::to_string(upstream->status.held_term)}});
+                  {"held_term", std::to_string(upstream->status.held_term)},
+                  {"lease", MayResume(context) ? "yes" : "no"}});
   }
-  resuming_.clear();
 }
 
 void Failover::StepResuming(UpstreamPool* pool, ProxyContext* context) {
-  if (is_ending_holds() && MayResume(context)) {
+  for (auto it = resuming_.begin(); it != resuming_.end();) {
+    bool is_over = IsResumeOver(pool->FindUpstream(*it));
+    it = is_over ? resuming_.erase(it) : std::next(it);
+  }
+  if (is_ending_holds() && context->now() >= resume_deadline_) {
+    resuming_.clear();
+    context->Log(LogLevel::kWarning, kPart, "resume_not_ordered",
+                 {{"group", group_.value()}});
+  }
+  if (is_ending_holds()) {
+    if (!MayResume(context) && !lease_.is_acquiring()) {
+      lease_.Acquire(true, term_, context);
+    }
     ResumeReplicas(pool, context);
-  } else if (is_ending_holds() && context->now() < resume_deadline_) {
-    if (!lease_.is_acquiring()) lease_.Acquire(true, term_, context);
     context->WakeAt(resume_deadline_);
     return;
-  } else if (is_ending_holds()) {
-    resuming_.clear();
-    context->Log(LogLevel::kWarning, kPart, "resume_not_ordered",
-                 {{"group", group_.value()}, {"reason", "no lease"}});
   }
   if (!releases_lease_) return;
   TimePoint until;
@@ -596,6 +626,7 @@
   if (is_active() || is_ending_holds()) return;
   term_ = term;
   resuming_ = replicas;
+  resuming_since_ = context->instant();
   resume_deadline_ = context->now() + kResumeTimeout;
   releases_lease_ = true;
   release_term_ = term;
@@ -612,7 +643,9 @@
     for (const auto& item : pool->upstreams()) {
       if (item.first != old_primary_) resuming_.insert(item.first);
     }
+    resuming_since_ = context->instant();
     resume_deadline_ = context->now() + kResumeTimeout;
+    command_sent_at_.clear();
   }
   StepResuming(pool, context);
 }
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -69,12 +69,12 @@
   // A token may be used for this long after it was granted.
   static constexpr Duration kTokenMaxAge = Duration::Seconds(1);
 
-  // Replicas that this VM may not order to resume for this time, since it has
-  // no lease, are left to the VM that owns the group by then.
+  // Replicas that have not resumed for this time are left to the VM that owns
+  // the group by then.
   static constexpr Duration kResumeTimeout = Duration::Seconds(5);
   // A promotion is ordered only if each replica has shown within this time that
   // it is held.
-  static constexpr Duration kHoldEvidenceAge = Duration::Millis(200);
+  static constexpr Duration kHoldEvidenceAge = Duration::Millis(500);
 
   // How long to wait for a replica that has the last acknowledged position.
   // That position is the end of the log when the primary answered, so it may
@@ -129,7 +129,7 @@
                 ProxyContext* context);
 
   bool is_active() const { return stage_ != FailoverStage::kIdle; }
-  // True until the replicas that were held are ordered to resume.
+  // True until the replicas that were held and can be reached have resumed.
   bool is_ending_holds() const { return !resuming_.empty(); }
   // True if nothing is left to do after an attempt.
   bool is_settled() const {
@@ -201,7 +201,7 @@
   bool IsHoldConfirmed(const PooledUpstream& upstream,
                        ProxyContext* context) const;
   bool AreHoldsConfirmed(const UpstreamPool& pool, ProxyContext* context) const;
-  void SendCommand(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
+  bool SendCommand(const UpstreamId& id, CommandKind kind, UpstreamPool* pool,
                    ProxyContext* context);
   bool HasPrimaryReturned(UpstreamPool* pool) const;
   bool HasNewPrimary(UpstreamPool* pool) const;
@@ -209,6 +209,8 @@
   void Finish(UpstreamPool* pool, ProxyContext* context);
   // Ends the attempt; the replicas are resumed and the lease is released.
   void EndAttempt(uint64_t term, UpstreamPool* pool, ProxyContext* context);
+  // True if the replica needs no order to resume from this VM any more.
+  bool IsResumeOver(const PooledUpstream* upstream) const;
   void ResumeReplicas(UpstreamPool* pool, ProxyContext* context);
   bool MayResume(ProxyContext* context) const;
   void StepResuming(UpstreamPool* pool, ProxyContext* context);
@@ -237,7 +239,8 @@
   std::map<UpstreamId, TimePoint> command_sent_at_;
   // When those that are held were first seen to be.
   std::map<UpstreamId, Instant> held_at_;
-  std::set<UpstreamId> resuming_;  // Still to be ordered to resume.
+  std::set<UpstreamId> resuming_;  // Not known to have resumed yet.
+  Instant resuming_since_;
   TimePoint resume_deadline_;
   bool releases_lease_ = false;  // Once no order to resume is on its way.
   uint64_t release_term_ = 0;
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -319,7 +319,9 @@
   std::set<UpstreamId> resumable;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
-    if (item.first == primary_ || !upstream.has_status) continue;
+    bool is_known = upstream.is_status_of_this_connection() &&
+                    !upstream.is_down && item.first != primary_;
+    if (!is_known) continue;
     if (upstream.status.is_primary && upstream.status.term < term) {
       UpstreamCommand demote;
       demote.kind = CommandKind::kDemote;
@@ -458,7 +460,7 @@
     failover_.Start(FailoverCause::kLeaving, primary_, term, context);
     return;
   }
-  bool requests_lease = !has_requested_lease_ &&
+  bool requests_lease = !has_requested_lease_ && failover_.is_settled() &&
                         context->now() - assigned_since_ > kLeaseRequestDelay;
   if (requests_lease) {
     has_requested_lease_ = true;
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -202,6 +202,13 @@
   context->Emit(SendUpstream{connection->id, std::move(commands)});
 }
 
+bool UpstreamPool::IsControlBusy(const UpstreamId& id) {
+  PooledUpstream* upstream = FindUpstream(id);
+  if (upstream == nullptr) return false;
+  PooledConnection* control = Find(upstream->control);
+  return control != nullptr && !control->sent.empty();
+}
+
 bool UpstreamPool::SendControl(const UpstreamId& id,
                                const UpstreamCommand& command,
                                ProxyContext* context) {
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -176,6 +176,8 @@
   // `until` to the latest time at which one may.
   bool MayResumeArrive(TimePoint now, TimePoint* until) const;
 
+  // True if a command on the control connection is not answered yet.
+  bool IsControlBusy(const UpstreamId& upstream);
   // Sends on the control connection; false if none is open.
   bool SendControl(const UpstreamId& upstream, const UpstreamCommand& command,
                    ProxyContext* context);
--- a/fireflycart/standins/testing/session_failure_test.cc
+++ b/fireflycart/standins/testing/session_failure_test.cc
@@ -84,6 +84,8 @@
   CPPUNIT_TEST(LongestLog_UpstreamEndsBeforePromotion_NoCommitIsLost);
   CPPUNIT_TEST(OrderToResume_OnClosedConnection_NoCommitIsLost);
   CPPUNIT_TEST(OrderToResume_OfFrozenVm_NoCommitIsLost);
+  CPPUNIT_TEST(HeldReplica_OutOfReach_LeaseIsNotRewritten);
+  CPPUNIT_TEST(Replicas_HeldAsStoreGoesAndVmIsDead_AreResumed);
   CPPUNIT_TEST(Answers_Lost_NothingRunsTwice);
   CPPUNIT_TEST(Connections_BreakBeforeAnswers_NothingRunsTwiceAndRefusalsHold);
   CPPUNIT_TEST(Owner_KilledRepeatedly_WritesRunAtMostOnce);
@@ -959,6 +961,8 @@
     GiveUpFailoverWithOrderOnItsWay();
     RunUntilLogged("failover.promotion_ordered");
     DeliverOrderToResume();
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("up-c"), world_->primary().value());
     ExpectTakeover();
   }
 
@@ -973,6 +977,53 @@
     ExpectTakeover();
   }
 
+  void HeldReplica_OutOfReach_LeaseIsNotRewritten() {
+    constexpr int kMaxGrants = 4;
+    world_->Run(Duration::Seconds(10));
+    UpstreamId old = world_->primary();
+    world_->CrashUpstream(old);
+    RunUntilLogged("failover.promotion_ordered");
+    world_->Run(Duration::Millis(20));
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      for (const char* upstream : {"up-a", "up-b", "up-c"}) {
+        UpstreamId id(upstream);
+        bool is_held = id != old && id != world_->last_successor();
+        if (is_held) world_->Cut(vm, upstream);
+      }
+    }
+    RunUntilLogged("failover.finished");
+    world_->RestartUpstream(old);
+    world_->Run(Duration::Seconds(5));
+    world_->TakeLog();
+    world_->Run(Duration::Seconds(10));
+    int granted = 0;
+    for (const std::string& line : world_->TakeLog()) {
+      if (line.find("duty.token_granted") != std::string::npos) granted++;
+    }
+    CPPUNIT_ASSERT(granted <= kMaxGrants);
+  }
+
+  // Neither can the lease be renewed, nor do all VMs answer. No commit can be
+  // acknowledged while both replicas are held.
+  void Replicas_HeldAsStoreGoesAndVmIsDead_AreResumed() {
+    world_->Run(Duration::Seconds(10));
+    std::string old = world_->primary().value();
+    std::string owner = world_->owner().value();
+    world_->KillVm(owner == "vm-2" ? 0 : 2);
+    world_->RefusePromotions(true);
+    world_->Cut(owner, old);
+    RunUntilLogged("failover.promotion_ordered");
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "store");
+    world_->Run(Duration::Seconds(2));
+    world_->Heal(owner, old);
+    RunUntilLogged("failover.given_up");
+    world_->Run(Duration::Seconds(1));
+    for (const char* upstream : {"up-a", "up-b", "up-c"}) {
+      CPPUNIT_ASSERT_EQUAL(uint64_t{0},
+                           world_->database().held_term(UpstreamId(upstream)));
+    }
+  }
+
   // Commits are passed on once all replicas have them.
   void AllReplicas_YoungOrLeaving_WritesAreServed() {
     world_->CrashUpstream(UpstreamId("up-c"));
@@ -1099,7 +1150,8 @@
   // replace the primary.
   void GiveUpFailoverWithOrderOnItsWay() {
     world_->Run(Duration::Seconds(10));
-    std::string old = world_->primary().value();
+    replaced_ = world_->primary();
+    std::string old = replaced_.value();
     first_holder_ = world_->owner();
     std::string first = first_holder_.value();
     std::string beside_primary = first == "vm-2" ? "vm-0" : "vm-2";
@@ -1125,7 +1177,7 @@
 
   // Now up-b is the only replica that receives the log.
   void DeliverOrderToResume() {
-    std::string old = world_->primary().value();
+    std::string old = replaced_.value();
     world_->Cut(old, "up-c");
     world_->Heal(old, "up-b");
     world_->Heal(first_holder_.value(), "up-b");
@@ -1133,11 +1185,11 @@
 
   void ExpectTakeover() {
     world_->Run(Duration::Seconds(2));
-    int promotions = world_->promotions();
+    UpstreamId primary = world_->primary();
     world_->HealAll();
     world_->Run(Duration::Seconds(2));
     ExpectInvariantsHold();
-    CPPUNIT_ASSERT(promotions > 0);
+    CPPUNIT_ASSERT(primary != replaced_);
   }
 
   // Restarts a replica and lets it receive the log of the primary.
@@ -1211,6 +1263,7 @@
   SessionWorldOptions options_;
   std::unique_ptr<SessionWorld> world_;
   VmId first_holder_;
+  UpstreamId replaced_;
   std::vector<std::string> other_vms_;  // Those without the primary in a split.
 };
 
