Prove that the only upstream of a group leads; refuse the rest at once

Cause: the primary counts as current only if a replica confirms it, and no replica is left.

Why it works: while this VM keeps the duty lease without a gap, no other VM can be granted a token. 4 s after the grant, every earlier order has taken effect or never will; a read of the list and a status of each listed upstream then show that only the primary leads, and it does as long as the lease is kept, whatever joins meanwhile. So a joining upstream ends the state without a gap. A VM cut off from the store has no lease: bounded reads go on for their age, the others are refused at once with "primary_not_confirmed" and the ages of the evidence. Writes are refused at once with "no_replica": with syncReplicas 1 no replica would acknowledge them. The lease is taken only when every other upstream leaves or has no entry, so that a separated owner does not keep others from replacing the primary. An order with a token that the store did not confirm now needs the hold of an established upstream, as a fresh joiner alone shows nothing.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -41,6 +41,7 @@
 
 void DutyLease::Acquire(bool is_promoting, uint64_t term,
                         ProxyContext* context) {
+  if (!is_promoting) EndExclusive();
   requested_row_ =
       is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
   term_ = term;
@@ -92,6 +93,7 @@
 void DutyLease::OnStoreRestored(StoreEra era, TimePoint at) {
   if (!(era_ < era)) return;
   era_ = era;
+  EndExclusive();
   has_row_ = false;
   restored_at_ = at;
   was_holder_ = is_last_holder_;
@@ -135,9 +137,11 @@
     // It may have replaced the row of a holder that is promoting.
     was_holder_ = false;
     restored_at_ = context->now();
+    EndExclusive();
   }
   if (!answered || is_other_row || answer.version.era < era_) {
     if (!answered) store_failures_++;
+    failed_at_ = context->now();
     Wait(kRetryDelay, context);
     context->Log(LogLevel::kWarning, kPart, "store_failed",
                  {{"group", group_.value()},
@@ -181,6 +185,11 @@
   token_version_ = answer.version;
   token_term_ = term_;
   granted_at_ = write_sent_at_;
+  if (is_promoting) {
+    // Others do not replace the row before kLeaseDuration after they saw it.
+    if (!IsExclusive(granted_at_)) exclusive_since_ = granted_at_;
+    exclusive_until_ = granted_at_ + kLeaseDuration;
+  }
   context->Log(LogLevel::kInfo, kPart, "token_granted",
                {{"group", group_.value()},
                 {"token", std::to_string(token_)},
@@ -203,6 +212,9 @@
     has_token_ = false;
     is_last_holder_ = false;
   }
+  bool is_own =
+      value == ValueFor(true, context) || value == ValueFor(false, context);
+  if (!is_own) EndExclusive();
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -60,6 +60,15 @@
   // later, for example after a pause of this process.
   TimePoint granted_at() const { return granted_at_; }
 
+  // True if no other VM can have been granted a token since exclusive_since(),
+  // and this VM has ordered no promotion since then.
+  bool IsExclusive(TimePoint now) const { return now < exclusive_until_; }
+  TimePoint exclusive_since() const { return exclusive_since_; }
+  void EndExclusive() { exclusive_until_ = TimePoint(); }
+  StoreEra era() const { return era_; }
+  // When a call last failed; zero: never.
+  TimePoint failed_at() const { return failed_at_; }
+
   // A token that was confirmed in this term may still be used if the store does
   // not answer and no other VM can have taken the lease: a promotion by another
   // VM would have raised the term.
@@ -95,7 +104,10 @@
   StoreVersion token_version_;
   uint64_t token_term_ = 0;
   TimePoint granted_at_;
+  TimePoint exclusive_since_;
+  TimePoint exclusive_until_;
   int store_failures_ = 0;  // Consecutive.
+  TimePoint failed_at_;
   TimePoint next_try_;
   StoreEra era_;
   TimePoint restored_at_;    // Zero: no restore is known.
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -106,6 +106,22 @@
   successor_ = successor;
 }
 
+void Failover::KeepLease(bool is_needed, uint64_t term, ProxyContext* context) {
+  bool is_over = keeps_lease_ && !is_needed;
+  if (!is_settled() || (!is_needed && !is_over)) return;
+  keeps_lease_ = is_needed;
+  if (is_over) {
+    lease_.Release(term, context);
+    return;
+  }
+  if (lease_.is_acquiring()) return;
+  if (context->now() >= next_renewal_) {
+    next_renewal_ = context->now() + kLeaseRenewal;
+    lease_.Acquire(true, term, context);
+  }
+  context->WakeAt(next_renewal_);
+}
+
 TimePoint Failover::expected_end() const {
   bool is_known =
       is_active() && !is_planned() && replacement_time_ != Duration();
@@ -404,11 +420,14 @@
   if (lease_.has_token()) {
     return context->now() - lease_.granted_at() < kTokenMaxAge;
   }
-  // Without a hold, nothing shows that another VM has a newer token.
+  // Without a hold, nothing shows that another VM has a newer token. A VM that
+  // keeps the lease of a group without replicas places none, but it knows the
+  // established upstreams.
   bool holds_any = false;
   for (const auto& item : pool.upstreams()) {
-    holds_any =
-        holds_any || (MustHold(item.first) && item.second.is_registered);
+    bool is_evidence = MustHold(item.first) && item.second.is_registered &&
+                       pool.IsEstablished(item.second, context->now());
+    holds_any = holds_any || is_evidence;
   }
   if (!holds_any) return false;
   return is_fleet_reachable_ && lease_.MayUseOldToken(term_);
@@ -489,6 +508,7 @@
 void Failover::RequestPromotion(const UpstreamPool& pool,
                                 ProxyContext* context) {
   stage_ = FailoverStage::kPromotionRequested;
+  lease_.EndExclusive();
   promotion_ = context->NextCall();
   promotion_requested_at_ = context->now();
   context->Log(LogLevel::kWarning, kPart, "promotion_ordered",
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -75,6 +75,8 @@
   // A promotion is ordered only if each replica has shown within this time that
   // it is held.
   static constexpr Duration kHoldEvidenceAge = Duration::Millis(500);
+  // Interval at which a lease that is kept is renewed.
+  static constexpr Duration kLeaseRenewal = Duration::Seconds(1);
 
   // How long to wait for a replica that has the last acknowledged position.
   // That position is the end of the log when the primary answered, so it may
@@ -107,8 +109,12 @@
   // Acquires the lease before it is needed, so that an outage of the store does
   // not delay a replacement.
   void AcquireLeaseInAdvance(uint64_t term, ProxyContext* context) {
-    if (is_settled()) lease_.Acquire(false, term, context);
+    if (is_settled() && !keeps_lease_) lease_.Acquire(false, term, context);
   }
+  // Keeps the lease while no replacement is active, so that no other VM orders
+  // a promotion; releases it once it is not needed any more.
+  void KeepLease(bool is_needed, uint64_t term, ProxyContext* context);
+  const DutyLease& lease() const { return lease_; }
 
   // This VM no longer owns the group. Gives up an attempt that has not
   // requested a promotion yet; the next owner starts its own.
@@ -231,6 +237,8 @@
   Instant all_held_at_;
   LogPosition held_position_;
   bool has_sent_hold_ = false;
+  bool keeps_lease_ = false;
+  TimePoint next_renewal_;
   bool is_fleet_reachable_ = false;
   CallId promotion_;
   TimePoint promotion_requested_at_;
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -74,15 +74,17 @@
 }
 
 // The maximum age of the last leadership confirmation when the work arrives.
-Duration GroupOwner::MaxConfirmationAge(const Work& work) const {
+Duration GroupOwner::MaxConfirmationAge(const Work& work) {
   if (NeedsUnchallengedPrimary(work)) return kMinPromotionDelay;
   bool only_writes =
       !work.in_transaction() && work.call.access != Access::kRead;
   if (only_writes) return kMaxWriteConfirmationAge;
+  // No other upstream can take over sooner.
+  if (IsSingleUpstream()) return work.call.max_age;
   return std::min(work.call.max_age, kMaxWriteConfirmationAge);
 }
 
-bool GroupOwner::IsPrimaryCurrent(const Work& work) const {
+bool GroupOwner::IsPrimaryCurrent(const Work& work) {
   TimePoint oldest = work.arrived.time - MaxConfirmationAge(work);
   if (!NeedsUnchallengedPrimary(work)) {
     return leadership_.IsConfirmedSince(oldest);
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -116,6 +116,44 @@
   if (!is_confirmed) SendProbe(needs_two, context);
 }
 
+bool GroupOwner::IsSingleUpstream() {
+  return pool_.upstreams().size() == 1 && Primary() != nullptr;
+}
+
+// True if no replica is left, or all of them are about to end. A replica that
+// does not answer but has an entry may serve another VM, which must be able to
+// take the lease.
+bool GroupOwner::MayLackReplicas() {
+  if (!is_assigned_ || Primary() == nullptr) return false;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool lasts = item.first != primary_ && upstream.is_registered &&
+                 !upstream.record.leaving;
+    if (lasts) return false;
+  }
+  return true;
+}
+
+void GroupOwner::ProveSoleLeadership(ProxyContext* context) {
+  // After an upstream has joined, until it confirms the primary.
+  constexpr Duration kJoinTime = Duration::Seconds(2);
+  if (MayLackReplicas()) lacks_replicas_at_ = context->now();
+  bool is_needed = is_assigned_ && lacks_replicas_at_ != TimePoint() &&
+                   context->now() - lacks_replicas_at_ < kJoinTime;
+  const PooledUpstream* primary = pool_.FindUpstream(primary_);
+  uint64_t term = primary == nullptr ? 0 : primary->status.term;
+  failover_.KeepLease(is_needed, term, context);
+  if (!is_needed) return;
+  context->WakeAtCoarse(lacks_replicas_at_ + kJoinTime);
+  sole_leadership_.Step(failover_.lease(), pool_, primary_, context);
+  bool is_proven =
+      sole_leadership_.IsProven(failover_.lease(), context->now()) &&
+      pool_.IsListCurrent(context->now());
+  if (is_proven) {
+    leadership_.OnUnchallenged(context->instant());
+  }
+}
+
 void GroupOwner::SendProbe(bool needs_two, ProxyContext* context) {
   // One request at a time; if it is not answered within this time, the next
   // one goes to all replicas.
--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -52,6 +52,28 @@
   }
 }
 
+// Refuses at once what the only upstream of a group cannot serve: commits that
+// no replica would acknowledge, and reads that must not run there since nothing
+// shows that it leads.
+void GroupOwner::RefuseWithoutReplica(ProxyContext* context) {
+  if (queue_.size() == 0 || !IsSingleUpstream()) return;
+  bool is_proven = leadership_.IsUnchallengedSince(context->now());
+  for (Work* work : queue_.All()) {
+    bool may_write = work->in_transaction()
+                         ? work->call.transaction == TransactionKind::kReadWrite
+                         : work->call.access != Access::kRead;
+    if (may_write && spec_.sync_replicas > 0) {
+      work->reply.detail = "no replica is left to acknowledge commits";
+      Fail(work, Outcome::kBusy, "no_replica", context);
+    } else if (!is_proven && !IsPrimaryCurrent(*work)) {
+      work->reply.detail =
+          "no replica is left to confirm the primary, " +
+          sole_leadership_.Describe(failover_.lease(), context->now());
+      Fail(work, Outcome::kBusy, "primary_not_confirmed", context);
+    }
+  }
+}
+
 LaneSnapshot GroupOwner::LaneSnapshotOf(Lane lane, ProxyContext* context) {
   LaneSnapshot snapshot;
   snapshot.now = context->now();
@@ -97,7 +119,8 @@
 // True if this VM can serve nothing: it reaches no upstream, or only a primary
 // that no replica has confirmed for a while. The status requests show when
 // that changes.
-bool GroupOwner::IsCutOff(ProxyContext* context) const {
+bool GroupOwner::IsCutOff(ProxyContext* context) {
+  if (IsSingleUpstream()) return false;  // See RefuseWithoutReplica().
   bool reaches_primary = false;
   for (const auto& item : pool_.upstreams()) {
     if (item.second.is_down) continue;
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -22,7 +22,8 @@
     : spec_(std::move(spec)),
       reply_handler_(reply_handler),
       pool_(spec_.id),
-      failover_(spec_.id) {
+      failover_(spec_.id),
+      sole_leadership_(spec_.id) {
   pool_.SetMaxConnections(spec_.max_connections);
 }
 
@@ -68,6 +69,8 @@
     Activate(context);
   } else {
     failover_.OnOwnershipLost(&pool_, context);
+    failover_.KeepLease(false, 0, context);
+    lacks_replicas_at_ = TimePoint();
     pool_.CloseIdle(context);
   }
   Reevaluate(context);
@@ -230,7 +233,9 @@
 }
 
 bool GroupOwner::OnStore(const StoreAnswered& answer, ProxyContext* context) {
-  if (!failover_.OnStore(answer, context)) return false;
+  bool is_own = failover_.OnStore(answer, context) ||
+                sole_leadership_.OnStore(answer, context);
+  if (!is_own) return false;
   Reevaluate(context);
   return true;
 }
@@ -261,8 +266,10 @@
   CheckFailover(context);
   failover_.Step(&pool_, context);
   CheckLagReliefEnded(context);
+  ProveSoleLeadership(context);
   KeepLeadershipConfirmed(context);
   Dispatch(context);
+  RefuseWithoutReplica(context);
   ReviewQueue(context);
   Deactivate(context);
 }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -28,6 +28,7 @@
 #include "fireflycart/core/admission/service_times.h"
 #include "fireflycart/core/proxy/failover.h"
 #include "fireflycart/core/proxy/leadership_tracker.h"
+#include "fireflycart/core/proxy/sole_leadership.h"
 #include "fireflycart/core/proxy/upstream_pool.h"
 #include "fireflycart/core/proxy/work_queue.h"
 
@@ -145,9 +146,10 @@
 
   // Defined in group_load.cc.
   void ReviewQueue(ProxyContext* context);
+  void RefuseWithoutReplica(ProxyContext* context);
   LaneSnapshot LaneSnapshotOf(Lane lane, ProxyContext* context);
   double ConcurrencyOf(Lane lane, ProxyContext* context);
-  bool IsCutOff(ProxyContext* context) const;
+  bool IsCutOff(ProxyContext* context);
   TimePoint AvailableAt(const Work& work, ProxyContext* context) const;
   void ConsiderLagRelief(ProxyContext* context);
   void CheckLagReliefEnded(ProxyContext* context);
@@ -156,9 +158,13 @@
   std::string FormatUpstreams(ProxyContext* context) const;
 
   bool NeedsUnchallengedPrimary(const Work& work) const;
-  Duration MaxConfirmationAge(const Work& work) const;
-  bool IsPrimaryCurrent(const Work& work) const;
+  Duration MaxConfirmationAge(const Work& work);
+  bool IsPrimaryCurrent(const Work& work);
   void KeepLeadershipConfirmed(ProxyContext* context);
+  // True if the group has no upstream but the primary, as far as is known.
+  bool IsSingleUpstream();
+  bool MayLackReplicas();
+  void ProveSoleLeadership(ProxyContext* context);
   // Requests the status of one replica, or of two if they are to confirm that
   // no promotion was requested.
   void SendProbe(bool needs_two, ProxyContext* context);
@@ -231,6 +237,8 @@
   UpstreamPool pool_;
   LeadershipTracker leadership_;
   Failover failover_;
+  SoleLeadership sole_leadership_;
+  TimePoint lacks_replicas_at_;  // When it last did; zero: never.
   WorkQueue queue_;
   std::map<StatementNumber, std::unique_ptr<Work>> work_;
   std::map<TransactionKey, Transaction> transactions_;
--- a/fireflycart/core/proxy/leadership_tracker.cc
+++ b/fireflycart/core/proxy/leadership_tracker.cc
@@ -48,9 +48,16 @@
   last_received_ = sent;
 }
 
+void LeadershipTracker::OnUnchallenged(Instant at) {
+  OnConfirmed(at);
+  unchallenged_ = at;
+  is_unchallenged_ = true;
+}
+
 void LeadershipTracker::Reset() {
   samples_.clear();
   is_confirmed_ = false;
+  is_unchallenged_ = false;
   last_receiver_ = UpstreamId();
   other_receiver_ = UpstreamId();
 }
--- a/fireflycart/core/proxy/leadership_tracker.h
+++ b/fireflycart/core/proxy/leadership_tracker.h
@@ -44,6 +44,10 @@
   // the primary.
   void OnReplicaReceives(const UpstreamId& replica, Instant sent);
 
+  // Records that no promotion was requested until that instant, by other
+  // evidence than replicas.
+  void OnUnchallenged(Instant at);
+
   // Discards all records, since they apply to a primary that was replaced.
   void Reset();
 
@@ -57,11 +61,13 @@
 
   // True if no promotion had been requested by some time after the given one.
   bool IsUnchallengedSince(uint64_t sequence) const {
-    return other_receiver_ != UpstreamId() &&
-           other_received_.sequence >= sequence;
+    return (other_receiver_ != UpstreamId() &&
+            other_received_.sequence >= sequence) ||
+           (is_unchallenged_ && unchallenged_.sequence >= sequence);
   }
   bool IsUnchallengedSince(TimePoint time) const {
-    return other_receiver_ != UpstreamId() && other_received_.time >= time;
+    return (other_receiver_ != UpstreamId() && other_received_.time >= time) ||
+           (is_unchallenged_ && unchallenged_.time >= time);
   }
 
   // Returns the oldest sampled position that covers every commit acknowledged
@@ -85,6 +91,8 @@
   std::deque<Sample> samples_;  // In order of time and position.
   Instant confirmed_;
   bool is_confirmed_ = false;
+  Instant unchallenged_;  // By other evidence than replicas.
+  bool is_unchallenged_ = false;
   // The replica that received the log last, and the last one besides it.
   UpstreamId last_receiver_;
   Instant last_received_;
