Lead with an upstream that answers, not with its dead id

Cause: UpdatePrimary took the last status of each upstream, whether or not it still answers. The dead id and the new one had the same term, so the first in order won. The owner started a failover against the dead id, gave it up since "the primary answers", and began again twice a second. At equal terms the better evidence counts now: down, answered before, answers on the present connection. A newer term still counts in any case, also if its primary is down, so nothing of an earlier term is led with.

A commit that waits for a replica when the primary comes back in its own term goes on waiting: that this primary has it does not show that the next one will.

--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -198,6 +198,12 @@
   for (StatementNumber number : waiting) {
     Work* work = FindWork(number);
     if (work == nullptr) continue;
+    // That the primary of this term has it does not show that the next one
+    // will.
+    if (work->reply.position.term == new_primary.status.term) {
+      unconfirmed_.push_back(number);
+      continue;
+    }
     if (HasReceived(new_primary, work->reply.position)) {
       PassOnCommit(work, context);
     } else {
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -32,6 +32,20 @@
 // A data connection with a command unanswered for this time is closed.
 constexpr Duration kCommandTimeout = Duration::Seconds(3);
 
+// True if its last status says that it leads, whether or not it still answers.
+bool HasLed(const PooledUpstream& upstream) {
+  return upstream.has_status && upstream.status.is_primary;
+}
+
+// How well the last status shows that the upstream still leads in its term.
+// Only one leads in a term, but one that crashed may be back under another id,
+// and its earlier id stays known for a while. A newer term counts in any case:
+// it has ended the earlier ones, also if its primary does not answer.
+int LeadEvidence(const PooledUpstream& upstream) {
+  if (upstream.is_down) return 0;
+  return upstream.is_status_of_this_connection() ? 2 : 1;
+}
+
 }  // namespace
 
 void GroupOwner::Activate(ProxyContext* context) {
@@ -181,14 +195,21 @@
 void GroupOwner::UpdatePrimary(ProxyContext* context) {
   UpstreamId best;
   uint64_t best_term = 0;
+  int best_evidence = 0;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
-    bool leads = upstream.has_status && upstream.status.is_primary;
-    if (!leads || (best != UpstreamId() && upstream.status.term <= best_term)) {
-      continue;
+    if (!HasLed(upstream)) continue;
+    uint64_t term = upstream.status.term;
+    int evidence = LeadEvidence(upstream);
+    bool is_better = best == UpstreamId() || term > best_term;
+    if (!is_better && term == best_term) {
+      is_better = evidence != best_evidence ? evidence > best_evidence
+                                            : item.first == primary_;
     }
+    if (!is_better) continue;
     best = item.first;
-    best_term = upstream.status.term;
+    best_term = term;
+    best_evidence = evidence;
   }
   if (best == UpstreamId() || best == primary_) {
     if (best != UpstreamId()) without_primary_since_ = context->now();
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -203,6 +203,7 @@
   void RequestCommitEvidence(ProxyContext* context);
   void PassOnKeptCommits(ProxyContext* context);
   // Ends the commits that wait for a replica when that upstream has taken over.
+  // Those of its own term, in which it led under another id, go on waiting.
   void SettleCommits(const PooledUpstream& new_primary, ProxyContext* context);
   void AbortTransaction(const TransactionKey& key, bool close,
                         ProxyContext* context);
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -5,6 +5,8 @@
 #include "fireflycart/standins/database_model.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace fireflycart::standins {
 namespace {
@@ -472,6 +474,17 @@
   if (started.term < NewestTerm()) started.is_primary = false;
 }
 
+void DatabaseModel::RestartAs(const UpstreamId& crashed, const UpstreamId& id) {
+  Upstream upstream = upstreams_.at(crashed);
+  upstreams_.erase(crashed);
+  // Promotions name an id, and nothing runs under the earlier one any more.
+  for (auto it = promotions_.begin(); it != promotions_.end();) {
+    it = it->upstream == crashed ? promotions_.erase(it) : std::next(it);
+  }
+  upstreams_[id] = std::move(upstream);
+  Restart(id);
+}
+
 void DatabaseModel::Rebirth(const UpstreamId& upstream) {
   Upstream fresh;
   fresh.term = 0;
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -88,6 +88,8 @@
   // Ends the upstream; its log stays. Its connections are lost.
   std::vector<DatabaseOutput> Crash(const UpstreamId& upstream);
   void Restart(const UpstreamId& upstream);
+  // Starts an upstream that has crashed with its log under another id.
+  void RestartAs(const UpstreamId& crashed, const UpstreamId& id);
   // Starts under the same id with nothing.
   void Rebirth(const UpstreamId& upstream);
   // Cuts or mends the way between two upstreams.
--- /dev/null
+++ b/fireflycart/standins/testing/session_return_test.cc
@@ -0,0 +1,210 @@
+// Upstreams crash and return with their logs under new ids, in virtual time.
+// The group has to lead with what answers now, and nothing may be lost.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fireflycart/standins/testing/session_world.h"
+
+namespace fireflycart::standins {
+namespace {
+
+constexpr uint64_t kSeed = 5;
+// All upstreams are known for so long that every failover includes them.
+constexpr Duration kWarmUp = Duration::Seconds(10);
+// A registry entry lapses after three heartbeats of silence.
+constexpr Duration kLapse = Duration::Millis(3600);
+// Service objective: writes resume this long after the primary has returned.
+constexpr Duration kResume = Duration::Seconds(2);
+
+class SessionReturnTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionReturnTest);
+  CPPUNIT_TEST(PrimaryAndReplica_ReturnUnderLaterIds_ServiceResumes);
+  CPPUNIT_TEST(PrimaryAndReplica_ReturnUnderEarlierIds_ServiceResumes);
+  CPPUNIT_TEST(PrimaryAndReplica_ReturnBeforeEntriesLapse_ServiceResumes);
+  CPPUNIT_TEST(PrimaryAndReplica_ReturnAfterHolderChanged_ServiceResumes);
+  CPPUNIT_TEST(PrimaryAndReplica_ReturnBeforeHolderChanges_ServiceResumes);
+  CPPUNIT_TEST(AllUpstreams_ReturnUnderNewIds_ServiceResumes);
+  CPPUNIT_TEST(AllUpstreams_ReturnBeforeEntriesLapse_ServiceResumes);
+  CPPUNIT_TEST(Primary_ReturnsAsReplicaUnderNewId_NewPrimaryLeads);
+  CPPUNIT_TEST(Primary_ReturnsWhilePromotionTakesEffect_NothingIsLost);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    SessionWorldOptions options;
+    world_ = std::make_unique<SessionWorld>(options, kSeed);
+    world_->Run(kWarmUp);
+    CPPUNIT_ASSERT_EQUAL(std::string("up-a"), world_->primary().value());
+  }
+
+  // The dead id of the primary sorts before the one that it returns under.
+  void PrimaryAndReplica_ReturnUnderLaterIds_ServiceResumes() {
+    Crash({"up-a", "up-b"});
+    LapseAfter(kLapse);
+    world_->Run(Duration::Millis(1400));
+    ReturnAs({"up-d", "up-e"});
+    ExpectServiceResumesWith("up-d");
+  }
+
+  void PrimaryAndReplica_ReturnUnderEarlierIds_ServiceResumes() {
+    Crash({"up-a", "up-b"});
+    LapseAfter(kLapse);
+    world_->Run(Duration::Millis(1400));
+    ReturnAs({"up-1", "up-2"});
+    ExpectServiceResumesWith("up-1");
+  }
+
+  void PrimaryAndReplica_ReturnBeforeEntriesLapse_ServiceResumes() {
+    for (const char* prefix : {"up-x", "up-0"}) {
+      setUp();
+      Crash({"up-a", "up-b"});
+      world_->Run(Duration::Seconds(1));
+      std::string primary = prefix + std::string("1");
+      ReturnAs({primary, prefix + std::string("2")});
+      world_->Run(Duration::Seconds(1));
+      int writes = world_->counts().writes;
+      LapseAfter(kLapse - Duration::Seconds(2));
+      CPPUNIT_ASSERT(world_->counts().writes > writes + 50);
+      ExpectServiceResumesWith(primary);
+    }
+  }
+
+  // The hold of the killed VM stays for 10 s, since a promotion that it ordered
+  // might take effect.
+  void PrimaryAndReplica_ReturnAfterHolderChanged_ServiceResumes() {
+    constexpr Duration kStuckHold = Duration::Seconds(10);
+    Crash({"up-a", "up-b"});
+    LapseAfter(kLapse);
+    KillOwner();
+    world_->Run(Duration::Millis(1400));
+    ReturnAs({"up-d", "up-e"});
+    world_->Run(kStuckHold);
+    ExpectServiceResumesWith("up-d");
+  }
+
+  void PrimaryAndReplica_ReturnBeforeHolderChanges_ServiceResumes() {
+    Crash({"up-a", "up-b"});
+    LapseAfter(kLapse);
+    world_->Run(Duration::Millis(1400));
+    ReturnAs({"up-d", "up-e"});
+    world_->Run(Duration::Millis(20));
+    KillOwner();
+    ExpectServiceResumesWith("up-d");
+  }
+
+  void AllUpstreams_ReturnUnderNewIds_ServiceResumes() {
+    for (const char* prefix : {"up-x", "up-0"}) {
+      setUp();
+      Crash({"up-a", "up-b", "up-c"});
+      LapseAfter(kLapse);
+      world_->Run(Duration::Millis(1400));
+      std::string primary = prefix + std::string("1");
+      ReturnAs({primary, prefix + std::string("2"), prefix + std::string("3")});
+      ExpectServiceResumesWith(primary);
+    }
+  }
+
+  // The dead replicas count until their entries have been missing for
+  // kUnregisteredTimeout, since another VM might still hold only them.
+  void AllUpstreams_ReturnBeforeEntriesLapse_ServiceResumes() {
+    Crash({"up-a", "up-b", "up-c"});
+    world_->Run(Duration::Seconds(2));
+    ReturnAs({"up-x", "up-y", "up-z"});
+    LapseAfter(kLapse - Duration::Seconds(2));
+    world_->Run(proxy::Failover::kUnregisteredTimeout);
+    ExpectServiceResumesWith("up-x");
+  }
+
+  void Primary_ReturnsAsReplicaUnderNewId_NewPrimaryLeads() {
+    Crash({"up-a"});
+    world_->Run(Duration::Seconds(3));
+    std::string leader = world_->primary().value();
+    CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+    ReturnAs({"up-0"});
+    LapseAfter(Duration::Millis(600));
+    ExpectServiceResumesWith(leader);
+    CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+  }
+
+  // The returned primary goes on in its term until it is demoted.
+  void Primary_ReturnsWhilePromotionTakesEffect_NothingIsLost() {
+    for (const char* id : {"up-0", "up-x"}) {
+      setUp();
+      Crash({"up-a"});
+      RunUntilLogged("failover.promotion_ordered");
+      ReturnAs({id});
+      world_->Run(Duration::Seconds(3));
+      CPPUNIT_ASSERT_EQUAL(1, world_->promotions());
+      ExpectServiceResumesWith(world_->primary().value());
+    }
+  }
+
+ private:
+  void Crash(const std::vector<std::string>& ids) {
+    crashed_.clear();
+    for (const std::string& id : ids) {
+      crashed_.emplace_back(id);
+      world_->CrashUpstream(UpstreamId(id));
+    }
+  }
+
+  void LapseAfter(Duration time) {
+    world_->Run(time);
+    for (const UpstreamId& id : crashed_) world_->Unregister(id);
+  }
+
+  void ReturnAs(const std::vector<std::string>& ids) {
+    for (size_t i = 0; i < ids.size(); i++) {
+      world_->RestartUpstreamAs(crashed_[i], UpstreamId(ids[i]));
+    }
+  }
+
+  void KillOwner() { world_->KillVm(world_->owner().value().back() - '0'); }
+
+  void RunUntilLogged(const std::string& event) {
+    constexpr Duration kMaxWait = Duration::Seconds(6);
+    world_->TakeLog();
+    TimePoint end = world_->now() + kMaxWait;
+    while (world_->now() < end) {
+      world_->Run(Duration::Millis(1));
+      for (const std::string& line : world_->TakeLog()) {
+        if (line.find(event) != std::string::npos) return;
+      }
+    }
+    CPPUNIT_FAIL("not logged: " + event);
+  }
+
+  // The group serves all callers after kResume, and goes on.
+  void ExpectServiceResumesWith(const std::string& primary) {
+    constexpr Duration kServed = Duration::Seconds(3);
+    world_->Run(kResume);
+    world_->ResetCounts();
+    world_->ResetGaps();
+    world_->Run(kServed);
+    const SessionCounts& counts = world_->counts();
+    std::string message = std::to_string(counts.writes) + " writes, " +
+                          std::to_string(counts.done) + " done, " +
+                          std::to_string(counts.refused) + " refused";
+    std::cout << " " << message;
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+    CPPUNIT_ASSERT_EQUAL(primary, world_->primary().value());
+    CPPUNIT_ASSERT_MESSAGE(message, counts.writes > 100);
+    CPPUNIT_ASSERT_MESSAGE(message, counts.refused == 0);
+    CPPUNIT_ASSERT(counts.write_gap <= 200 && counts.read_gap <= 200);
+    world_->CheckEffects();
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+  }
+
+  std::unique_ptr<SessionWorld> world_;
+  std::vector<UpstreamId> crashed_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionReturnTest);
+
+}  // namespace
+}  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -453,6 +453,18 @@
   if (unregistered_.count(id) == 0) PutUpstream(id);
 }
 
+void SessionWorld::RestartUpstreamAs(const UpstreamId& crashed,
+                                     const UpstreamId& id) {
+  database_->RestartAs(crashed, id);
+  proxy::UpstreamRecord record = records_[crashed];
+  record.id = id;
+  record.started_ms = now_.millis();
+  record.leaving = false;
+  record.is_primary = database_->primary() == id;
+  records_[id] = record;
+  PutUpstream(id);
+}
+
 void SessionWorld::ReplaceUpstream(const UpstreamId& id) {
   database_->Rebirth(id);
   records_[id].started_ms = now_.millis();
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -95,6 +95,9 @@
   void CrashUpstream(const UpstreamId& id);
   // Starts the upstream again with its log; it registers itself.
   void RestartUpstream(const UpstreamId& id);
+  // Starts a crashed upstream with its log under another id; it registers
+  // itself. The earlier entry stays until Unregister().
+  void RestartUpstreamAs(const UpstreamId& crashed, const UpstreamId& id);
   // Starts a new upstream with an empty log in its place.
   void ReplaceUpstream(const UpstreamId& id);
   void Drain(const UpstreamId& id);
