Replace a primary that was demoted and whose successor is gone

Callers: nothing is served until the successor returns, if it ever does.

Cause: a VM that last saw the primary say that it is a replica kept its id as the primary. CheckFailover only looked whether it is down or leaves, so with no leader in sight nothing started a failover. It now treats the group as without a primary, which holds the demoted upstream like any other replica, since it may acknowledge commits of a primary that this VM does not know. Its own answer that it is a replica counts over its entry, and such an id is removed once it is gone; only a primary that led to the last is kept.

--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -405,7 +405,8 @@
   std::vector<UpstreamId> gone;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
-    bool is_gone = !upstream.is_registered && item.first != primary_ &&
+    bool is_gone = !upstream.is_registered &&
+                   !(item.first == primary_ && HasLed(upstream)) &&
                    context->now() - upstream.unregistered_at >=
                        Failover::kUnregisteredTimeout;
     if (is_gone) gone.push_back(item.first);
@@ -435,7 +436,9 @@
     const PooledUpstream& upstream = item.second;
     bool is_fresh = upstream.has_status && !upstream.is_down;
     if (is_fresh) term = std::max(term, upstream.status.term);
-    bool claims = upstream.record.is_primary && upstream.is_registered;
+    // Its own later answer, that it is a replica, refutes its entry.
+    bool claims = upstream.record.is_primary && upstream.is_registered &&
+                  (!upstream.has_status || upstream.status.is_primary);
     if (claims && upstream.is_down) registered_primary = item.first;
     all_answered = all_answered && is_fresh;
   }
@@ -503,7 +506,9 @@
 void GroupOwner::CheckFailover(ProxyContext* context) {
   if (!is_assigned_ || failover_.is_active()) return;
   PooledUpstream* primary = pool_.FindUpstream(primary_);
-  if (primary == nullptr || !primary->has_status) {
+  // One that was demoted may acknowledge commits of a primary that this VM does
+  // not know, so it is held like any other replica.
+  if (primary == nullptr || !HasLed(*primary)) {
     CheckLeaderless(context);
     return;
   }
--- a/fireflycart/standins/testing/session_return_test.cc
+++ b/fireflycart/standins/testing/session_return_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(AllUpstreams_ReturnBeforeEntriesLapse_ServiceResumes);
   CPPUNIT_TEST(Primary_ReturnsAsReplicaUnderNewId_NewPrimaryLeads);
   CPPUNIT_TEST(Primary_ReturnsWhilePromotionTakesEffect_NothingIsLost);
+  CPPUNIT_TEST(Primary_DemotedAndSuccessorGone_IsReplaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,6 +145,23 @@
     }
   }
 
+  // Another VM's promotion: its successor demotes the primary and ends before
+  // any VM has reached it. No commit is under way that would show this.
+  void Primary_DemotedAndSuccessorGone_IsReplaced() {
+    UpstreamId successor("up-b");
+    world_->PauseCallers(true);
+    world_->Run(Duration::Millis(500));
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) world_->Cut(vm, "up-b");
+    CPPUNIT_ASSERT(world_->database().Promote(successor, world_->now()));
+    world_->Run(Duration::Seconds(2));
+    world_->CrashUpstream(successor);
+    world_->Unregister(successor);
+    world_->Run(Duration::Seconds(5));
+    world_->HealAll();
+    world_->PauseCallers(false);
+    ExpectServiceResumesWith(world_->primary().value());
+  }
+
  private:
   void Crash(const std::vector<std::string>& ids) {
     crashed_.clear();
