Refuse at once what waits for a primary that cannot be replaced yet

Callers: while a primary and a replica did not answer, each statement that needs a primary was held until its time was over and then refused.

Cause: the outlook of the queue took reads as served at the successor and writes as served after an earlier replacement's time. A failover waits for a replica that does not answer until its entry has been missing for 2.3 s. The outlook now counts this time, and what has less time left is refused with the reason no_primary_in_sight. Reads for which a replica may hold a known position, and all work once the promotion is ordered, wait as before.

--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -47,7 +47,11 @@
       work->reply.detail =
           "expected wait " + std::to_string(statement.expected_wait.millis()) +
           " ms, " + std::to_string(statement.time_left.millis()) + " ms left";
-      Fail(work, Outcome::kBusy, "cannot_be_served_in_time", context);
+      bool lacks_primary = PrimaryBlockedUntil(context) != TimePoint() &&
+                           context->now() < AvailableAt(*work, context);
+      Fail(work, Outcome::kBusy,
+           lacks_primary ? "no_primary_in_sight" : "cannot_be_served_in_time",
+           context);
     }
   }
 }
@@ -131,13 +135,37 @@
          !leadership_.IsConfirmedSince(context->now() - kMaxConfirmationAge);
 }
 
-// Reads are served at the successor while the primary is being replaced.
-TimePoint GroupOwner::AvailableAt(const Work& work,
-                                  ProxyContext* context) const {
+// When the primary can be replaced at the earliest while a replica that has to
+// be held for that does not answer; zero if none of them is in the way. The
+// replica or the primary may answer earlier, but nothing says that it will.
+TimePoint GroupOwner::PrimaryBlockedUntil(ProxyContext* context) {
+  bool is_replacing = failover_.is_active() && !failover_.is_planned();
+  if (failover_.is_promoting()) return TimePoint();
+  if (Primary() != nullptr && !is_replacing) return TimePoint();
+  TimePoint until;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool must_hold = item.first != primary_ && !upstream.record.is_primary;
+    if (!must_hold || !upstream.is_down) continue;
+    TimePoint missing_since =
+        upstream.is_registered ? context->now() : upstream.unregistered_at;
+    until = std::max(until, missing_since + Failover::kUnregisteredTimeout);
+  }
+  return context->now() < until ? until : TimePoint();
+}
+
+// Reads are served at the successor while the primary is being replaced, and at
+// a replica if a position is known that it has to have.
+TimePoint GroupOwner::AvailableAt(const Work& work, ProxyContext* context) {
   bool only_reads =
       work.call.transaction == TransactionKind::kReadOnly ||
       (!work.in_transaction() && work.call.access == Access::kRead);
-  return only_reads ? context->now() : failover_.expected_end();
+  TimePoint blocked_until = PrimaryBlockedUntil(context);
+  if (!only_reads) return std::max(failover_.expected_end(), blocked_until);
+  bool needs_primary =
+      LaneFor(work.call) == Lane::kPrimary || !MinPositionFor(work).known();
+  return needs_primary ? std::max(context->now(), blocked_until)
+                       : context->now();
 }
 
 std::string GroupOwner::FormatUpstreams(ProxyContext* context) const {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -150,7 +150,8 @@
   LaneSnapshot LaneSnapshotOf(Lane lane, ProxyContext* context);
   double ConcurrencyOf(Lane lane, ProxyContext* context);
   bool IsCutOff(ProxyContext* context);
-  TimePoint AvailableAt(const Work& work, ProxyContext* context) const;
+  TimePoint AvailableAt(const Work& work, ProxyContext* context);
+  TimePoint PrimaryBlockedUntil(ProxyContext* context);
   void ConsiderLagRelief(ProxyContext* context);
   void CheckLagReliefEnded(ProxyContext* context);
   LagReliefSnapshot LagSnapshot(ProxyContext* context);
--- a/fireflycart/standins/testing/session_return_test.cc
+++ b/fireflycart/standins/testing/session_return_test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(Primary_ReturnsAsReplicaUnderNewId_NewPrimaryLeads);
   CPPUNIT_TEST(Primary_ReturnsWhilePromotionTakesEffect_NothingIsLost);
   CPPUNIT_TEST(Primary_DemotedAndSuccessorGone_IsReplaced);
+  CPPUNIT_TEST(PrimaryAndReplica_Gone_StatementsAreRefusedAtOnce);
+  CPPUNIT_TEST(PrimaryAndReplica_SilentForAMoment_StatementsAreServed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -162,6 +164,44 @@
     ExpectServiceResumesWith(world_->primary().value());
   }
 
+  // Nothing can be served until the replica answers or is known to be gone.
+  void PrimaryAndReplica_Gone_StatementsAreRefusedAtOnce() {
+    constexpr int64_t kAtOnceMs = 100;
+    Crash({"up-a", "up-b"});
+    // Time to see that they do not answer; reads of some age end within it.
+    world_->Run(Duration::Seconds(2));
+    world_->ResetCounts();
+    world_->Run(Duration::Millis(1500));
+    const SessionCounts& counts = world_->counts();
+    std::string message = std::to_string(counts.refused) + " refused after " +
+                          std::to_string(counts.refused_wait) + " ms in all";
+    std::cout << " " << message;
+    CPPUNIT_ASSERT(counts.refused > 0);
+    CPPUNIT_ASSERT_MESSAGE(message,
+                           counts.refused_wait <= counts.refused * kAtOnceMs);
+    bool has_reason = false;
+    for (const std::string& line : world_->TakeLog()) {
+      has_reason = has_reason ||
+                   line.find("cause=no_primary_in_sight") != std::string::npos;
+    }
+    CPPUNIT_ASSERT(has_reason);
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+  }
+
+  // Shorter than it takes to find that they are down.
+  void PrimaryAndReplica_SilentForAMoment_StatementsAreServed() {
+    world_->ResetCounts();
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      for (const char* id : {"up-a", "up-b"}) world_->Cut(vm, id);
+    }
+    world_->Run(Duration::Millis(300));
+    world_->HealAll();
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().refused);
+    CPPUNIT_ASSERT_EQUAL(0, world_->promotions());
+    ExpectServiceResumesWith("up-a");
+  }
+
  private:
   void Crash(const std::vector<std::string>& ids) {
     crashed_.clear();
