Virtual time: takeovers of a holder with an old list, or cut off from its successor

A refused table also refuses calls that wait in the store. A read is checked against the whole log: one that had waited on a cut link for 14 s was taken for stale, since the writes lay more than 1000 entries back.

--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -19,10 +19,8 @@
 using proxy::StatementKind;
 
 constexpr Duration kReconnectDelay = Duration::Millis(30);
-// A read is checked for the newest acknowledged writes only, and they are
-// searched for only at the end of the log, where they are if they are present.
+// A read is checked for the newest acknowledged writes only.
 constexpr size_t kMaxCheckedWrites = 100;
-constexpr size_t kCheckedLogEntries = 1000;
 
 bool GuaranteesNoEffect(Outcome outcome) {
   switch (outcome) {
@@ -244,12 +242,11 @@
     Report("a read ran that no caller sent: " + id.value());
     return;
   }
-  // The newest entries have most of them, so the search begins there.
+  // The newest entries have most of them, so the search begins there. A read
+  // that waited on a cut link finds them further back.
   std::set<std::string> absent(found->second.texts.begin(),
                                found->second.texts.end());
-  size_t first =
-      applied > kCheckedLogEntries ? applied - kCheckedLogEntries : 0;
-  for (size_t i = applied; i > first && !absent.empty(); i--) {
+  for (size_t i = applied; i > 0 && !absent.empty(); i--) {
     for (const std::string& write : log[i - 1].writes) absent.erase(write);
   }
   if (absent.empty()) return;
--- a/fireflycart/standins/testing/session_takeover_test.cc
+++ b/fireflycart/standins/testing/session_takeover_test.cc
@@ -23,6 +23,9 @@
 // An entry lapses after three heartbeat intervals of silence.
 constexpr Duration kEntryLapse = Duration::Millis(3600);
 
+// Longer than a holder waits for a log that has what it saw acknowledged.
+constexpr Duration kShortLogWait = Duration::Seconds(5);
+
 class SessionTakeoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionTakeoverTest);
   CPPUNIT_TEST(Replica_EntryLapsesUnknownToOneVm_NoLaterCommitIsLost);
@@ -32,6 +35,8 @@
   CPPUNIT_TEST(Replica_RestartsWhileHolderIsPaused_NoCommitIsLost);
   CPPUNIT_TEST(Replica_ResumedWhileHolderIsPaused_NoCommitIsLost);
   CPPUNIT_TEST(Replica_RestartsOnSilentConnections_NoCommitIsLost);
+  CPPUNIT_TEST(Holder_LosesSuccessorAfterPlannedOrder_NoCommitIsLost);
+  CPPUNIT_TEST(Holder_LosesSuccessorAfterOrder_NoCommitIsLost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -155,6 +160,42 @@
     }
   }
 
+  // The promotion takes effect, but the holder cannot see it, and gives up.
+  // Then it gets the lease again and orders the other replica to resume.
+  void Holder_LosesSuccessorAfterPlannedOrder_NoCommitIsLost() {
+    world_->Run(kSettled);
+    UpstreamId old = world_->primary();
+    world_->Drain(old);
+    RunUntilLogged("failover.promotion_ordered");
+    world_->Run(Duration::Millis(5));
+    std::string holder = world_->owner().value();
+    std::string other =
+        world_->last_successor() == UpstreamId("up-b") ? "up-c" : "up-b";
+    Isolate(holder, old, other);
+    world_->Run(Duration::Millis(3200));
+    world_->Heal(holder, "store");
+    world_->Run(Duration::Seconds(1));
+    ExpectTakeover();
+  }
+
+  // The same with a lost primary, beside which another VM goes on.
+  void Holder_LosesSuccessorAfterOrder_NoCommitIsLost() {
+    world_->Run(kSettled);
+    UpstreamId old = world_->primary();
+    std::string lone = LoneVm(false);
+    SplitOff(lone, old);
+    RunUntilLogged("failover.promotion_ordered");
+    world_->Run(Duration::Millis(5));
+    UpstreamId successor = world_->last_successor();
+    std::string other = successor == UpstreamId("up-b") ? "up-c" : "up-b";
+    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+      world_->Cut(vm, successor.value());
+    }
+    world_->Cut(other, successor.value());
+    world_->Heal(old.value(), other);
+    ExpectTakeover();
+  }
+
   void setUp() override { MakeWorld(); }
 
  private:
@@ -216,6 +257,7 @@
     world_->Cut(primary.value(), replica);
     world_->Run(Duration::Millis(300));
     world_->Cut(vm, primary.value());
+    world_->Run(kShortLogWait);
   }
 
   // A VM beside the old primary goes on while the owner replaces it and is
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -650,26 +650,25 @@
     answered.call = call;
     Deliver(vm, incarnation, std::move(answered));
   };
-  store_calls_[number] = [this, vm, end](const proxy::StoreAnswered& answered) {
+  StoreBody body = e.body;
+  proxy::StoreTable table =
+      std::visit([](const auto& call_body) { return call_body.table; }, body);
+  store_calls_[number] = [this, vm, end,
+                          table](const proxy::StoreAnswered& answer) {
     if (store_answers_to_lose_ > 0) {
       store_answers_to_lose_--;
       return;
     }
+    proxy::StoreAnswered answered = answer;
+    if (refused_tables_.count({vm->name, table}) != 0) {
+      answered = proxy::StoreAnswered();
+      answered.status = proxy::StoreStatus::kRefused;
+      answered.version.era = store_.era();
+    }
     Send("store", vm->name, [end, answered] { end(answered); });
   };
-  StoreBody body = e.body;
-  proxy::StoreTable table =
-      std::visit([](const auto& call_body) { return call_body.table; }, body);
-  Send(vm->name, "store", [this, vm, number, body, table, end] {
-    if (refused_tables_.count({vm->name, table}) == 0) {
-      store_.Call(number, body, now_);
-      return;
-    }
-    proxy::StoreAnswered refused;
-    refused.status = proxy::StoreStatus::kRefused;
-    refused.version.era = store_.era();
-    Send("store", vm->name, [end, refused] { end(refused); });
-  });
+  Send(vm->name, "store",
+       [this, number, body] { store_.Call(number, body, now_); });
   timers_.emplace(now_ + e.timeout, [end] { end(proxy::StoreAnswered()); });
 }
 
