--- a/fireflycart/standins/testing/session_takeover_test.cc
+++ b/fireflycart/standins/testing/session_takeover_test.cc
@@ -178,22 +178,27 @@
     ExpectTakeover();
   }
 
-  // The same with a lost primary, beside which another VM goes on.
+  // The same with a lost primary, beside which another VM goes on. The list of
+  // that VM is current if it reaches the store.
   void Holder_LosesSuccessorAfterOrder_NoCommitIsLost() {
-    world_->Run(kSettled);
-    UpstreamId old = world_->primary();
-    std::string lone = LoneVm(false);
-    SplitOff(lone, old);
-    RunUntilLogged("failover.promotion_ordered");
-    world_->Run(Duration::Millis(5));
-    UpstreamId successor = world_->last_successor();
-    std::string other = successor == UpstreamId("up-b") ? "up-c" : "up-b";
-    for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
-      world_->Cut(vm, successor.value());
+    for (bool reaches_store : {false, true}) {
+      MakeWorld();
+      world_->Run(kSettled);
+      UpstreamId old = world_->primary();
+      std::string lone = LoneVm(false);
+      SplitOff(lone, old);
+      if (reaches_store) world_->Heal(lone, "store");
+      RunUntilLogged("failover.promotion_ordered");
+      world_->Run(Duration::Millis(5));
+      UpstreamId successor = world_->last_successor();
+      std::string other = successor == UpstreamId("up-b") ? "up-c" : "up-b";
+      for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+        world_->Cut(vm, successor.value());
+      }
+      world_->Cut(other, successor.value());
+      world_->Heal(old.value(), other);
+      ExpectTakeover();
     }
-    world_->Cut(other, successor.value());
-    world_->Heal(old.value(), other);
-    ExpectTakeover();
   }
 
   void setUp() override { MakeWorld(); }
