Resume no replica while an ordered successor may lead unseen

What callers saw: writes that had been acknowledged were gone, and reads missed them. A holder that heard nothing of the upstream that it had ordered to lead gave up after 3 s and resumed the other replicas. If only the way between the two was lost, that upstream led: the old primary acknowledged commits through the resumed replicas, which the new one does not have.

Now the attempt ends only if a status that was requested after these 3 s shows that the successor does not lead, or its entry has been missing for 2.3 s. Meanwhile the lease is not renewed, so another VM may take over; the replicas stay held.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -553,10 +553,27 @@
   return true;
 }
 
+// False while the successor may lead unseen by this VM. If the other replicas
+// were resumed then, the old primary could acknowledge commits through them.
+bool Failover::IsOrderSettled(const UpstreamPool& pool,
+                              ProxyContext* context) const {
+  auto found = pool.upstreams().find(successor_);
+  if (found == pool.upstreams().end()) return true;
+  const PooledUpstream& successor = found->second;
+  if (!MayAcknowledge(successor, context)) return true;  // It is gone.
+  TimePoint decided_at = promotion_requested_at_ + kPromotionEffectTimeout;
+  return !successor.is_down && successor.is_status_of_this_connection() &&
+         !(successor.status_sent.time < decided_at);
+}
+
 void Failover::StepAwaitingNewPrimary(UpstreamPool* pool,
                                       ProxyContext* context) {
   if (context->now() - promotion_requested_at_ > kPromotionEffectTimeout) {
-    GiveUp("the promotion did not take effect in time", pool, context);
+    if (IsOrderSettled(*pool, context)) {
+      GiveUp("the promotion did not take effect in time", pool, context);
+    } else {
+      SendCommand(successor_, CommandKind::kStatus, pool, context);
+    }
     return;
   }
   // A replica that has restarted is held again.
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -201,6 +201,7 @@
   bool HasUsableToken(const UpstreamPool& pool, ProxyContext* context) const;
   bool RenewToken(const UpstreamPool& pool, ProxyContext* context);
   void RequestPromotion(const UpstreamPool& pool, ProxyContext* context);
+  bool IsOrderSettled(const UpstreamPool& pool, ProxyContext* context) const;
   // Logs what an order of promotion rests on.
   void LogEvidence(const UpstreamPool& pool, ProxyContext* context) const;
   void TrackHolds(UpstreamPool* pool, ProxyContext* context);
