Take a list of upstreams for as old as it is, and order by a recent one only

What callers saw: writes that had been acknowledged were gone after a failover, or were passed on in a split though another VM had replaced the primary. The age of the list of upstreams was that of the last answer of the store to any VM for any table. A VM whose list was 15 s old took it for 0.4 s old: peers that had a newer list told it their age, by calls that could have waited for long.

Evidence: Replica_JoinsUnknownToHolder_NoCommitIsLost ("promoted upstream up-b lacks acknowledged write") and Replica_EntryReturnsUnknownToHolder_NoCommitIsLost ("promoted upstream up-c lacks acknowledged write") failed before.

Now the list's time is that of an answer for this table, or of an answer to a probe by a VM with the same list, counted from when the probe was sent; an owner takes it after it has the records. An order needs a list that was confirmed within 4.5 s, if the store gives the lease.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -290,6 +290,9 @@
     RequestHoldEvidence(pool, context);
     return;
   }
+  // If the store gave the lease, it can also be asked for the list.
+  bool is_list_old = pool->ListAge(context->now()) > kListMaxAge;
+  if (lease_.has_token() && is_list_old) return;
   if (is_planned()) {
     if (!HasCaughtUp(pool, context)) return;
   } else {
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -78,6 +78,11 @@
   // Interval at which a lease that is kept is renewed.
   static constexpr Duration kLeaseRenewal = Duration::Seconds(1);
 
+  // A promotion is ordered only by a list of upstreams that was confirmed
+  // within this time: a VM that follows the store alone confirms it at least
+  // that often.
+  static constexpr Duration kListMaxAge = Duration::Millis(4500);
+
   // How long to wait for a replica that has the last acknowledged position.
   // That position is the end of the log when the primary answered, so it may
   // lie above what was acknowledged.
--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -279,6 +279,7 @@
 void Fleet::Probe(Vm* vm, ProxyContext* context) {
   if (vm->has_open_probe) return;
   vm->has_open_probe = true;
+  vm->probe_sent_at = context->now();
   CallId call = context->NextCall();
   probes_[call] = vm->record.vm;
   context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
@@ -307,6 +308,7 @@
   vm.last_answer_at = context->now();
   SetDown(&vm, false, "probe_answered", context);
   OnHeartbeat(id, body->heartbeat, context);
+  heartbeat_handler_->OnProbeAnswered(body->heartbeat, vm.probe_sent_at);
   if (!vm.can_own) AskAgain(&vm, context);
   return true;
 }
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -42,6 +42,9 @@
   virtual Heartbeat MakeHeartbeat() const = 0;
   // Called with each heartbeat of a peer.
   virtual void OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) = 0;
+  // Called with the answer to a probe that was sent at that time. Unlike a call
+  // of a peer, it cannot have waited for longer than since then.
+  virtual void OnProbeAnswered(const Heartbeat& heartbeat, TimePoint sent) = 0;
 };
 
 class Fleet {
@@ -124,6 +127,7 @@
     TimePoint unanswered_since;  // Since when open calls have had no answer.
     TimePoint last_answer_at;
     bool has_open_probe = false;
+    TimePoint probe_sent_at;
     TimePoint next_probe;
     int failed_probes = 0;  // Consecutive, up to kMaxProbeDoublings.
   };
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -67,10 +67,11 @@
   ProxyEffects effects;
   bool is_due = context_.Begin(event.now, &effects);
   std::visit([this](const auto& body) { Handle(body); }, event.body);
+  ApplyChanges();
+  // After the changes: an owner must not take its old records for confirmed.
   for (auto& item : owners_) {
-    item.second->SetListTime(follower_.store_answered_at());
+    item.second->SetListTime(follower_.upstreams_confirmed_at());
   }
-  ApplyChanges();
   if (is_due) OnWake();
   ApplyChanges();
   TrackConnections(&effects);
@@ -206,7 +207,7 @@
   if (follower_.restored_at() != TimePoint()) {
     owner->OnStoreRestored(follower_.era(), follower_.restored_at());
   }
-  owner->SetListTime(follower_.store_answered_at());
+  owner->SetListTime(follower_.upstreams_confirmed_at());
   owner->SetUpstreams(records, &context_);
   GroupOwner* created = owner.get();
   owners_[group] = std::move(owner);
@@ -486,6 +487,11 @@
   return heartbeat;
 }
 
+void ProxyReducer::OnProbeAnswered(const Heartbeat& heartbeat, TimePoint sent) {
+  if (heartbeat.known.upstreams != follower_.known().upstreams) return;
+  follower_.OnPeerAgrees(sent - heartbeat.store_age);
+}
+
 void ProxyReducer::OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) {
   follower_.OnEra(heartbeat.era, "peer", &context_);
   // A VM that misses new eras may follow the store without effect.
@@ -494,9 +500,6 @@
                              &context_);
   }
   follower_.OnUpstreamAges(heartbeat.upstream_ages, &context_);
-  if (heartbeat.known.upstreams == follower_.known().upstreams) {
-    follower_.OnPeerAgrees(heartbeat.store_age, &context_);
-  }
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
   std::string address = fleet_.AddressOf(vm);
   if (address.empty()) address = heartbeat.address;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -117,6 +117,7 @@
   // HeartbeatHandler.
   Heartbeat MakeHeartbeat() const override;
   void OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) override;
+  void OnProbeAnswered(const Heartbeat& heartbeat, TimePoint sent) override;
 
   // Adds when the upstream was first known, and known to leave.
   UpstreamRecord WithTimes(UpstreamRecord record) const;
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -494,9 +494,8 @@
   if (upstream_times_.Merge(ages, context->now())) changes_++;
 }
 
-void StoreFollower::OnPeerAgrees(Duration store_age, ProxyContext* context) {
-  upstreams_confirmed_at_ =
-      std::max(upstreams_confirmed_at_, context->now() - store_age);
+void StoreFollower::OnPeerAgrees(TimePoint confirmed_at) {
+  upstreams_confirmed_at_ = std::max(upstreams_confirmed_at_, confirmed_at);
 }
 
 void StoreFollower::ApplyVms(const StoreAnswered& answer, bool is_whole,
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -114,9 +114,8 @@
   // A peer sent what it knows of the upstreams.
   void OnUpstreamAges(const std::vector<UpstreamAge>& ages,
                       ProxyContext* context);
-  // A peer has the same list of upstreams, and knows of an answer of the store
-  // that long ago.
-  void OnPeerAgrees(Duration store_age, ProxyContext* context);
+  // A peer had the same list of upstreams at that time, by the store.
+  void OnPeerAgrees(TimePoint confirmed_at);
   // A peer reported that the store answered that VM this long ago.
   void OnPeerStoreAge(Duration age, const VmId& reader, ProxyContext* context);
 
@@ -146,6 +145,8 @@
   const VmId& store_reader() const { return store_reader_; }
   Duration store_age(TimePoint now) const { return now - store_answered_at_; }
   TimePoint store_answered_at() const { return store_answered_at_; }
+  // The list of upstreams includes the changes up to this time.
+  TimePoint upstreams_confirmed_at() const { return upstreams_confirmed_at_; }
   // Count the changes of routes and upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
   uint64_t vm_changes() const { return vm_changes_; }
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -18,6 +18,10 @@
 class NoHeartbeats : public HeartbeatHandler {
  public:
   Heartbeat MakeHeartbeat() const override { return Heartbeat(); }
+  void OnProbeAnswered(const Heartbeat& heartbeat, TimePoint sent) override {
+    (void)heartbeat;
+    (void)sent;
+  }
   void OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) override {
     (void)vm;
     (void)heartbeat;
