Count the status that confirms a hold, which is sent as the hold is seen

Each order of promotion came 60 ms later since: the status is sent in the step that first sees the hold, and only a later one was counted.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -495,7 +495,7 @@
   auto held = held_at_.find(upstream.record.id);
   Duration age = context->now() - upstream.status_sent.time;
   return held != held_at_.end() &&
-         held->second.sequence < upstream.status_sent.sequence &&
+         held->second.sequence <= upstream.status_sent.sequence &&
          age <= kHoldEvidenceAge;
 }
 
