Read at the primary only after it answered on its present connection

Callers: a read of the newest state could miss an acknowledged commit (STALE).

Cause: the owner took the last status of the primary for true after its connections had broken. If another process starts there under the same id, it holds nothing, and a read that was proved before runs there until the first status says that it is a replica. The same holds after its restart is known from the list, when no status is known at all: Primary() took that for leading.

A break of that connection alone delays new work for the primary by one connection and one status. The refusal of work without a primary in sight still counts such a primary as there.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -54,7 +54,8 @@
 PooledUpstream* GroupOwner::Primary() {
   PooledUpstream* primary = pool_.FindUpstream(primary_);
   bool leads = primary != nullptr && !primary->is_down &&
-               (!primary->has_status || primary->status.is_primary);
+               primary->is_status_of_this_connection() &&
+               primary->status.is_primary;
   return leads ? primary : nullptr;
 }
 
--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -141,7 +141,10 @@
 TimePoint GroupOwner::PrimaryBlockedUntil(ProxyContext* context) {
   bool is_replacing = failover_.is_active() && !failover_.is_planned();
   if (failover_.is_promoting()) return TimePoint();
-  if (Primary() != nullptr && !is_replacing) return TimePoint();
+  const PooledUpstream* primary = pool_.FindUpstream(primary_);
+  bool may_lead = primary != nullptr && !primary->is_down &&
+                  primary->has_status && primary->status.is_primary;
+  if (may_lead && !is_replacing) return TimePoint();
   TimePoint until;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -133,8 +133,9 @@
                      std::vector<UpstreamCommand> commands,
                      ProxyContext* context);
   void Continue(Work* work, ProxyContext* context);
-  // The upstream that leads; none while the last known one is down or says that
-  // it is a replica.
+  // The upstream that leads; none while the last known one is down, has not
+  // answered on its present connection, or says that it is a replica. A broken
+  // connection may mean that another process runs there, which knows nothing.
   PooledUpstream* Primary();
   PooledUpstream* ReplicaFor(const Work& work, ProxyContext* context);
   bool IsBehind(const PooledUpstream& replica, LogPosition min_position,
--- a/fireflycart/standins/testing/session_return_test.cc
+++ b/fireflycart/standins/testing/session_return_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(Primary_DemotedAndSuccessorGone_IsReplaced);
   CPPUNIT_TEST(PrimaryAndReplica_Gone_StatementsAreRefusedAtOnce);
   CPPUNIT_TEST(PrimaryAndReplica_SilentForAMoment_StatementsAreServed);
+  CPPUNIT_TEST(Primary_RebornEmptyUnderItsId_ReadsNothingStale);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -202,6 +203,24 @@
     ExpectServiceResumesWith("up-a");
   }
 
+  // The new process holds nothing and says so only in its first status.
+  void Primary_RebornEmptyUnderItsId_ReadsNothingStale() {
+    SessionWorldOptions options;
+    options.mixed_consistencies = false;
+    options.consistency = proxy::ReadConsistency::kStrong;
+    options.callers = 60;
+    options.pause = Duration::Millis(5);
+    for (uint64_t seed = 1; seed <= 12; seed++) {
+      world_ = std::make_unique<SessionWorld>(options, seed);
+      world_->Run(Duration::Millis(1200 + 40 * static_cast<int64_t>(seed)));
+      UpstreamId primary = world_->primary();
+      world_->CrashUpstream(primary);
+      world_->ReplaceUpstream(primary);
+      world_->Run(Duration::Millis(200));
+      CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+    }
+  }
+
  private:
   void Crash(const std::vector<std::string>& ids) {
     crashed_.clear();
