Refuse writes at once when the last replica has ended, not when it is forgotten

Callers: for up to 2.3 s after the last replica of a group had ended, a write was refused only at its deadline.

Cause: a group counted as left with one upstream only after the entries of the others had been missing for so long that they were dropped. One that does not answer, and leaves or has no entry, has ended.

Evidence: LastReplica_EndsAsPlanned_WritesAreRefusedAtOnce failed on the commit before: "12 refused after 12043 ms in all"; it passes now.

--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -131,7 +131,13 @@
 }
 
 bool GroupOwner::IsSingleUpstream() {
-  return pool_.upstreams().size() == 1 && Primary() != nullptr;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    bool has_ended = upstream.is_down &&
+                     (upstream.record.leaving || !upstream.is_registered);
+    if (item.first != primary_ && !has_ended) return false;
+  }
+  return Primary() != nullptr;
 }
 
 // True if no replica is left, or all of them are about to end. A replica that
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -163,7 +163,8 @@
   Duration MaxConfirmationAge(const Work& work);
   bool IsPrimaryCurrent(const Work& work);
   void KeepLeadershipConfirmed(ProxyContext* context);
-  // True if the group has no upstream but the primary, as far as is known.
+  // True if the group has no upstream but the primary, besides those that have
+  // ended.
   bool IsSingleUpstream();
   bool MayLackReplicas();
   void ProveSoleLeadership(ProxyContext* context);
--- a/fireflycart/standins/testing/session_single_upstream_test.cc
+++ b/fireflycart/standins/testing/session_single_upstream_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST_SUITE(SessionSingleUpstreamTest);
   CPPUNIT_TEST(Replicas_LeaveAsPlanned_ReadsGoOnWithoutGap);
   CPPUNIT_TEST(Replicas_LeaveAsPlanned_WritesAreRefusedAtOnceWithReason);
+  CPPUNIT_TEST(LastReplica_EndsAsPlanned_WritesAreRefusedAtOnce);
   CPPUNIT_TEST(Replicas_LostAtOnce_ReadsResume);
   CPPUNIT_TEST(Owner_KilledWithOneUpstream_ReadsResume);
   CPPUNIT_TEST(Upstream_JoinsSingleOne_ServiceGoesOnWithoutGap);
@@ -64,6 +65,20 @@
     ExpectInvariantsHold();
   }
 
+  // Before its entry has been missing for long.
+  void LastReplica_EndsAsPlanned_WritesAreRefusedAtOnce() {
+    SessionWorldOptions options;
+    options.only_writes = true;
+    MakeWorld(options);
+    world_->Run(Duration::Seconds(3));
+    LeaveAsPlanned("up-b");
+    world_->Run(kGoneTime);
+    LeaveAsPlanned("up-c");
+    world_->Run(Duration::Millis(1200));
+    ExpectRefusedAtOnce("no_replica", Duration::Millis(900));
+    ExpectInvariantsHold();
+  }
+
   void Replicas_LostAtOnce_ReadsResume() {
     LoseTwo();
     world_->Run(kProofTime);
@@ -255,10 +270,11 @@
     CPPUNIT_ASSERT_MESSAGE(message, done >= time.millis() / 20);
   }
 
-  void ExpectRefusedAtOnce(const std::string& reason) {
+  void ExpectRefusedAtOnce(const std::string& reason,
+                           Duration time = Duration::Seconds(2)) {
     world_->ResetCounts();
     world_->TakeLog();
-    world_->Run(Duration::Seconds(2));
+    world_->Run(time);
     const SessionCounts& counts = world_->counts();
     std::string message = std::to_string(counts.refused) + " refused after " +
                           std::to_string(counts.refused_wait) + " ms in all";
