Give no exclusive time for a lease row written before the lease was given up

Callers: none has seen it.

Why it works: a write that was sent no later than the end of the exclusive time begins no new one.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -41,7 +41,7 @@
 
 void DutyLease::Acquire(bool is_promoting, uint64_t term,
                         ProxyContext* context) {
-  if (!is_promoting) EndExclusive();
+  if (!is_promoting) EndExclusive(context->now());
   requested_row_ =
       is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
   term_ = term;
@@ -93,7 +93,7 @@
 void DutyLease::OnStoreRestored(StoreEra era, TimePoint at) {
   if (!(era_ < era)) return;
   era_ = era;
-  EndExclusive();
+  EndExclusive(at);
   has_row_ = false;
   restored_at_ = at;
   was_holder_ = is_last_holder_;
@@ -137,7 +137,7 @@
     // It may have replaced the row of a holder that is promoting.
     was_holder_ = false;
     restored_at_ = context->now();
-    EndExclusive();
+    EndExclusive(context->now());
   }
   if (!answered || is_other_row || answer.version.era < era_) {
     if (!answered) store_failures_++;
@@ -185,7 +185,7 @@
   token_version_ = answer.version;
   token_term_ = term_;
   granted_at_ = write_sent_at_;
-  if (is_promoting) {
+  if (is_promoting && granted_at_ > exclusive_ended_at_) {
     // Others do not replace the row before kLeaseDuration after they saw it.
     if (!IsExclusive(granted_at_)) exclusive_since_ = granted_at_;
     exclusive_until_ = granted_at_ + kLeaseDuration;
@@ -214,7 +214,8 @@
   }
   bool is_own =
       value == ValueFor(true, context) || value == ValueFor(false, context);
-  if (!is_own) EndExclusive();
+  bool is_replaced = !is_own && IsExclusive(context->now());
+  if (is_replaced) EndExclusive(context->now());
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -64,7 +64,11 @@
   // and this VM has ordered no promotion since then.
   bool IsExclusive(TimePoint now) const { return now < exclusive_until_; }
   TimePoint exclusive_since() const { return exclusive_since_; }
-  void EndExclusive() { exclusive_until_ = TimePoint(); }
+  // What was written until then gives no exclusive time.
+  void EndExclusive(TimePoint now) {
+    exclusive_until_ = TimePoint();
+    exclusive_ended_at_ = now;
+  }
   StoreEra era() const { return era_; }
   // When a call last failed; zero: never.
   TimePoint failed_at() const { return failed_at_; }
@@ -106,6 +110,7 @@
   TimePoint granted_at_;
   TimePoint exclusive_since_;
   TimePoint exclusive_until_;
+  TimePoint exclusive_ended_at_;
   int store_failures_ = 0;  // Consecutive.
   TimePoint failed_at_;
   TimePoint next_try_;
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -511,7 +511,7 @@
 void Failover::RequestPromotion(const UpstreamPool& pool,
                                 ProxyContext* context) {
   stage_ = FailoverStage::kPromotionRequested;
-  lease_.EndExclusive();
+  lease_.EndExclusive(context->now());
   promotion_ = context->NextCall();
   promotion_requested_at_ = context->now();
   context->Log(LogLevel::kWarning, kPart, "promotion_ordered",
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(Write_AnswerOfEarlierEra_GivesNoToken);
   CPPUNIT_TEST(Acquire_WhileIdleWriteIsUnanswered_GivesNoTokenYet);
   CPPUNIT_TEST(Release_WhilePromotingWriteIsUnanswered_RowIsMarkedIdle);
+  CPPUNIT_TEST(Release_WhilePromotingWriteIsUnanswered_IsNotExclusive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -200,6 +201,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string("vm-1 1 idle"), LastWrite().value);
   }
 
+  // The write that marks the row as idle follows at once.
+  void Release_WhilePromotingWriteIsUnanswered_IsNotExclusive() {
+    Begin();
+    lease_.Acquire(true, 4, &context_);
+    AnswerRead({});
+    lease_.Release(4, &context_);
+    AnswerWrite(StoreStatus::kOk, 31, {});
+    CPPUNIT_ASSERT(!lease_.IsExclusive(now_));
+  }
+
  private:
   void Begin() { context_.Begin(now_, &effects_); }
 
