--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,6 +2,8 @@
 
     soak.py BUILD --seeds=1-50 --jobs=3       random faults, one run for each seed
     soak.py BUILD --tour                      a fixed order of the main faults
+    soak.py BUILD --seeds=1-50 --severed      upstreams come and go while the
+                                              primary is split off, see severed.py
 
 Faults come from outside: loopback proxies delay, reset, cut and mute
 connections, signals pause, kill, stop and restart daemons, the stand-in crashes
@@ -23,9 +25,12 @@
 from soak.callers import Caller, Failed, History, RouteWatcher, Session
 from soak.faults import Faults, random_faults, tour
 from soak.fleet import FIRST_ROUTES, LONG, PORTS, VMS, Fleet, wait_until
+from soak.severed import SeveredFaults, severed_faults
 
 CALLERS = 8
 FAULT_SECONDS = 14
+SEVERED_VMS = 5
+SEVERED_SECONDS = 30
 LEAST_WRITES = 100  # Acknowledged in a run; fewer mean that nothing was tested.
 
 
@@ -34,12 +39,12 @@
     for link in fleet.links:
         link.heal()
     await fleet.admin("break?0")
-    for vm in range(VMS):
+    for vm in range(fleet.vms):
         await fleet.wait_ready(vm)
         await wait_until(lambda vm=vm: serves(fleet, vm), f"a write at vm-{vm}")
     newest = f"v{fleet.routes}"
     if fleet.routes > FIRST_ROUTES:
-        for vm in range(VMS):
+        for vm in range(fleet.vms):
             await wait_until(lambda vm=vm: starts_session(fleet, vm, newest),
                              f"route {newest} at vm-{vm}")
 
@@ -71,6 +76,11 @@
     """Compares what callers were told with the primary's log."""
     problems = list(history.problems)
     effects = {}
+    dropped = {}
+    for text, how in state["dropped"].items():
+        _, item, data = text.split(" ", 2)
+        if item != "probe":
+            dropped[(item, int(data))] = how
     for text, count in state["effects"].items():
         _, item, data = text.split(" ", 2)
         if item == "probe":
@@ -78,6 +88,8 @@
         effects[(item, int(data))] = count
     for item, writes in history.acknowledged.items():
         problems += [f"lost {item} = {n}" for n, _ in writes if (item, n) not in effects]
+        problems += [f"lost by a promotion: {item} = {n}: " + dropped[(item, n)]
+                     for n, _ in writes if (item, n) in dropped]
     problems += [f"kept though refused {key}" for key in history.refused if key in effects]
     problems += [f"ran {count} times {key}" for key, count in effects.items() if count != 1]
     if history.count() < LEAST_WRITES:
@@ -85,15 +97,15 @@
     return problems
 
 
-async def play(build, number, logs, seed):
+async def play(build, number, logs, seed, is_severed):
     """One run in the network of that number; returns problems and a summary."""
     draw = random.Random(seed)
-    fleet = Fleet(build, number, logs)
+    fleet = Fleet(build, number, logs, SEVERED_VMS if is_severed else VMS)
     history = History()
     callers = [Caller(i, fleet, history, random.Random(draw.random())) for i in range(CALLERS)]
     watcher = RouteWatcher(fleet, history, random.Random(draw.random()))
-    faults = Faults(fleet, history, draw)
-    state = {"effects": {}, "promotions": 0}
+    faults = (SeveredFaults if is_severed else Faults)(fleet, history, draw)
+    state = {"effects": {}, "dropped": {}, "promotions": 0}
     try:
         await fleet.start()
         tasks = [asyncio.create_task(caller.run(callers)) for caller in callers]
@@ -101,6 +113,8 @@
         await asyncio.sleep(1)
         if seed is None:
             await tour(faults)
+        elif is_severed:
+            await severed_faults(faults, SEVERED_SECONDS)
         else:
             await random_faults(faults, FAULT_SECONDS)
         await heal(fleet)
@@ -122,13 +136,13 @@
                       f"promotions {state['promotions']}, faults {len(faults.log)}")
 
 
-async def play_and_report(build, number, name, seed):
+async def play_and_report(build, number, name, seed, is_severed=False):
     """One run with its logs; returns whether it passed."""
     logs = f"{build}/soak/{name}"
     shutil.rmtree(logs, ignore_errors=True)
     os.makedirs(logs)
     began = time.monotonic()
-    problems, summary = await play(build, number, logs, seed)
+    problems, summary = await play(build, number, logs, seed, is_severed)
     print(f"{name}: {summary}, broken promises: {len(problems)}, "
           f"{time.monotonic() - began:.0f} s", flush=True)
     for problem in problems[:10]:
@@ -140,8 +154,8 @@
     return not problems
 
 
-async def play_seeds(build, seeds, jobs):
-    """Plays all seeds, some at a time; returns how many failed."""
+async def play_seeds(build, seeds, numbers, is_severed):
+    """Plays all seeds, one at a time in each network; returns how many failed."""
     waiting = list(seeds)
     failed = 0
 
@@ -149,9 +163,10 @@
         nonlocal failed
         while waiting:
             seed = waiting.pop(0)
-            if not await play_and_report(build, number, f"seed-{seed}", seed):
+            name = f"severed-{seed}" if is_severed else f"seed-{seed}"
+            if not await play_and_report(build, number, name, seed, is_severed):
                 failed += 1
-    await asyncio.gather(*(work(number) for number in range(jobs)))
+    await asyncio.gather(*(work(number) for number in numbers))
     return failed
 
 
@@ -161,7 +176,11 @@
     parser.add_argument("build", help="build directory")
     parser.add_argument("--seeds", default="1", help="FIRST-LAST or one seed")
     parser.add_argument("--jobs", type=int, default=1, help="runs at a time, 1 to 8")
+    parser.add_argument("--network", type=int, default=0,
+                        help="first network, so that two soaks can run at a time")
     parser.add_argument("--tour", action="store_true", help="fixed faults in a fixed order")
+    parser.add_argument("--severed", action="store_true",
+                        help="upstreams come and go while the primary is split off")
     arguments = parser.parse_args()
     if not 1 <= arguments.jobs <= 8:
         parser.error(f"jobs {arguments.jobs} is not allowed; allowed are 1 to 8")
@@ -169,7 +188,8 @@
         return 0 if asyncio.run(play_and_report(arguments.build, 0, "tour", None)) else 1
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
-    failed = asyncio.run(play_seeds(arguments.build, seeds, arguments.jobs))
+    numbers = range(arguments.network, arguments.network + arguments.jobs)
+    failed = asyncio.run(play_seeds(arguments.build, seeds, numbers, arguments.severed))
     print(f"{len(seeds)} seeds, {failed} failed")
     return 1 if failed else 0
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,7 +9,7 @@
 import itertools
 import time
 
-from .fleet import FIRST_ROUTES, PORTS, VMS
+from .fleet import FIRST_ROUTES, PORTS
 
 PROMISES = {"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGNODE", "TOOMANY"}
 # Routes of the stand-in's configuration, and their maximum age in seconds.
@@ -124,7 +124,7 @@
     async def run(self, callers):
         """Runs sessions."""
         while not self.stops:
-            self.vm = self.random.randrange(VMS)
+            self.vm = self.random.randrange(self.fleet.vms)
             self.database = self.random.choice(list(MAX_AGE))
             self.own, self.values = 0, {}
             address = (self.fleet.ip(self.vm), PORTS["session"])
@@ -250,7 +250,7 @@
         """Asks random VMs."""
         while not self.stops:
             await asyncio.sleep(0.05)
-            vm = self.random.randrange(VMS)
+            vm = self.random.randrange(self.fleet.vms)
             starts = self.fleet.daemons[vm].starts
             known = self.known.get((vm, starts), FIRST_ROUTES)
             number = max(self.random.randint(known - 1, known + 1), FIRST_ROUTES + 1)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,7 +8,7 @@
 import signal
 import time
 
-from .fleet import LONG, UPSTREAMS, VMS, wait_until
+from .fleet import LONG, wait_until
 
 
 class Faults:
@@ -18,7 +18,7 @@
         self.fleet = fleet
         self.history = history
         self.random = random
-        self.vm_locks = [asyncio.Lock() for _ in range(VMS)]
+        self.vm_locks = [asyncio.Lock() for _ in range(fleet.vms)]
         self.upstream_lock = asyncio.Lock()
         self.log = []          # Lines of the plan as it was carried out.
         self.calm_since = 0.0  # Time at which the last unplanned fault ended.
@@ -86,7 +86,7 @@
 
     async def isolate(self):
         """Cuts a VM off from the store and from its peers."""
-        vm = self.random.randrange(VMS)
+        vm = self.random.randrange(self.fleet.vms)
         self.note(f"isolate vm-{vm}")
         links = (self.fleet.store_links[vm], self.fleet.peer_links[vm])
         for link in links:
@@ -97,7 +97,7 @@
 
     async def pause(self):
         """Stops a daemon for a while, and lets it go on."""
-        vm = self.random.randrange(VMS)
+        vm = self.random.randrange(self.fleet.vms)
         async with self.vm_locks[vm]:
             self.note(f"pause vm-{vm}")
             self.fleet.signal(vm, signal.SIGSTOP)
@@ -106,7 +106,7 @@
 
     async def kill(self):
         """Kills a daemon and starts it again."""
-        vm = self.random.randrange(VMS)
+        vm = self.random.randrange(self.fleet.vms)
         async with self.vm_locks[vm]:
             self.note(f"kill vm-{vm}")
             self.fleet.signal(vm, signal.SIGKILL)
@@ -119,9 +119,9 @@
         for lock in self.vm_locks:
             await lock.acquire()
         self.note("kill all")
-        for vm in range(VMS):
+        for vm in range(self.fleet.vms):
             self.fleet.signal(vm, signal.SIGKILL)
-        for vm in range(VMS):
+        for vm in range(self.fleet.vms):
             await self.fleet.daemons[vm].process.wait()
             await self.fleet.start_daemon(vm)
         for lock in self.vm_locks:
@@ -129,7 +129,7 @@
 
     async def stop(self):
         """Stops a daemon as planned, and starts it again."""
-        vm = self.random.randrange(VMS)
+        vm = self.random.randrange(self.fleet.vms)
         async with self.vm_locks[vm]:
             await self.stop_and_start(vm)
 
@@ -158,7 +158,7 @@
     async def hup(self):
         """Tells daemons to read their settings again, several times."""
         for _ in range(self.random.randint(1, 4)):
-            vm = self.random.randrange(VMS)
+            vm = self.random.randrange(self.fleet.vms)
             self.note(f"hup vm-{vm}")
             self.fleet.signal(vm, signal.SIGHUP)
             await self.lasts(0, 0.3)
@@ -166,7 +166,7 @@
     async def crash(self):
         """Crashes an upstream, at times the primary, and starts it again."""
         async with self.upstream_lock:
-            upstream = self.random.choice(UPSTREAMS)
+            upstream = self.random.choice(self.fleet.upstreams)
             if self.random.random() < 0.6:
                 upstream = (await self.fleet.admin("state"))["primary"] or upstream
             self.note(f"crash {upstream}")
@@ -178,10 +178,10 @@
         """Nobody reaches the primary, which goes on."""
         async with self.upstream_lock:
             primary = (await self.fleet.admin("state"))["primary"]
-            if primary not in UPSTREAMS:
+            if primary not in self.fleet.upstreams:
                 return
             self.note(f"dark {primary}")
-            link = self.fleet.upstream_links[UPSTREAMS.index(primary)]
+            link = self.fleet.upstream_links[primary]
             link.block("requests", "answers")
             await self.lasts(0.5, 5)
             link.heal()
@@ -190,8 +190,8 @@
         """Replaces an upstream as planned."""
         async with self.upstream_lock:
             upstream = (await self.fleet.admin("state"))["primary"]
-            if upstream not in UPSTREAMS or self.random.random() < 0.3:
-                upstream = self.random.choice(UPSTREAMS)
+            if upstream not in self.fleet.upstreams or self.random.random() < 0.3:
+                upstream = self.random.choice(self.fleet.upstreams)
             self.note(f"drain {upstream}")
             await self.fleet.admin(f"drain?{upstream}")
             await asyncio.sleep(7.5)
@@ -230,7 +230,7 @@
         """Another writer leaves odd entries, one in place of a replica's."""
         async with self.upstream_lock:
             primary = (await self.fleet.admin("state"))["primary"]
-            replica = self.random.choice([u for u in UPSTREAMS if u != primary])
+            replica = self.random.choice([u for u in self.fleet.upstreams if u != primary])
             self.note(f"odd entries, one in place of {replica}")
             await self.fleet.admin(f"odd?{replica}")
             await self.lasts(0.5, 3)
@@ -296,11 +296,11 @@
     await asyncio.sleep(2)
     await fleet.admin("up")
     primary = (await fleet.admin("state"))["primary"]
-    replica = next(u for u in UPSTREAMS if u != primary)
+    replica = next(u for u in fleet.upstreams if u != primary)
     faults.note(f"odd entries, one in place of {replica}")
     await fleet.admin(f"odd?{replica}")
     await asyncio.sleep(1)
-    for vm in range(VMS):
+    for vm in range(fleet.vms):
         await fleet.wait_ready(vm)
     await fleet.admin(f"register?{replica}")
     await asyncio.sleep(1)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -2,7 +2,7 @@
 
 Addresses of run number n, in the network 127.(10+n):
 
-    .0.1     platform's stand-in: store, promotion, three upstreams
+    .0.1     platform's stand-in: store, promotion, upstreams
     .0.2     links to the upstreams, as the store names them
     .1.i     link of daemon i to the store
     .2.i     link to daemon i for its peers
@@ -21,7 +21,6 @@
 
 PORTS = {"store": 7000, "session": 7010, "ready": 7011, "metrics": 7012, "peer": 7013}
 UPSTREAM_PORTS = (7001, 7002, 7003)
-UPSTREAMS = tuple(f"up-{port}" for port in UPSTREAM_PORTS)
 VMS = 3
 FIRST_ROUTES = 3  # Version of the stand-in's routes; route "vN" comes with N.
 LONG = 30  # Seconds after which waiting for a recovery counts as a failure.
@@ -64,26 +63,51 @@
 class Fleet:
     """The stand-in, the daemons and the links."""
 
-    def __init__(self, build, number, logs):
+    def __init__(self, build, number, logs, vms=VMS):
+        self.vms = vms
         self.build = build
         self.logs = logs
         self.net = f"127.{10 + number}"
         self.platform = (f"{self.net}.0.1", PORTS["store"])
-        self.daemons = [Daemon() for _ in range(VMS)]
+        self.daemons = [Daemon() for _ in range(vms)]
         self.store_links = [Link((f"{self.net}.1.{i + 1}", PORTS["store"]), self.platform)
-                            for i in range(VMS)]
+                            for i in range(vms)]
         self.peer_links = [
             Link((f"{self.net}.2.{i + 1}", PORTS["peer"]), (self.ip(i), PORTS["peer"]))
-            for i in range(VMS)]
-        self.upstream_links = [Link((f"{self.net}.0.2", port), (self.platform[0], port))
-                               for port in UPSTREAM_PORTS]
+            for i in range(vms)]
+        self.upstream_links = {  # Of the upstreams that are there, by their ids.
+            f"up-{port}": self.upstream_link(port) for port in UPSTREAM_PORTS}
+        self.next_port = UPSTREAM_PORTS[-1] + 100
         self.standin = None
         self.routes = FIRST_ROUTES  # Version of the routes.
 
     @property
     def links(self):
         """All links."""
-        return self.store_links + self.peer_links + self.upstream_links
+        return [*self.store_links, *self.peer_links, *self.upstream_links.values()]
+
+    @property
+    def upstreams(self):
+        """The ids of the upstreams that are there."""
+        return list(self.upstream_links)
+
+    def upstream_link(self, port):
+        """The link to the upstream at that port."""
+        return Link((f"{self.net}.0.2", port), (self.platform[0], port))
+
+    async def join(self):
+        """Starts a new upstream with an empty log; returns its id."""
+        port, self.next_port = self.next_port, self.next_port + 1
+        link = self.upstream_link(port)
+        await link.open()
+        self.upstream_links[f"up-{port}"] = link
+        await self.admin(f"join?up-{port}")
+        return f"up-{port}"
+
+    async def leave(self, upstream):
+        """Ends an upstream for good; its log goes with it."""
+        await self.admin(f"leave?{upstream}")
+        self.upstream_links.pop(upstream).close()
 
     def ip(self, index):
         """The address of one daemon."""
@@ -112,9 +136,9 @@
                 fetch, "%s:%d" % self.platform, "/admin/state")
             return status == 200
         await wait_until(answers, "the stand-in")
-        for index in range(VMS):
+        for index in range(self.vms):
             await self.start_daemon(index)
-        for index in range(VMS):
+        for index in range(self.vms):
             await self.wait_ready(index)
 
     async def start_daemon(self, index):
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -5,13 +5,21 @@
     link.block("answers")      # A cut in one direction.
 
 Bytes that a cut holds up are delivered after it, as the network would repeat
-them. A connection that was muted stays silent for good; new ones work.
+them, unless their sender reset the connection meanwhile. A connection that was
+muted stays silent for good; new ones work.
+
+A link knows which daemon opened a connection from the first bytes, which name
+it, so connections of single daemons can be muted and severed.
 """
 
 import asyncio
 
 CHUNK = 65536
 DIRECTIONS = ("requests", "answers")
+# How the first bytes of a connection name the daemon that opened it: in START to
+# an upstream, and in HTTP/2's Huffman code, as nghttp2 writes it, to a peer.
+NAMES = [(f" vm-{vm} ".encode(), bytes.fromhex(code)) for vm, code in enumerate(
+    ("ef4ac0", "ef4ac1", "ef4ac2", "ef4accff", "ef4acd7f"))]
 
 
 class Connection:
@@ -20,6 +28,9 @@
     def __init__(self, near, far):
         self.writers = (near, far)
         self.is_muted = False
+        self.vm = None  # Number of the daemon that opened it, once it is known.
+        self.gate = asyncio.Event()
+        self.gate.set()
 
     def abort(self):
         """Resets both sides."""
@@ -36,6 +47,7 @@
         self.delay = 0.0
         self.connections = set()
         self.gates = {}
+        self.severed = set()  # Numbers of daemons whose connections are held up.
         self.server = None
 
     async def open(self):
@@ -49,16 +61,39 @@
         """Ends the listener and all connections."""
         self.server.close()
         self.reset()
+        self.heal()
+        for connection in self.connections:
+            connection.gate.set()
 
     def reset(self):
         """Resets all connections."""
         for connection in list(self.connections):
             connection.abort()
 
-    def mute(self):
-        """Silences the connections that are open now, for good."""
+    def mute(self, vm=None):
+        """Silences the connections that are open now, of one daemon or all, for good."""
         for connection in self.connections:
-            connection.is_muted = True
+            connection.is_muted = connection.is_muted or vm in (None, connection.vm)
+
+    def sever(self, vm):
+        """Holds up all bytes of one daemon's connections."""
+        self.severed.add(vm)
+        for connection in self.connections:
+            if connection.vm == vm:
+                connection.gate.clear()
+
+    def expire(self, vm):
+        """Ends the far side of a severed daemon's connections."""
+        for connection in self.connections:
+            if connection.vm == vm and vm in self.severed:
+                connection.writers[1].transport.abort()
+
+    def mend(self, vm):
+        """Ends a severance."""
+        self.severed.discard(vm)
+        for connection in self.connections:
+            if connection.vm == vm:
+                connection.gate.set()
 
     def block(self, *directions):
         """Holds up the bytes of these directions."""
@@ -84,17 +119,30 @@
                              self.pump(connection, far_reader, writer, "answers"))
         self.connections.discard(connection)
 
+    def identify(self, connection, data):
+        """Notes the daemon that opened the connection."""
+        for vm, names in enumerate(NAMES):
+            if connection.vm is None and any(name in data for name in names):
+                connection.vm = vm
+                if vm in self.severed:
+                    connection.gate.clear()
+
     async def pump(self, connection, reader, writer, direction):
         """Carries the bytes of one direction, and their end."""
         data = b"first"
         try:
             while data:
                 data = await reader.read(CHUNK)
+                if direction == "requests" and connection.vm is None:
+                    self.identify(connection, data)
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self.gates[direction].wait()
+                await connection.gate.wait()
                 if connection.is_muted:
                     return
+                if reader.exception():
+                    raise reader.exception()
                 writer.write(data)
                 await writer.drain()
             writer.close()
