--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,6 +16,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import random
 import shutil
@@ -106,6 +107,7 @@
     watcher = RouteWatcher(fleet, history, random.Random(draw.random()))
     faults = (SeveredFaults if is_severed else Faults)(fleet, history, draw)
     state = {"effects": {}, "dropped": {}, "promotions": 0}
+    tasks = []
     try:
         await fleet.start()
         tasks = [asyncio.create_task(caller.run(callers)) for caller in callers]
@@ -126,6 +128,10 @@
         state = await fleet.admin("state")
     except (TimeoutError, RuntimeError) as error:
         history.problems.append(str(error) or type(error).__name__)
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(RuntimeError):
+            state = await fleet.admin("state")
     finally:
         await fleet.close()
     problems = check(history, state)
--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -258,7 +258,7 @@
 
 KINDS = ("split", "split", "lose_primary", "lose_primary", "lapse", "silence", "silence",
          "pause_at_turn", "second_holders", "second_holders", "delay", "reset", "cut",
-         "mute", "pause", "break_answers", "compact", "stop", "hup")
+         "mute", "pause", "break_answers", "compact", "stop")
 
 
 async def severed_faults(faults, seconds):
