--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -36,6 +36,7 @@
         self.islands = {}    # Number of a split: (its upstreams, its daemon).
         self.joined_at = {}  # Upstream: time of its start, if it joined.
         self.draining = ""   # The upstream that leaves.
+        self.late = ""       # The upstream that receives nothing.
         self.silent = set()  # Split upstreams that do not reach the store either.
         self.numbers = itertools.count(1)
         self.turns = []      # (time, daemon, event): failovers as they were logged.
@@ -125,7 +126,7 @@
         state = await fleet.admin("state")
         primary = state["primary"]
         replicas = [u for u in fleet.upstreams if u != primary]
-        if primary not in fleet.upstreams or not replicas or self.islands:
+        if primary not in fleet.upstreams or not replicas or self.islands or self.late:
             return
         island = [primary, *self.random.sample(replicas, self.random.randrange(len(replicas)))]
         if all(state["missing"][u] > IN_FLIGHT for u in self.established(island)):
@@ -181,6 +182,43 @@
         await self.lasts(*RETURN_SECONDS)
         await self.fleet.admin(f"appear?{upstream}")
 
+    async def late_replica(self):
+        """A replica receives nothing for a while."""
+        state = await self.fleet.admin("state")
+        replicas = self.established([state["primary"]])
+        if not replicas or self.islands or self.late:
+            return
+        self.late = self.random.choice(replicas)
+        pair = f"{state['primary']},{self.late}"
+        self.note(f"late {pair}")
+        await self.fleet.admin(f"cut?{pair}")
+        await self.lasts(0.3, 3)
+        await self.fleet.admin(f"mend?{pair}")
+        self.late = ""
+
+    async def lapse_at_turn(self):
+        """An entry is missing just as a failover starts."""
+        if await self.next_turn(("started",), 6) is not None:
+            await self.lapse()
+
+    async def stall_at_turn(self):
+        """A holder's connections to upstreams stall in its failover; it may end."""
+        vm = await self.next_turn(("started", "promotion_ordered"), 6)
+        if vm is None or self.islands:
+            return
+        links = list(self.fleet.upstream_links.values())
+        links = self.random.sample(links, self.random.randint(1, len(links)))
+        seconds = self.random.uniform(0.2, EXPIRY_SECONDS)
+        self.note(f"stall vm-{vm} to {len(links)} upstreams for {seconds:.1f} s")
+        for link in links:
+            link.sever(vm)
+        if self.random.random() < 0.4:
+            self.tasks.append(asyncio.create_task(
+                self.take_out(vm, self.random.choice(("pause", "kill", "isolate")))))
+        await asyncio.sleep(seconds)
+        for link in links:
+            link.mend(vm)
+
     async def lapse(self):
         """The entry of a living upstream is missing for a while."""
         upstream = self.random.choice(self.fleet.upstreams)
@@ -203,11 +241,11 @@
             link.mute(vm)
 
     async def lose_primary(self):
-        """Some daemons do not reach the primary; the others do."""
+        """Some daemons do not reach the primary, or none does."""
         primary = (await self.fleet.admin("state"))["primary"]
         if primary not in self.fleet.upstreams or self.islands:
             return
-        vms = self.random.sample(range(self.fleet.vms), self.random.randint(1, self.fleet.vms - 1))
+        vms = self.random.sample(range(self.fleet.vms), self.random.randint(1, self.fleet.vms))
         link = self.fleet.upstream_links[primary]
         self.note(f"lose {primary}: {vms}")
         for vm in vms:
@@ -256,7 +294,9 @@
             self.tasks.append(asyncio.create_task(self.take_out(vm, how)))
 
 
-KINDS = ("split", "split", "lose_primary", "lose_primary", "lapse", "silence", "silence",
+KINDS = ("split", "split", "lose_primary", "lose_primary", "lose_primary",
+         "late_replica", "late_replica", "lapse_at_turn", "lapse_at_turn",
+         "stall_at_turn", "stall_at_turn", "lapse", "silence", "silence",
          "pause_at_turn", "second_holders", "second_holders", "delay", "reset", "cut",
          "mute", "pause", "break_answers", "compact", "stop")
 
