--- a/tools/soak.py
+++ b/tools/soak.py
@@ -139,7 +139,8 @@
         record.write("\n".join([*faults.log, *problems]) + "\n")
     return problems, (f"acknowledged {history.count()}, refused {len(history.refused)}, "
                       f"unknown {history.unknown}, reads {history.reads}, "
-                      f"promotions {state['promotions']}, faults {len(faults.log)}")
+                      f"promotions {state['promotions']}, faults {len(faults.log)}"
+                      + faults.summary())
 
 
 async def play_and_report(build, number, name, seed, is_severed=False):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -29,6 +29,10 @@
         """Adds a line to the record of the run."""
         self.log.append(f"{time.monotonic() - self.started:7.3f} {text}")
 
+    def summary(self):
+        """What the run adds to its line of results."""
+        return ""
+
     async def unplanned_fault(self, name):
         """Carries out one fault that breaks what is under way."""
         self.unplanned += 1
--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import json
 import signal
@@ -43,6 +44,12 @@
         self.tasks = []      # What outlasts the fault that began it.
         self.note(f"began at {time.time() * 1000:.0f} ms of the logs")
 
+    def summary(self):
+        counts = collections.Counter(event for _, _, event in self.turns)
+        return ", failovers " + " ".join(
+            f"{event} {counts[event]}" for event in
+            ("started", "finished", "given_up", "hold_lost", "resume_ordered"))
+
     async def follow_logs(self):
         """Reads what the daemons log of their failovers, until it is cancelled."""
         logs = [open(f"{self.fleet.logs}/vm-{vm}.log", encoding="utf-8", errors="replace")
