--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -139,7 +139,7 @@
         if all(state["missing"][u] > IN_FLIGHT for u in self.established(island)):
             return
         vm, number = self.random.randrange(fleet.vms), next(self.numbers)
-        lapses, seconds = self.random.random() < 0.5, self.random.uniform(1, 9)
+        lapses, seconds = self.random.random() < 0.5, self.random.uniform(1, 12)
         others = [other for other in range(fleet.vms) if other != vm]
         self.note(f"split {number}: {' '.join(island)} and vm-{vm} for {seconds:.1f} s, "
                   f"their entries {'lapse' if lapses else 'stay'}")
@@ -301,7 +301,7 @@
             self.tasks.append(asyncio.create_task(self.take_out(vm, how)))
 
 
-KINDS = ("split", "split", "lose_primary", "lose_primary", "lose_primary",
+KINDS = ("split", "split", "split", "lose_primary", "lose_primary", "lose_primary",
          "late_replica", "late_replica", "lapse_at_turn", "lapse_at_turn",
          "stall_at_turn", "stall_at_turn", "lapse", "silence", "silence",
          "pause_at_turn", "second_holders", "second_holders", "delay", "reset", "cut",
