--- a/tools/soak.py
+++ b/tools/soak.py
@@ -73,7 +73,7 @@
     return True
 
 
-def check(history, state):
+def check(history, state, started):
     """Compares what callers were told with the primary's log."""
     problems = list(history.problems)
     effects = {}
@@ -88,9 +88,11 @@
             continue
         effects[(item, int(data))] = count
     for item, writes in history.acknowledged.items():
-        problems += [f"lost {item} = {n}" for n, _ in writes if (item, n) not in effects]
-        problems += [f"lost by a promotion: {item} = {n}: " + dropped[(item, n)]
-                     for n, _ in writes if (item, n) in dropped]
+        problems += [f"lost {item} = {n}, acknowledged at {at - started:.3f}"
+                     for n, at in writes if (item, n) not in effects]
+        problems += [f"lost by a promotion: {item} = {n}, acknowledged at "
+                     f"{at - started:.3f}: " + dropped[(item, n)]
+                     for n, at in writes if (item, n) in dropped]
     problems += [f"kept though refused {key}" for key in history.refused if key in effects]
     problems += [f"ran {count} times {key}" for key, count in effects.items() if count != 1]
     if history.count() < LEAST_WRITES:
@@ -134,7 +136,7 @@
             state = await fleet.admin("state")
     finally:
         await fleet.close()
-    problems = check(history, state)
+    problems = check(history, state, faults.started)
     with open(f"{logs}/run.txt", "w", encoding="utf-8") as record:
         record.write("\n".join([*faults.log, *problems]) + "\n")
     return problems, (f"acknowledged {history.count()}, refused {len(history.refused)}, "
