--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -17,9 +17,10 @@
 CHUNK = 65536
 DIRECTIONS = ("requests", "answers")
 # How the first bytes of a connection name the daemon that opened it: in START to
-# an upstream, and in HTTP/2's Huffman code, as nghttp2 writes it, to a peer.
-NAMES = [(f" vm-{vm} ".encode(), bytes.fromhex(code)) for vm, code in enumerate(
-    ("ef4ac0", "ef4ac1", "ef4ac2", "ef4accff", "ef4acd7f"))]
+# an upstream, and to a peer in HTTP/2's Huffman code if that is shorter.
+NAMES = [(b" vm-0 ", bytes.fromhex("83ef4ac0")), (b" vm-1 ", bytes.fromhex("83ef4ac1")),
+         (b" vm-2 ", bytes.fromhex("83ef4ac2")), (b" vm-3 ", b"\x04vm-3"),
+         (b" vm-4 ", b"\x04vm-4")]
 
 
 class Connection:
--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -139,10 +139,12 @@
         if all(state["missing"][u] > IN_FLIGHT for u in self.established(island)):
             return
         vm, number = self.random.randrange(fleet.vms), next(self.numbers)
+        hears = self.random.random() < 0.3  # The daemon is still called by the others.
         lapses, seconds = self.random.random() < 0.5, self.random.uniform(1, 12)
         others = [other for other in range(fleet.vms) if other != vm]
         self.note(f"split {number}: {' '.join(island)} and vm-{vm} for {seconds:.1f} s, "
-                  f"their entries {'lapse' if lapses else 'stay'}")
+                  f"their entries {'lapse' if lapses else 'stay'}"
+                  f"{', it is called by the others' if hears else ''}")
         self.islands[number] = (island, vm)
         pairs = [(a, b) for a in island for b in fleet.upstreams if b not in island]
         for a, b in pairs:
@@ -152,7 +154,8 @@
                 link.sever(severed)
         for other in others:
             fleet.peer_links[other].sever(vm)
-            fleet.peer_links[vm].sever(other)
+            if not hears:
+                fleet.peer_links[vm].sever(other)
         fleet.store_links[vm].block("requests", "answers")
         end = time.monotonic() + seconds
         self.silent.update(island if lapses else [])
