--- a/tools/soak.py
+++ b/tools/soak.py
@@ -190,7 +190,10 @@
     parser.add_argument("--tour", action="store_true", help="fixed faults in a fixed order")
     parser.add_argument("--severed", action="store_true",
                         help="upstreams come and go while the primary is split off")
+    parser.add_argument("--islands", action="store_true",
+                        help="with --severed: entries of split replicas lapse")
     arguments = parser.parse_args()
+    SeveredFaults.lapses_replicas = arguments.islands
     if not 1 <= arguments.jobs <= 8:
         parser.error(f"jobs {arguments.jobs} is not allowed; allowed are 1 to 8")
     if arguments.tour:
--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -7,6 +7,8 @@
 
 No upstream crashes here: with a split, that would be the loss of both copies of a
 commit. The store stays up, so that upstreams leave 7.5 s and more after it said so.
+Entries of split replicas lapse only with --islands: a commit that only they have
+is then gone for the others after some seconds, as the pages say.
 On the store's side of a split there is always an upstream that has been there for
 some time, has the log and stays: the group never loses all that it had before the split.
 """
@@ -32,6 +34,8 @@
 class SeveredFaults(Faults):
     """Injects these faults into a fleet."""
 
+    lapses_replicas = False  # Whether entries of split replicas may lapse.
+
     def __init__(self, fleet, history, random):
         super().__init__(fleet, history, random)
         self.islands = {}    # Number of a split: (its upstreams, its daemon).
@@ -141,6 +145,7 @@
         vm, number = self.random.randrange(fleet.vms), next(self.numbers)
         hears = self.random.random() < 0.3  # The daemon is still called by the others.
         lapses, seconds = self.random.random() < 0.5, self.random.uniform(1, 12)
+        lapses = lapses and (self.lapses_replicas or len(island) == 1)
         others = [other for other in range(fleet.vms) if other != vm]
         self.note(f"split {number}: {' '.join(island)} and vm-{vm} for {seconds:.1f} s, "
                   f"their entries {'lapse' if lapses else 'stay'}"
@@ -231,14 +236,14 @@
 
     async def lapse(self):
         """The entry of a living upstream is missing for a while."""
-        upstream = self.random.choice(self.fleet.upstreams)
+        present = [u for u in self.fleet.upstreams if u not in self.silent]
+        if not present:
+            return
+        upstream = self.random.choice(present)
         self.note(f"lapse {upstream}")
         await self.fleet.admin(f"lapse?{upstream}")
         await self.lasts(1, 2)
-        if not any(upstream in upstreams for upstreams, _ in self.islands.values()):
-            await self.fleet.admin(f"appear?{upstream}")
-        else:
-            self.tasks.append(asyncio.create_task(self.appear(upstream)))
+        await self.fleet.admin(f"appear?{upstream}")
 
     async def silence(self):
         """A daemon's open connections to upstreams or peers go silent for good."""
