--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -24,7 +24,10 @@
 SESSION_FOCUSED_TESTS = ("core/testing/fireflycart_core_test",
                          "standins/testing/fireflycart_session_load_test",
                          "standins/testing/fireflycart_session_failure_test",
-                         "standins/testing/fireflycart_session_store_test")
+                         "standins/testing/fireflycart_session_return_test",
+                         "standins/testing/fireflycart_session_single_upstream_test",
+                         "standins/testing/fireflycart_session_store_test",
+                         "standins/testing/fireflycart_session_takeover_test")
 
 
 @dataclass(frozen=True)
@@ -55,7 +58,7 @@
     Mutant(
         "commit passed on though other VMs may not know its replica",
         "proxy/group_commits.cc",
-        "if (is_lasting && has_received) return true;",
+        "if (is_lasting && has_received && is_list_trusted) return true;",
         "if (has_received) return true;",
     ),
     Mutant(
@@ -67,8 +70,8 @@
     Mutant(
         "promotion before all replicas hold",
         "proxy/failover.cc",
-        "if (!HoldReplicas(pool, context)) return;",
-        "HoldReplicas(pool, context);",
+        "if (!HoldReplicas(pool, context)) {",
+        "HoldReplicas(pool, context);\n  if (false) {",
     ),
     Mutant(
         "successor with the shortest log",
@@ -170,8 +173,34 @@
     Mutant(
         "held replicas are not resumed",
         "proxy/failover.cc",
-        "if (may_hold) pool->SendControl(item.first, command, context);",
-        "(void)may_hold;",
+        "if (item.first != old_primary_) resuming_.insert(item.first);",
+        "",
+    ),
+    Mutant(
+        "order to resume without the lease",
+        "proxy/failover.cc",
+        "return lease_.has_token() &&\n"
+        "         age + UpstreamPool::kResumeMaxTransit <",
+        "return true ||\n"
+        "         age + UpstreamPool::kResumeMaxTransit <",
+    ),
+    Mutant(
+        "replicas resumed while the successor may lead unseen",
+        "proxy/failover.cc",
+        "if (IsOrderSettled(*pool, context)) {",
+        "if (true) {",
+    ),
+    Mutant(
+        "longest log passed over while its entry is missing",
+        "proxy/failover.cc",
+        "return is_replica && IsHeld(upstream);",
+        "return is_replica && IsHeld(upstream) && upstream.is_registered;",
+    ),
+    Mutant(
+        "promotion ordered by a list of any age",
+        "proxy/failover.cc",
+        "if (lease_.has_token() && is_list_old) return;",
+        "(void)is_list_old;",
     ),
     Mutant(
         "no change of the primary for late replicas",
