--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -170,7 +170,7 @@
   void StepRelease() {
     // With silences, a VM may be cut off for as long as the platform's drain
     // time allows.
-    const int64_t kDrainMs = absl::GetFlag(FLAGS_silences) ? 7000 : 2000;
+    const int64_t drain_ms = absl::GetFlag(FLAGS_silences) ? 7000 : 2000;
     switch (release_step_) {
       case ReleaseStep::kNone: {
         const char* letters = "abc";
@@ -184,7 +184,7 @@
       }
       case ReleaseStep::kLeaving: {
         bool has_drained =
-            world_.now() - drained_at_ >= Duration::Millis(kDrainMs);
+            world_.now() - drained_at_ >= Duration::Millis(drain_ms);
         // A primary that could not be replaced stays.
         if (!has_drained || world_.primary() == released_) return;
         world_.Unregister(released_);
