--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -16,6 +16,11 @@
 // VM that placed it, and a promotion is ordered only while all these holds are
 // in force: a hold with a newer token shows that another VM took the lease.
 //
+// An order to resume ends a hold whoever placed it. It is given under the
+// lease, which is kept until the order has been answered or cannot arrive any
+// more. While the store does not answer, a replica that shows the hold of this
+// VM is resumed without it.
+//
 // Limits: one replacement at a time.
 
 #ifndef FIREFLYCART_CORE_PROXY_FAILOVER_H_
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -470,7 +470,7 @@
 void DatabaseModel::Restart(const UpstreamId& upstream) {
   Upstream& started = upstreams_[upstream];
   started.is_running = true;
-  // It stays a primary only if nobody else was promoted meanwhile.
+  // It stays a primary only if no other upstream was promoted meanwhile.
   if (started.term < NewestTerm()) started.is_primary = false;
 }
 
--- a/fireflycart/standins/testing/session_single_upstream_test.cc
+++ b/fireflycart/standins/testing/session_single_upstream_test.cc
@@ -1,5 +1,5 @@
-// A group that is left with one upstream, which leads: nobody is left who could
-// confirm it, be promoted, or acknowledge its commits.
+// A group that is left with one upstream, which leads: no replica is left that
+// could confirm it, be promoted, or acknowledge its commits.
 
 #include <cppunit/extensions/HelperMacros.h>
 
