--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -5,6 +5,8 @@
 
 #include "fireflycart/core/proxy/duty_lease.h"
 
+#include <algorithm>
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -30,15 +32,54 @@
              0;
 }
 
-}  // namespace
+// The VM, its incarnation and the state are the last three words. Before them
+// is the commit set, if one was recorded.
+size_t HolderOffset(const std::string& value) {
+  size_t offset = value.size();
+  for (int words = 0; words < 3; words++) {
+    if (offset == 0) return 0;
+    size_t blank = value.rfind(' ', offset - 1);
+    if (blank == std::string::npos) return 0;
+    offset = blank;
+  }
+  return offset + 1;
+}
 
-std::string DutyLease::ValueFor(bool is_promoting,
-                                ProxyContext* context) const {
+std::string HolderText(bool is_promoting, ProxyContext* context) {
   return context->self().value() + " " +
          std::to_string(context->incarnation()) + " " +
          (is_promoting ? kPromoting : kIdle);
 }
 
+std::string RowValue(const CommitSet& set, bool is_promoting,
+                     ProxyContext* context) {
+  std::string holder = HolderText(is_promoting, context);
+  return set.is_known() ? FormatCommitSet(set) + " " + holder : holder;
+}
+
+}  // namespace
+
+bool DutyLease::IsOwn(const std::string& value, ProxyContext* context) const {
+  std::string holder = value.substr(HolderOffset(value));
+  return holder == HolderText(true, context) ||
+         holder == HolderText(false, context);
+}
+
+void DutyLease::Learn(ProxyContext* context) {
+  bool is_busy = read_ != CallId() || write_ != CallId();
+  if (!has_row_ && !is_busy && !is_acquiring()) Read(context);
+}
+
+void DutyLease::Record(const CommitSet& set, uint64_t term,
+                       ProxyContext* context) {
+  bool keeps_promoting =
+      is_token_promoting_ || requested_row_ == RequestedRow::kPromotingRow;
+  // A set is proposed for the row that was read last.
+  if (!has_row_) return;
+  proposed_set_ = set;
+  Acquire(keeps_promoting, term, context);
+}
+
 void DutyLease::Acquire(bool is_promoting, uint64_t term,
                         ProxyContext* context) {
   if (!is_promoting) EndExclusive(context->now());
@@ -67,8 +108,7 @@
     Read(context);
     return;
   }
-  bool is_own = row_value_ == ValueFor(true, context) ||
-                row_value_ == ValueFor(false, context);
+  bool is_own = IsOwn(row_value_, context);
   TimePoint free_at = row_seen_at_ + kLeaseDuration;
   bool is_taken =
       !is_own && IsPromoting(row_value_) && context->now() < free_at;
@@ -112,7 +152,8 @@
   row.table = StoreTable::kDuties;
   row.key = group_.value();
   is_writing_promoting_ = requested_row_ == RequestedRow::kPromotingRow;
-  row.value = ValueFor(is_writing_promoting_, context);
+  writing_set_ = proposed_set_ ? *proposed_set_ : commit_set_;
+  row.value = RowValue(writing_set_, is_writing_promoting_, context);
   row.has_condition = true;
   row.expected_version = row_version_;
   context->Emit(StoreCall{write_, kStoreTimeout, row});
@@ -121,6 +162,10 @@
 bool DutyLease::OnStore(const StoreAnswered& answer, ProxyContext* context) {
   bool is_read = read_ != CallId() && answer.call == read_;
   bool is_write = write_ != CallId() && answer.call == write_;
+  if (confirmation_ != CallId() && answer.call == confirmation_) {
+    OnConfirmation(answer, context);
+    return true;
+  }
   if (!is_read && !is_write) return false;
   if (is_read) read_ = CallId();
   if (is_write) write_ = CallId();
@@ -169,8 +214,18 @@
       is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
   has_row_ = true;
   row_version_ = answer.version;
-  row_value_ = ValueFor(is_promoting, context);
+  row_value_ = RowValue(writing_set_, is_promoting, context);
   row_seen_at_ = context->now();
+  if (commit_set_ != writing_set_) {
+    context->Log(
+        LogLevel::kInfo, kPart, "commit_set_recorded",
+        {{"group", group_.value()}, {"set", FormatCommitSet(writing_set_)}});
+  }
+  commit_set_ = writing_set_;
+  if (proposed_set_ && *proposed_set_ == writing_set_) proposed_set_.reset();
+  // The write replaced the version that was read last, so no other VM wrote the
+  // row in between.
+  if (!has_token_) last_writer_since_ = context->now();
   if (requested_row_ == written) requested_row_ = RequestedRow::kNone;
   has_token_ = MakeToken(answer.version, &token_);
   if (!has_token_) {
@@ -185,6 +240,8 @@
   token_version_ = answer.version;
   token_term_ = term_;
   granted_at_ = write_sent_at_;
+  confirmed_at_ = write_sent_at_;
+  is_confirmation_failing_ = false;
   if (is_promoting && granted_at_ > exclusive_ended_at_) {
     // Others do not replace the row before kLeaseDuration after they saw it.
     if (!IsExclusive(granted_at_)) exclusive_since_ = granted_at_;
@@ -212,13 +269,70 @@
     has_token_ = false;
     is_last_holder_ = false;
   }
-  bool is_own =
-      value == ValueFor(true, context) || value == ValueFor(false, context);
-  bool is_replaced = !is_own && IsExclusive(context->now());
+  bool is_replaced = !IsOwn(value, context) && IsExclusive(context->now());
   if (is_replaced) EndExclusive(context->now());
+  if (changed) {
+    bool is_restored =
+        row_version_.era != StoreEra() && row_version_.era < version.era;
+    ReadCommitSet(value, is_restored, context);
+  }
   row_version_ = version;
   row_value_ = value;
   has_row_ = true;
 }
 
+// A row that has just been read replaces what was known. After a restore of the
+// store the row may be an older one.
+void DutyLease::ReadCommitSet(const std::string& value, bool is_restored,
+                              ProxyContext* context) {
+  proposed_set_.reset();
+  CommitSet known = commit_set_;
+  size_t offset = HolderOffset(value);
+  CommitSet stored;
+  std::string problem;
+  bool has_set = offset > 0;
+  if (has_set &&
+      !ParseCommitSet(value.substr(0, offset - 1), &stored, &problem)) {
+    context->Log(LogLevel::kError, kPart, "commit_set_unreadable",
+                 {{"group", group_.value()}, {"problem", problem}});
+    return;
+  }
+  bool is_left_behind = IsPromoting(value) && !IsOwn(value, context);
+  if (stored.is_known() && is_left_behind) stored.may_have_order = true;
+  commit_set_ = stored;
+  if (!is_restored) return;
+  commit_set_ = MergeCommitSets(stored, known);
+  if (commit_set_ != stored) proposed_set_ = commit_set_;
+}
+
+void DutyLease::KeepConfirmed(ProxyContext* context) {
+  bool is_busy = confirmation_ != CallId() || is_acquiring();
+  if (!has_token_ || is_busy) return;
+  TimePoint due =
+      std::max(confirmed_at_ + kConfirmationInterval, next_confirmation_);
+  if (context->now() < due) {
+    context->WakeAtCoarse(due);
+    return;
+  }
+  next_confirmation_ = context->now() + kStoreTimeout;
+  confirmation_sent_at_ = context->now();
+  confirmation_ = context->NextCall();
+  context->Emit(StoreCall{confirmation_, kStoreTimeout,
+                          ReadTable{StoreTable::kDuties, group_.value()}});
+}
+
+void DutyLease::OnConfirmation(const StoreAnswered& answer,
+                               ProxyContext* context) {
+  confirmation_ = CallId();
+  context->WakeAtCoarse(next_confirmation_);
+  is_confirmation_failing_ = answer.status != StoreStatus::kOk;
+  // A write that was sent meanwhile tells which row is the last one.
+  bool is_overtaken = granted_at_ >= confirmation_sent_at_ || is_acquiring();
+  if (is_confirmation_failing_ || is_overtaken) return;
+  if (era_ != StoreEra()) OnStoreRestored(answer.version.era, context->now());
+  if (answer.version.era < era_) return;
+  OnRow(answer, context);
+  if (has_token_) confirmed_at_ = confirmation_sent_at_;
+}
+
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -9,15 +9,26 @@
 //
 // While the row is marked as promoting, other VMs do not replace it before
 // kLeaseDuration has passed. A restored store may have forgotten such a row, so
-// VMs other than the last known holder wait as long. Limits: the row is read
-// only when it is needed.
+// VMs other than the last known holder wait as long.
+//
+// The row also records the group's commit set, which each writer passes on. The
+// VM that wrote the row last confirms it by reading it again:
+//
+//   lease.KeepConfirmed(&context);          // after every event of the group
+//   if (lease.IsConfirmed(now)) ...         // nobody else wrote the row lately
+//   if (lease.IsSole(now)) lease.Record(set, term, &context);
+//
+// Limits: of a row that another VM has written, only what was read last is
+// known.
 
 #ifndef FIREFLYCART_CORE_PROXY_DUTY_LEASE_H_
 #define FIREFLYCART_CORE_PROXY_DUTY_LEASE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "fireflycart/core/proxy/commit_set.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 
 namespace fireflycart::proxy {
@@ -34,6 +45,15 @@
   // Delay after a failed call.
   static constexpr Duration kRetryDelay = Duration::Millis(150);
 
+  // Interval of the reads that confirm the row.
+  static constexpr Duration kConfirmationInterval = Duration::Millis(1000);
+  // For this long after the row was confirmed, its writer counts as its only
+  // one: for two reads, one of which may get no answer.
+  static constexpr Duration kConfirmationMaxAge = Duration::Millis(2500);
+  // An earlier writer takes itself for the only one for kConfirmationMaxAge,
+  // and its last order of promotion takes effect within 4 s, if at all.
+  static constexpr Duration kSoleDelay = Duration::Seconds(4);
+
   explicit DutyLease(GroupId group) : group_(std::move(group)) {}
 
   // Starts to write the row with this VM as holder, as "promoting" or idle.
@@ -69,6 +89,41 @@
     exclusive_until_ = TimePoint();
     exclusive_ended_at_ = now;
   }
+  // What the row records, as it was last read or written by this VM.
+  const CommitSet& commit_set() const { return commit_set_; }
+  // True if that replica is in the set and is not being taken out.
+  bool IsRecorded(const UpstreamRecord& replica, uint64_t term) const {
+    return commit_set_.HasReplica(replica, term) &&
+           (!proposed_set_ || proposed_set_->HasReplica(replica, term));
+  }
+  // The same for the set of that term with its primary.
+  bool IsRecordedMember(const UpstreamRecord& upstream, uint64_t term) const {
+    return commit_set_.is_known() && commit_set_.term == term &&
+           commit_set_.HasMember(upstream) &&
+           (!proposed_set_ || proposed_set_->HasMember(upstream));
+  }
+  // Starts to read the row if it is not known.
+  void Learn(ProxyContext* context);
+  // Starts to write the set. It is dropped if another VM has written the row
+  // since this one last read it.
+  void Record(const CommitSet& set, uint64_t term, ProxyContext* context);
+  // Reads the row again from time to time if this VM wrote it last.
+  void KeepConfirmed(ProxyContext* context);
+  // True if this VM wrote the row last, as far as is known.
+  bool is_last_writer() const { return has_token_; }
+  // True if no other VM had written the row kConfirmationMaxAge ago.
+  bool IsConfirmed(TimePoint now) const {
+    return has_token_ && now - confirmed_at_ <= kConfirmationMaxAge;
+  }
+  // True if a read that was to confirm the row got no answer.
+  bool is_confirmation_failing() const { return is_confirmation_failing_; }
+  // True if this VM is the only one since sole_since() that takes its row for
+  // confirmed.
+  bool IsSole(TimePoint now) const {
+    return IsConfirmed(now) && now >= sole_since();
+  }
+  TimePoint sole_since() const { return last_writer_since_ + kSoleDelay; }
+
   StoreEra era() const { return era_; }
   // When a call last failed; zero: never.
   TimePoint failed_at() const { return failed_at_; }
@@ -88,15 +143,20 @@
   void Write(ProxyContext* context);
   void OnRow(const StoreAnswered& answer, ProxyContext* context);
   void OnRowWritten(const StoreAnswered& answer, ProxyContext* context);
+  void OnConfirmation(const StoreAnswered& answer, ProxyContext* context);
+  void ReadCommitSet(const std::string& value, bool is_restored,
+                     ProxyContext* context);
   void Wait(Duration time, ProxyContext* context);
-  std::string ValueFor(bool is_promoting, ProxyContext* context) const;
+  bool IsOwn(const std::string& value, ProxyContext* context) const;
 
   GroupId group_;
   RequestedRow requested_row_ = RequestedRow::kNone;
   uint64_t term_ = 0;
   CallId read_;
   CallId write_;
-  bool is_writing_promoting_ = false;  // What the write under way contains.
+  // What the write under way contains.
+  bool is_writing_promoting_ = false;
+  CommitSet writing_set_;
   TimePoint write_sent_at_;
   bool has_row_ = false;
   StoreVersion row_version_;
@@ -111,6 +171,14 @@
   TimePoint exclusive_since_;
   TimePoint exclusive_until_;
   TimePoint exclusive_ended_at_;
+  CommitSet commit_set_;
+  std::optional<CommitSet> proposed_set_;
+  TimePoint last_writer_since_;
+  TimePoint confirmed_at_;  // When the last confirming call was sent.
+  CallId confirmation_;
+  TimePoint confirmation_sent_at_;
+  TimePoint next_confirmation_;
+  bool is_confirmation_failing_ = false;
   int store_failures_ = 0;  // Consecutive.
   TimePoint failed_at_;
   TimePoint next_try_;
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -1,9 +1,17 @@
 // A commit is acknowledged only once a replica has received it. So when all
 // replicas are held, nothing more can be acknowledged, and the replica with the
-// longest log has every acknowledged commit. A replica counts until its
-// registry entry has been missing for kUnregisteredTimeout; one that does not
-// answer delays the replacement, since it might still acknowledge commits of
-// the old primary.
+// longest log has every acknowledged commit. A replica that does not answer
+// delays the replacement, since it might still acknowledge commits of the old
+// primary, and its log may be the longest. One that is not in the commit set
+// counts until its registry entry has been missing for kUnregisteredTimeout:
+// no commit was passed on because it alone had it.
+//
+// The VM that alone counts single replicas, see DutyLease::IsSole(), knows up
+// to which position commits were passed on: the primary's position when it
+// became that, or a later one that it passed on itself. Other VMs pass on only
+// what every replica of their lists has. So a held replica that has been listed
+// for kMaxUntrustedListAge and has that position has every such commit, and as
+// it is held, no other VM passes on anything more.
 //
 // A replica reports the term of the last hold that it was sent. Holds of VMs
 // with different tokens differ, so a VM sees when another one has replaced its
@@ -84,6 +92,8 @@
   all_held_at_ = Instant();
   held_position_ = LogPosition();
   has_sent_hold_ = false;
+  has_unseen_order_ = false;
+  leaves_out_silent_ = false;
   is_fleet_reachable_ = false;
   command_sent_at_.clear();
   held_at_.clear();
@@ -128,12 +138,129 @@
   return is_known ? started_.time + replacement_time_ : TimePoint();
 }
 
+// What the primary of the newest term acknowledged is in the log of a replica
+// of the set, so its own log is not needed. An earlier primary may be the only
+// upstream that has a commit.
+bool Failover::IsNeeded(const UpstreamId& id, const UpstreamId& lost_primary,
+                        uint64_t term, const UpstreamPool& pool) const {
+  const CommitSet& set = lease_.commit_set();
+  if (set.members.count(id) == 0) return false;
+  if (set.term == term) return id != set.primary;
+  if (id != lost_primary) return true;
+  auto lost = pool.upstreams().find(id);
+  bool led_later = lost != pool.upstreams().end() && lost->second.has_status &&
+                   lost->second.status.is_primary &&
+                   lost->second.status.term > set.term;
+  return !led_later;
+}
+
 bool Failover::MayAcknowledge(const PooledUpstream& upstream,
+                              const UpstreamPool& pool,
                               ProxyContext* context) const {
+  if (pool.ReplacementOf(upstream) != nullptr) return false;
+  if (leaves_out_silent_ && upstream.is_down) return false;
   if (upstream.is_registered) return true;
+  if (IsNeeded(upstream.record.id, old_primary_, term_, pool)) return true;
   return context->now() - upstream.unregistered_at < kUnregisteredTimeout;
 }
 
+// False if the log of a recorded upstream is out of reach, or if no recorded
+// replica is left that could have the acknowledged commits.
+bool Failover::ReachesCommitSet(const UpstreamPool& pool) const {
+  const CommitSet& set = lease_.commit_set();
+  if (!set.is_known() || is_planned()) return true;
+  bool reaches_any = false;
+  for (const auto& member : set.members) {
+    if (!IsNeeded(member.first, old_primary_, term_, pool)) continue;
+    const PooledUpstream* upstream = pool.WithLogOf(member.first, set);
+    bool answers = upstream != nullptr && !upstream->is_down;
+    if (!answers && !leaves_out_silent_) return false;
+    reaches_any = reaches_any || answers;
+  }
+  return reaches_any;
+}
+
+UpstreamId Failover::AwaitedUpstream(const UpstreamId& lost_primary,
+                                     uint64_t term, const UpstreamPool& pool,
+                                     ProxyContext* context) const {
+  const CommitSet& set = lease_.commit_set();
+  if (!set.is_known() || HasCompleteReplica(pool, term, context)) {
+    return UpstreamId();
+  }
+  bool needs_any = false;
+  for (const auto& member : set.members) {
+    if (!IsNeeded(member.first, lost_primary, term, pool)) continue;
+    needs_any = true;
+    const PooledUpstream* upstream = pool.WithLogOf(member.first, set);
+    if (upstream == nullptr || upstream->is_down) return member.first;
+  }
+  return needs_any ? UpstreamId() : set.primary;
+}
+
+void Failover::OnPrimaryStatus(const PooledUpstream& primary,
+                               ProxyContext* context) {
+  if (!lease_.IsSole(context->now())) return;
+  TimePoint sole_since = lease_.sole_since();
+  bool is_known =
+      base_term_ == primary.status.term && base_sole_since_ == sole_since;
+  bool is_evidence = lease_.commit_set().term == primary.status.term &&
+                     primary.status_sent.time >= sole_since;
+  if (is_known || !is_evidence) return;
+  base_term_ = primary.status.term;
+  base_sole_since_ = sole_since;
+  base_position_ = primary.status.received;
+}
+
+LogPosition Failover::PassedOnPosition(uint64_t term,
+                                       ProxyContext* context) const {
+  bool is_known = lease_.IsSole(context->now()) &&
+                  !lease_.commit_set().may_have_order && base_term_ != 0 &&
+                  base_term_ <= term && base_sole_since_ == lease_.sole_since();
+  if (!is_known) return LogPosition();
+  return base_position_ < acknowledged_ ? acknowledged_ : base_position_;
+}
+
+bool Failover::IsComplete(const PooledUpstream& replica, LogPosition position,
+                          ProxyContext* context) const {
+  TimePoint now = context->now();
+  TimePoint known_since = replica.record.known_since;
+  bool is_listed_everywhere =
+      replica.is_registered &&
+      (known_since == TimePoint() ||
+       now - known_since >= kMaxUntrustedListAge) &&
+      (replica.registered_since == TimePoint() ||
+       now - replica.registered_since >= kMaxUntrustedListAge);
+  return is_listed_everywhere && !replica.is_down && !replica.record.leaving &&
+         replica.has_status && !replica.status.is_primary &&
+         lease_.commit_set().HasMember(replica.record) &&
+         !(replica.status.received < position);
+}
+
+bool Failover::HasCompleteReplica(const UpstreamPool& pool, uint64_t term,
+                                  ProxyContext* context) const {
+  LogPosition position = PassedOnPosition(term, context);
+  if (!position.known()) return false;
+  for (const auto& item : pool.upstreams()) {
+    if (IsComplete(item.second, position, context)) return true;
+  }
+  return false;
+}
+
+// Decides whether replicas that do not answer are left out: if a held one, or
+// the successor of a planned change, has all that was passed on.
+void Failover::ReviewSilentReplicas(const UpstreamPool& pool,
+                                    ProxyContext* context) {
+  leaves_out_silent_ = false;
+  LogPosition position = PassedOnPosition(term_, context);
+  if (!position.known()) return;
+  for (const auto& item : pool.upstreams()) {
+    bool may_lead =
+        is_planned() ? item.first == successor_ : IsHeld(item.second);
+    bool is_complete = may_lead && IsComplete(item.second, position, context);
+    leaves_out_silent_ = leaves_out_silent_ || is_complete;
+  }
+}
+
 bool Failover::IsHeld(const PooledUpstream& upstream) const {
   return upstream.is_status_of_this_connection() &&
          upstream.status_sent.sequence > started_.sequence &&
@@ -156,7 +283,8 @@
 bool Failover::AreReplicasHeld(const UpstreamPool& pool,
                                ProxyContext* context) const {
   for (const auto& item : pool.upstreams()) {
-    if (!MustHold(item.first) || !MayAcknowledge(item.second, context)) {
+    if (!MustHold(item.first, pool) ||
+        !MayAcknowledge(item.second, pool, context)) {
       continue;
     }
     if (!IsHeld(item.second)) return false;
@@ -171,8 +299,8 @@
   return !(held_position_ < position);
 }
 
-bool Failover::MustHold(const UpstreamId& id) const {
-  if (id == old_primary_) return false;
+bool Failover::MustHold(const UpstreamId& id, const UpstreamPool& pool) const {
+  if (id == old_primary_) return IsNeeded(id, id, term_, pool);
   return !is_planned() || id != successor_;
 }
 
@@ -242,11 +370,12 @@
 }
 
 void Failover::StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context) {
-  if (HasPrimaryReturned(pool)) {
+  if (!has_unseen_order_ && HasPrimaryReturned(pool)) {
     GiveUp("the primary answers", pool, context);
     return;
   }
-  if (context->now() - started_.time > kHoldTimeout) {
+  bool is_over = context->now() - started_.time > kHoldTimeout;
+  if (is_over && !has_unseen_order_) {
     GiveUp("not every replica could be held in time", pool, context);
     return;
   }
@@ -277,7 +406,12 @@
     GiveUp("a VM with a newer token holds a replica", pool, context);
     return;
   }
+  if (lease_.commit_set().term > term_) {
+    GiveUp("a later term is recorded", pool, context);
+    return;
+  }
   has_sent_hold_ = true;
+  ReviewSilentReplicas(*pool, context);
   if (!HoldReplicas(pool, context)) {
     // A replica that restarted may have acknowledged commits since the position
     // was taken.
@@ -290,6 +424,7 @@
     RequestHoldEvidence(pool, context);
     return;
   }
+  if (!ReachesCommitSet(*pool)) return;
   // If the store gave the lease, it can also be asked for the list.
   bool is_list_old = pool->ListAge(context->now()) > kListMaxAge;
   if (lease_.has_token() && is_list_old) return;
@@ -315,8 +450,8 @@
   bool all_hold = true;
   for (auto& item : pool->upstreams()) {
     PooledUpstream& upstream = item.second;
-    if (!MustHold(item.first) || IsHeld(upstream)) continue;
-    if (!MayAcknowledge(upstream, context)) continue;
+    if (!MustHold(item.first, *pool) || IsHeld(upstream)) continue;
+    if (!MayAcknowledge(upstream, *pool, context)) continue;
     all_hold = false;
     bool is_ordered = stage_ != FailoverStage::kHoldingReplicas;
     if (is_ordered && HasNewerHold(upstream)) continue;
@@ -344,7 +479,7 @@
 void Failover::RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context) {
   for (const auto& item : pool->upstreams()) {
     bool is_missing =
-        MustHold(item.first) && !IsHoldConfirmed(item.second, context);
+        MustHold(item.first, *pool) && !IsHoldConfirmed(item.second, context);
     if (!is_missing) continue;
     SendCommand(item.first, CommandKind::kStatus, pool, context);
   }
@@ -379,7 +514,8 @@
     context->WakeAt(excluded_until_[successor_]);
     successor_ = UpstreamId();
   }
-  bool may_wait = context->now() - started_.time < kShortLogTimeout;
+  bool may_wait = context->now() - started_.time < kShortLogTimeout ||
+                  !lease_.commit_set().is_known();
   bool is_short = !is_planned() && best < acknowledged_ && may_wait;
   if (successor_ != UpstreamId() && is_short) {
     context->Log(LogLevel::kWarning, kPart, "replicas_too_short",
@@ -428,7 +564,8 @@
   // established upstreams.
   bool holds_any = false;
   for (const auto& item : pool.upstreams()) {
-    bool is_evidence = MustHold(item.first) && item.second.is_registered &&
+    bool is_evidence = MustHold(item.first, pool) &&
+                       item.second.is_registered &&
                        pool.IsEstablished(item.second, context->now());
     holds_any = holds_any || is_evidence;
   }
@@ -449,7 +586,9 @@
                 FormatPosition(upstream.status.received) +
                 (IsHeld(upstream) ? " held" : " not_held") +
                 " status_age_ms=" + std::to_string(age.millis());
-    if (upstream.is_down) replicas += " down";
+    if (upstream.is_down) {
+      replicas += leaves_out_silent_ ? " left_out" : " down";
+    }
     if (upstream.record.leaving) replicas += " leaving";
     if (!upstream.is_registered) {
       replicas += " entry_missing_ms=" + std::to_string(missing.millis());
@@ -462,6 +601,7 @@
                 {"successor", successor_.value()},
                 {"replicas", replicas},
                 {"acknowledged", FormatPosition(acknowledged_)},
+                {"commit_set", FormatCommitSet(lease_.commit_set())},
                 {"token_age_ms", std::to_string(token_age.millis())},
                 {"list_age_ms", std::to_string(list_age.millis())}});
 }
@@ -479,7 +619,8 @@
       if (is_first) pool->SendControl(item.first, status, context);
       continue;
     }
-    if (held_at_.erase(item.first) == 0 || !MustHold(item.first)) continue;
+    if (held_at_.erase(item.first) == 0 || !MustHold(item.first, *pool))
+      continue;
     context->Log(LogLevel::kWarning, kPart, "hold_lost",
                  {{"group", group_.value()},
                   {"upstream", item.first.value()},
@@ -487,6 +628,8 @@
                   {"expected", std::to_string(hold_term_)},
                   {"down", upstream.is_down ? "yes" : "no"},
                   {"ordered", is_promoting() ? "yes" : "no"}});
+    // The old primary may acknowledge commits that the successor lacks.
+    held_position_ = LogPosition();
   }
 }
 
@@ -502,7 +645,8 @@
 bool Failover::AreHoldsConfirmed(const UpstreamPool& pool,
                                  ProxyContext* context) const {
   for (const auto& item : pool.upstreams()) {
-    bool counts = MustHold(item.first) && MayAcknowledge(item.second, context);
+    bool counts = MustHold(item.first, pool) &&
+                  MayAcknowledge(item.second, pool, context);
     if (counts && !IsHoldConfirmed(item.second, context)) return false;
   }
   return true;
@@ -558,12 +702,14 @@
 
 // False while the successor may lead unseen by this VM. If the other replicas
 // were resumed then, the old primary could acknowledge commits through them.
-bool Failover::IsOrderSettled(const UpstreamPool& pool,
-                              ProxyContext* context) const {
+// That the successor is silent or has no entry does not show that it does not
+// lead.
+bool Failover::IsOrderSettled(const UpstreamPool& pool) const {
   auto found = pool.upstreams().find(successor_);
   if (found == pool.upstreams().end()) return true;
-  const PooledUpstream& successor = found->second;
-  if (!MayAcknowledge(successor, context)) return true;  // It is gone.
+  const PooledUpstream* replacement = pool.ReplacementOf(found->second);
+  const PooledUpstream& successor =
+      replacement == nullptr ? found->second : *replacement;
   TimePoint decided_at = promotion_requested_at_ + kPromotionEffectTimeout;
   return !successor.is_down && successor.is_status_of_this_connection() &&
          !(successor.status_sent.time < decided_at);
@@ -572,9 +718,9 @@
 void Failover::StepAwaitingNewPrimary(UpstreamPool* pool,
                                       ProxyContext* context) {
   if (context->now() - promotion_requested_at_ > kPromotionEffectTimeout) {
-    if (IsOrderSettled(*pool, context)) {
+    if (IsOrderSettled(*pool)) {
       GiveUp("the promotion did not take effect in time", pool, context);
-    } else {
+    } else if (!ReplaceSuccessor(pool, context)) {
       SendCommand(successor_, CommandKind::kStatus, pool, context);
     }
     return;
@@ -588,6 +734,24 @@
   SendCommand(successor_, CommandKind::kStatus, pool, context);
 }
 
+// Goes on with another successor if the one that was ordered does not answer.
+// It may lead unseen, so the replicas stay held until another upstream leads.
+// What it acknowledges then is not passed on without the held replicas.
+bool Failover::ReplaceSuccessor(UpstreamPool* pool, ProxyContext* context) {
+  const PooledUpstream* successor = pool->FindUpstream(successor_);
+  if (successor == nullptr || !successor->is_down) return false;
+  if (!HasCompleteReplica(*pool, term_, context)) return false;
+  context->Log(LogLevel::kWarning, kPart, "successor_silent",
+               {{"group", group_.value()}, {"successor", successor_.value()}});
+  has_unseen_order_ = true;
+  cause_ = FailoverCause::kLost;
+  stage_ = FailoverStage::kHoldingReplicas;
+  successor_ = UpstreamId();
+  held_position_ = LogPosition();
+  lease_.Acquire(true, term_, context);
+  return true;
+}
+
 // An order to resume cannot be called back, and would end the hold of another
 // VM if it arrived after it. So it is given only while the lease lasts for the
 // time that the order may take to arrive.
@@ -700,7 +864,7 @@
 
 void Failover::OnOwnershipLost(UpstreamPool* pool, ProxyContext* context) {
   lease_.OnOwnershipLost();
-  if (stage_ != FailoverStage::kHoldingReplicas) return;
+  if (stage_ != FailoverStage::kHoldingReplicas || has_unseen_order_) return;
   GiveUp("another VM owns the group", pool, context);
 }
 
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -6,7 +6,9 @@
 //
 // A held replica receives nothing more of the log. A lost primary is replaced
 // once every replica is held, so that the old primary can acknowledge nothing
-// more. In a planned change the primary goes on serving while all replicas but
+// more. That includes the replicas of the recorded commit set, however long
+// they have been silent: one of them may alone have acknowledged commits. In a
+// planned change the primary goes on serving while all replicas but
 // its successor are held, so that whatever it acknowledges is in the
 // successor's log.
 //
@@ -21,6 +23,9 @@
 // more. While the store does not answer, a replica that shows the hold of this
 // VM is resumed without it.
 //
+// A replica that does not answer is left out if this VM alone has passed on
+// commits that a single replica had, and another held replica has all of them.
+//
 // Limits: one replacement at a time.
 
 #ifndef FIREFLYCART_CORE_PROXY_FAILOVER_H_
@@ -55,8 +60,8 @@
 
 class Failover {
  public:
-  // An upstream whose registry entry is missing for this long is gone; the
-  // platform restores entries within 2 s.
+  // An upstream whose registry entry is missing for this long is sent no work;
+  // the platform restores entries within 2 s. Its log may still be needed.
   static constexpr Duration kUnregisteredTimeout = Duration::Millis(2300);
   // An attempt that cannot hold every replica is given up after this time, so
   // that a primary that only this VM cannot reach goes on serving.
@@ -90,8 +95,13 @@
 
   // How long to wait for a replica that has the last acknowledged position.
   // That position is the end of the log when the primary answered, so it may
-  // lie above what was acknowledged.
+  // lie above what was acknowledged. The recorded commit set then shows that
+  // the longest log is complete; without it, the wait has no limit.
   static constexpr Duration kShortLogTimeout = Duration::Seconds(4);
+  // A VM that does not know the newest list of upstreams passes on what every
+  // replica of its list has, if the list is at most this old. So a replica that
+  // has been listed for as long has all of that.
+  static constexpr Duration kMaxUntrustedListAge = Duration::Seconds(30);
 
   explicit Failover(GroupId group) : group_(std::move(group)), lease_(group_) {}
 
@@ -184,6 +194,23 @@
   bool IsCommitKept(LogPosition position, const UpstreamPool& pool,
                     ProxyContext* context) const;
 
+  // Records that the group's primary, which answers, has this position. It
+  // covers what other VMs passed on while they could count single replicas.
+  void OnPrimaryStatus(const PooledUpstream& primary, ProxyContext* context);
+  // Starts to record the commit set.
+  void RecordCommitSet(const CommitSet& set, ProxyContext* context) {
+    lease_.Record(set, set.term, context);
+  }
+  void LearnCommitSet(ProxyContext* context) { lease_.Learn(context); }
+  void KeepLeaseConfirmed(ProxyContext* context) {
+    lease_.KeepConfirmed(context);
+  }
+  // A recorded upstream that does not answer and without which the primary
+  // cannot be replaced; none if there is no such upstream.
+  UpstreamId AwaitedUpstream(const UpstreamId& lost_primary, uint64_t term,
+                             const UpstreamPool& pool,
+                             ProxyContext* context) const;
+
   // Records an acknowledged position. An upstream below it is not promoted,
   // except after kShortLogTimeout or as successor of a leaving primary.
   void OnAcknowledged(LogPosition position) {
@@ -192,15 +219,29 @@
   LogPosition acknowledged() const { return acknowledged_; }
 
  private:
-  bool MayAcknowledge(const PooledUpstream& upstream,
+  bool MayAcknowledge(const PooledUpstream& upstream, const UpstreamPool& pool,
                       ProxyContext* context) const;
+  // True if the commit set names the upstream and its log is needed to replace
+  // that primary.
+  bool IsNeeded(const UpstreamId& id, const UpstreamId& lost_primary,
+                uint64_t term, const UpstreamPool& pool) const;
+  bool ReachesCommitSet(const UpstreamPool& pool) const;
+  // The position up to which commits of this term and earlier ones may have
+  // been passed on, if this VM knows it; otherwise unknown.
+  LogPosition PassedOnPosition(uint64_t term, ProxyContext* context) const;
+  bool IsComplete(const PooledUpstream& replica, LogPosition position,
+                  ProxyContext* context) const;
+  bool HasCompleteReplica(const UpstreamPool& pool, uint64_t term,
+                          ProxyContext* context) const;
+  void ReviewSilentReplicas(const UpstreamPool& pool, ProxyContext* context);
   bool IsHeld(const PooledUpstream& upstream) const;
   // True if a VM with a newer token holds the upstream.
   bool HasNewerHold(const PooledUpstream& upstream) const;
   bool IsAnyHoldNewer(const UpstreamPool& pool) const;
-  bool MustHold(const UpstreamId& id) const;
+  bool MustHold(const UpstreamId& id, const UpstreamPool& pool) const;
   bool AreReplicasHeld(const UpstreamPool& pool, ProxyContext* context) const;
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
+  bool ReplaceSuccessor(UpstreamPool* pool, ProxyContext* context);
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
   void RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context);
@@ -211,7 +252,7 @@
   bool HasUsableToken(const UpstreamPool& pool, ProxyContext* context) const;
   bool RenewToken(const UpstreamPool& pool, ProxyContext* context);
   void RequestPromotion(const UpstreamPool& pool, ProxyContext* context);
-  bool IsOrderSettled(const UpstreamPool& pool, ProxyContext* context) const;
+  bool IsOrderSettled(const UpstreamPool& pool) const;
   // Logs what an order of promotion rests on.
   void LogEvidence(const UpstreamPool& pool, ProxyContext* context) const;
   void TrackHolds(UpstreamPool* pool, ProxyContext* context);
@@ -264,6 +305,15 @@
   bool releases_lease_ = false;  // Once no order to resume is on its way.
   uint64_t release_term_ = 0;
   std::map<UpstreamId, TimePoint> excluded_until_;
+  // A successor that was ordered before may lead unseen by this VM.
+  bool has_unseen_order_ = false;
+  // Replicas that do not answer may be left out of this attempt.
+  bool leaves_out_silent_ = false;
+  // The primary's position when this VM had become the only one that counts
+  // single replicas, and since when it has been that.
+  LogPosition base_position_;
+  uint64_t base_term_ = 0;
+  TimePoint base_sole_since_;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -1,12 +1,14 @@
 // Decides when an acknowledged commit is passed on to its caller.
 //
-// A VM that replaces the primary holds the upstreams that it knows and promotes
-// the one with the longest log. A commit that was acknowledged by a replica
-// that this VM does not know, or that ends before it leads, is lost. So a
-// commit is kept for certain once a lasting replica has received it: one that
-// every VM knows and that does not leave. If there is none, or this VM may not
-// know who leaves, all replicas must have it. In a planned change by this VM,
-// whose lease excludes other failovers, the successor suffices.
+// A VM that replaces the primary holds the recorded commit set and the
+// upstreams that it knows, and promotes the one with the longest log. A commit
+// that was acknowledged by a replica that this VM does not know, or that ends
+// before it leads, is lost. So a commit is kept for certain once a lasting
+// replica of the commit set has received it: one that every VM knows and that
+// does not leave. Only the VM that wrote the duty row last may count on one
+// replica, as another one may leave that replica out. Other VMs, or this one if
+// it may not know who leaves, need all replicas. In a planned change by this
+// VM, whose lease excludes other failovers, the successor suffices.
 //
 // In a steady group, every replica is lasting and one has just shown that it
 // receives the log, so no status is requested. Otherwise the status of a
@@ -45,6 +47,29 @@
 
 }  // namespace
 
+bool GroupOwner::CountsSingleReplicas(ProxyContext* context) const {
+  if (spec_.sync_replicas == 0) return true;
+  const DutyLease& lease = failover_.lease();
+  // Its successor may lead unseen by this VM.
+  if (lease.commit_set().may_have_order) return false;
+  if (lease.IsConfirmed(context->now())) return true;
+  // While the store does not answer this VM, no other one has taken the row if
+  // all of them answer.
+  bool is_failing = lease.is_confirmation_failing() || lease.is_failing();
+  return lease.is_last_writer() && is_failing &&
+         pool_.IsFleetReachable(context->now());
+}
+
+// True if the commit set of the term, or of the one before until that of a new
+// primary is recorded, contains the replica. A VM that replaces the new primary
+// by the earlier set needs the log of the new primary.
+bool GroupOwner::IsInCommitSet(const PooledUpstream& replica,
+                               uint64_t term) const {
+  const DutyLease& lease = failover_.lease();
+  return lease.IsRecorded(replica.record, term) ||
+         lease.IsRecordedMember(replica.record, term - 1);
+}
+
 // True if a failover of another VM cannot have begun when the commit was
 // acknowledged.
 bool GroupOwner::IsSteady(const Work& work, ProxyContext* context) const {
@@ -53,7 +78,7 @@
   if (failover_.is_promoting() && failover_.IsChangeExclusive(context->now())) {
     return true;
   }
-  bool may_be_steady = unconfirmed_.empty() &&
+  bool may_be_steady = unconfirmed_.empty() && CountsSingleReplicas(context) &&
                        pool_.IsListCurrent(context->now()) &&
                        context->now() - work.sent.time <= kMaxSteadyCommitTime;
   if (!may_be_steady) return false;
@@ -61,7 +86,9 @@
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
     if (item.first == primary_) continue;
-    if (!pool_.IsLasting(upstream, context->now())) return false;
+    bool counts = pool_.IsLasting(upstream, context->now()) &&
+                  IsInCommitSet(upstream, work.reply.position.term);
+    if (!counts) return false;
     Duration age = context->now() - upstream.status_sent.time;
     is_receiving =
         is_receiving || (IsReceiving(upstream) &&
@@ -72,7 +99,8 @@
 }
 
 bool GroupOwner::IsKept(LogPosition position, ProxyContext* context) const {
-  bool is_list_trusted = pool_.IsListTrusted(context->now());
+  bool counts_single =
+      pool_.IsListTrusted(context->now()) && CountsSingleReplicas(context);
   bool has_lasting = false;
   bool has_replica = false;
   bool have_all = true;
@@ -80,7 +108,9 @@
     if (item.first == primary_) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool has_received = HasReceived(item.second, position);
-    if (is_lasting && has_received && is_list_trusted) return true;
+    bool suffices = is_lasting && has_received && counts_single &&
+                    IsInCommitSet(item.second, position.term);
+    if (suffices) return true;
     has_lasting = has_lasting || is_lasting;
     have_all = have_all && has_received;
     has_replica = true;
@@ -90,15 +120,26 @@
                        successor != pool_.upstreams().end() &&
                        HasReceived(successor->second, position);
   if (has_successor) return true;
-  if (!has_replica || !have_all) return false;
-  return has_lasting ? !is_list_trusted : pool_.IsListCurrent(context->now());
+  return has_replica && have_all && MayCountAll(has_lasting, context);
+}
+
+// True if every failover includes one of the replicas that this VM knows.
+bool GroupOwner::MayCountAll(bool has_lasting, ProxyContext* context) const {
+  if (pool_.IsListTrusted(context->now())) {
+    return has_lasting || pool_.IsListCurrent(context->now());
+  }
+  return has_lasting &&
+         pool_.ListAge(context->now()) <= Failover::kMaxUntrustedListAge;
 }
 
 // True if commits that are sent now can be confirmed, as far as is known.
 bool GroupOwner::CanKeepCommits(ProxyContext* context) const {
   if (spec_.sync_replicas == 0) return true;
   if (failover_.is_active() && failover_.is_planned()) return true;
-  bool is_list_trusted = pool_.IsListTrusted(context->now());
+  bool counts_single =
+      pool_.IsListTrusted(context->now()) && CountsSingleReplicas(context);
+  const PooledUpstream* primary = pool_.FindUpstream(primary_);
+  uint64_t term = primary == nullptr ? 0 : primary->status.term;
   bool has_lasting = false;
   bool has_replica = false;
   bool receive_all = true;
@@ -106,13 +147,14 @@
     if (item.first == primary_) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool is_receiving = IsReceiving(item.second);
-    if (is_lasting && is_receiving && is_list_trusted) return true;
+    bool suffices = is_lasting && is_receiving && counts_single &&
+                    IsInCommitSet(item.second, term);
+    if (suffices) return true;
     has_lasting = has_lasting || is_lasting;
     receive_all = receive_all && is_receiving;
     has_replica = true;
   }
-  if (!has_replica || !receive_all) return false;
-  return has_lasting ? !is_list_trusted : pool_.IsListCurrent(context->now());
+  return has_replica && receive_all && MayCountAll(has_lasting, context);
 }
 
 bool GroupOwner::HasEstablishedReplica(ProxyContext* context) const {
@@ -160,12 +202,16 @@
   }
   evidence_requested_at_ = context->now();
   context->WakeAt(context->now() + interval);
-  // One lasting replica is asked first, then all.
+  // One lasting replica of the commit set is asked first, then all.
+  const PooledUpstream* primary = pool_.FindUpstream(primary_);
+  uint64_t term = primary == nullptr ? 0 : primary->status.term;
   UpstreamCommand status;
   if (!is_slow) {
     for (const auto& item : pool_.upstreams()) {
       bool may_confirm = item.first != primary_ && IsReceiving(item.second) &&
-                         pool_.IsLasting(item.second, context->now());
+                         !item.second.status.is_primary &&
+                         pool_.IsLasting(item.second, context->now()) &&
+                         IsInCommitSet(item.second, term);
       if (may_confirm && pool_.SendControl(item.first, status, context)) return;
     }
   }
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -96,10 +96,39 @@
       pool_.IsEstablished(*pool_.FindUpstream(upstream), context->now()) ||
       !HasEstablishedReplica(context);
   if (!is_evidence) return;
-  leadership_.OnReplicaReceives(upstream, command.at);
+  if (CountsSingleReplicas(context)) {
+    leadership_.OnReplicaReceives(upstream, command.at);
+  } else {
+    ConfirmByAllReplicas(*primary, context);
+  }
   if (IsProbeAnswered()) is_probe_pending_ = false;
 }
 
+// Another VM may have left one replica out of a promotion, but none that every
+// VM knows.
+void GroupOwner::ConfirmByAllReplicas(const PooledUpstream& primary,
+                                      ProxyContext* context) {
+  Instant oldest = context->instant();
+  bool has_replica = false;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& replica = item.second;
+    if (item.first == primary_) continue;
+    has_replica = true;
+    bool receives =
+        !replica.is_down && replica.is_status_of_this_connection() &&
+        !replica.status.is_primary && replica.status.held_term == 0 &&
+        replica.status.term == primary.status.term;
+    if (!receives) return;
+    if (replica.status_sent.sequence < oldest.sequence) {
+      oldest = replica.status_sent;
+    }
+  }
+  if (!has_replica) return;
+  // The successor of a planned change receives until it leads. So this confirms
+  // the primary, but does not show that no promotion was requested.
+  leadership_.OnConfirmed(oldest);
+}
+
 bool GroupOwner::IsProbeAnswered() const {
   return does_probe_need_two_
              ? leadership_.IsUnchallengedSince(probe_sent_.sequence)
@@ -154,6 +183,15 @@
   return true;
 }
 
+// False if an upstream that is not in the list may have commits of this term or
+// a later one.
+bool GroupOwner::IsAloneInCommitSet(const PooledUpstream& primary) const {
+  const CommitSet& set = failover_.lease().commit_set();
+  if (spec_.sync_replicas == 0) return true;
+  return set.term == primary.status.term && !set.may_have_order &&
+         set.members.size() == 1 && set.HasMember(primary.record);
+}
+
 void GroupOwner::ProveSoleLeadership(ProxyContext* context) {
   // After an upstream has joined, until it confirms the primary.
   constexpr Duration kJoinTime = Duration::Seconds(2);
@@ -168,7 +206,7 @@
   sole_leadership_.Step(failover_.lease(), pool_, primary_, context);
   bool is_proven =
       sole_leadership_.IsProven(failover_.lease(), context->now()) &&
-      pool_.IsListCurrent(context->now());
+      pool_.IsListCurrent(context->now()) && IsAloneInCommitSet(*primary);
   if (is_proven) {
     leadership_.OnUnchallenged(context->instant());
   }
@@ -183,7 +221,9 @@
   if (is_pending) return;
   UpstreamCommand status;
   size_t wanted = needs_two ? 2 : 1;
-  if (is_probe_pending_) wanted = pool_.upstreams().size();  // Timed out.
+  bool needs_all = !CountsSingleReplicas(context);
+  if (is_probe_pending_ || needs_all)
+    wanted = pool_.upstreams().size();  // Timed out.
   size_t asked = 0;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
@@ -206,6 +246,10 @@
     const PooledUpstream& upstream = item.second;
     if (!HasLed(upstream)) continue;
     uint64_t term = upstream.status.term;
+    // Commits of a later term may have been acknowledged, also if none of its
+    // upstreams answers.
+    if (term < MinTerm()) continue;
+    highest_term_ = term;
     int evidence = LeadEvidence(upstream);
     bool is_better = best == UpstreamId() || term > best_term;
     if (!is_better && term == best_term) {
@@ -217,6 +261,7 @@
     best_term = term;
     best_evidence = evidence;
   }
+  if (best == UpstreamId()) DropOvertakenPrimary(context);
   if (best == UpstreamId() || best == primary_) {
     if (best != UpstreamId()) without_primary_since_ = context->now();
     return;
@@ -229,6 +274,7 @@
   SettleCommits(*pool_.FindUpstream(best), context);
   UpstreamId old = primary_;
   primary_ = best;
+  primary_since_ = context->now();
   without_primary_since_ = context->now();
   leadership_.Reset();
   previous_primary_position_ = LogPosition();
@@ -239,7 +285,32 @@
   // The old primary can no longer acknowledge the statements that it is
   // running. Reads are sent again; the outcome of a write that was sent is
   // unknown.
-  for (ConnectionId connection : pool_.ConnectionsOf(old)) {
+  CloseDataConnections(old, context);
+}
+
+// A later term was recorded than that in which the primary leads.
+void GroupOwner::DropOvertakenPrimary(ProxyContext* context) {
+  const PooledUpstream* primary = pool_.FindUpstream(primary_);
+  bool is_overtaken = primary != nullptr && HasLed(*primary) &&
+                      primary->status.term < MinTerm();
+  if (!is_overtaken) return;
+  context->Log(LogLevel::kWarning, kPart, "primary_overtaken",
+               {{"group", spec_.id.value()},
+                {"primary", primary_.value()},
+                {"term", std::to_string(primary->status.term)},
+                {"later_term", std::to_string(MinTerm())}});
+  UpstreamId old = primary_;
+  primary_ = UpstreamId();
+  without_primary_since_ = context->now();
+  leadership_.Reset();
+  previous_primary_position_ = LogPosition();
+  is_probe_pending_ = false;
+  CloseDataConnections(old, context);
+}
+
+void GroupOwner::CloseDataConnections(const UpstreamId& id,
+                                      ProxyContext* context) {
+  for (ConnectionId connection : pool_.ConnectionsOf(id)) {
     PooledConnection* used = pool_.Find(connection);
     if (used == nullptr || used->is_control) continue;
     OnConnectionLost(pool_.Close(connection, context), context);
@@ -407,12 +478,22 @@
   if (!resumable.empty()) failover_.EndHolds(resumable, term, context);
 }
 
+// True if a promotion may depend on the upstream, though it has no entry.
+bool GroupOwner::IsLogNeeded(const PooledUpstream& upstream) const {
+  if (pool_.ReplacementOf(upstream) != nullptr) return false;
+  bool is_successor =
+      failover_.is_active() && failover_.successor() == upstream.record.id;
+  return is_successor ||
+         failover_.lease().commit_set().HasMember(upstream.record);
+}
+
 void GroupOwner::RemoveGoneUpstreams(ProxyContext* context) {
   std::vector<UpstreamId> gone;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
     bool is_gone = !upstream.is_registered &&
                    !(item.first == primary_ && HasLed(upstream)) &&
+                   upstream.is_down && !IsLogNeeded(upstream) &&
                    context->now() - upstream.unregistered_at >=
                        Failover::kUnregisteredTimeout;
     if (is_gone) gone.push_back(item.first);
@@ -446,9 +527,14 @@
     bool claims = upstream.record.is_primary && upstream.is_registered &&
                   (!upstream.has_status || upstream.status.is_primary);
     if (claims && upstream.is_down) registered_primary = item.first;
-    all_answered = all_answered && is_fresh;
+    // The failover waits for one without an entry if it needs its log.
+    bool counts =
+        upstream.is_registered || context->now() - upstream.unregistered_at <
+                                      Failover::kUnregisteredTimeout;
+    all_answered = all_answered && (is_fresh || !counts);
   }
   if (term == 0) return;
+  term = std::max(term, MinTerm());
   if (registered_primary != UpstreamId()) {
     failover_.Start(FailoverCause::kLost, registered_primary, term, context);
   } else if (all_answered) {
--- a/fireflycart/core/proxy/group_load.cc
+++ b/fireflycart/core/proxy/group_load.cc
@@ -21,6 +21,10 @@
 // upstreams may be unknown for a moment, and estimates should then admit.
 constexpr double kMinConcurrency = 0.5;
 
+// Longer than any statement may wait for an upstream whose return nothing
+// announces.
+constexpr Duration kUnknownReturnTime = Duration::Seconds(600);
+
 int InFlightLimit(const PooledUpstream& upstream) {
   return upstream.record.slots + UpstreamPool::kExtraInFlight;
 }
@@ -49,9 +53,16 @@
           " ms, " + std::to_string(statement.time_left.millis()) + " ms left";
       bool lacks_primary = PrimaryBlockedUntil(context) != TimePoint() &&
                            context->now() < AvailableAt(*work, context);
-      Fail(work, Outcome::kBusy,
-           lacks_primary ? "no_primary_in_sight" : "cannot_be_served_in_time",
-           context);
+      UpstreamId awaited = AwaitedUpstream(context);
+      const char* cause = "cannot_be_served_in_time";
+      if (lacks_primary) cause = "no_primary_in_sight";
+      if (lacks_primary && awaited != UpstreamId()) {
+        cause = "awaits_upstream";
+        work->reply.detail = awaited.value() +
+                             " does not answer and may alone have "
+                             "acknowledged commits";
+      }
+      Fail(work, Outcome::kBusy, cause, context);
     }
   }
 }
@@ -140,6 +151,9 @@
 // replica or the primary may answer earlier, but nothing says that it will.
 TimePoint GroupOwner::PrimaryBlockedUntil(ProxyContext* context) {
   bool is_replacing = failover_.is_active() && !failover_.is_planned();
+  if (AwaitedUpstream(context) != UpstreamId()) {
+    return context->now() + kUnknownReturnTime;
+  }
   if (failover_.is_promoting()) return TimePoint();
   const PooledUpstream* primary = pool_.FindUpstream(primary_);
   bool may_lead = primary != nullptr && !primary->is_down &&
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -2,7 +2,8 @@
 // failover takes its next step, the owner requests the leadership confirmations
 // that queued work needs, and it dispatches work. Dispatch, the handling of
 // answers, the confirmation of commits and the health checks are in
-// group_dispatch.cc, group_answers.cc, group_commits.cc and group_health.cc.
+// group_dispatch.cc, group_answers.cc, group_commits.cc and group_health.cc;
+// the record of which replicas count is kept in group_commit_set.cc.
 
 #include "fireflycart/core/proxy/group_owner.h"
 
@@ -67,6 +68,7 @@
                 {"transactions", std::to_string(transactions_.size())}});
   if (is_assigned) {
     Activate(context);
+    if (spec_.sync_replicas > 0) failover_.LearnCommitSet(context);
   } else {
     failover_.OnOwnershipLost(&pool_, context);
     failover_.KeepLease(false, 0, context);
@@ -266,6 +268,8 @@
   CheckFailover(context);
   failover_.Step(&pool_, context);
   CheckLagReliefEnded(context);
+  KeepCommitSet(context);
+  ReportAwaitedUpstream(context);
   ProveSoleLeadership(context);
   KeepLeadershipConfirmed(context);
   Dispatch(context);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -16,6 +16,7 @@
 #ifndef FIREFLYCART_CORE_PROXY_GROUP_OWNER_H_
 #define FIREFLYCART_CORE_PROXY_GROUP_OWNER_H_
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <memory>
@@ -99,11 +100,14 @@
   bool is_replacing_primary() const {
     return failover_.is_active() || failover_.is_ending_holds();
   }
-  // True while a primary is replaced, or the list of upstreams is out of date:
-  // then it matters whether the other VMs answer.
+  // True while a primary is replaced, the list of upstreams is out of date, or
+  // the duty row cannot be read: then it matters whether the other VMs answer.
   bool needs_fleet_check(TimePoint now) const {
-    return is_replacing_primary() || (is_active_ && !pool_.IsListCurrent(now));
+    return is_replacing_primary() ||
+           (is_active_ && (!pool_.IsListCurrent(now) ||
+                           failover_.lease().is_confirmation_failing()));
   }
+  bool is_awaiting_upstream() const { return awaited_ != UpstreamId(); }
   // Sets whether the other VMs have answered recently.
   void SetFleetReachable(bool is_confirmed, ProxyContext* context);
   UpstreamId primary() const { return primary_; }
@@ -197,6 +201,11 @@
                    ProxyContext* context);
 
   // Defined in group_commits.cc.
+  // True if this VM is the only one that takes a commit for kept since one
+  // replica has it.
+  bool CountsSingleReplicas(ProxyContext* context) const;
+  bool IsInCommitSet(const PooledUpstream& replica, uint64_t term) const;
+  bool MayCountAll(bool has_lasting, ProxyContext* context) const;
   bool IsSteady(const Work& work, ProxyContext* context) const;
   bool IsKept(LogPosition position, ProxyContext* context) const;
   bool CanKeepCommits(ProxyContext* context) const;
@@ -217,10 +226,38 @@
   void CancelQueuedTransaction(const TransactionKey& key,
                                ProxyContext* context);
 
+  // Defined in group_commit_set.cc.
+  void KeepCommitSet(ProxyContext* context);
+  CommitSet NextCommitSet(const PooledUpstream& primary,
+                          ProxyContext* context) const;
+  bool HasOrderLapsed(const PooledUpstream& primary) const;
+  bool MayJoinCommitSet(const PooledUpstream& replica,
+                        const PooledUpstream& primary,
+                        ProxyContext* context) const;
+  bool MayLeaveCommitSet(const UpstreamId& id, const CommitMember& member,
+                         const PooledUpstream& primary,
+                         ProxyContext* context) const;
+  bool IsCoveredWithout(const UpstreamId& id, const PooledUpstream& primary,
+                        ProxyContext* context) const;
+  void ReportAwaitedUpstream(ProxyContext* context);
+  // A recorded upstream that does not answer and without which the group has no
+  // primary; none if there is no such upstream.
+  UpstreamId AwaitedUpstream(ProxyContext* context);
+  // The lowest term in which an upstream can lead.
+  uint64_t MinTerm() const {
+    return std::max(highest_term_, failover_.lease().commit_set().term);
+  }
+
   // Defined in group_health.cc.
   void Activate(ProxyContext* context);
   void Deactivate(ProxyContext* context);
   void UpdatePrimary(ProxyContext* context);
+  void DropOvertakenPrimary(ProxyContext* context);
+  void CloseDataConnections(const UpstreamId& id, ProxyContext* context);
+  void ConfirmByAllReplicas(const PooledUpstream& primary,
+                            ProxyContext* context);
+  bool IsAloneInCommitSet(const PooledUpstream& primary) const;
+  bool IsLogNeeded(const PooledUpstream& upstream) const;
   void CheckUnanswered(ProxyContext* context);
   void CheckTimeouts(ProxyContext* context);
   void EndIdleTransactions(ProxyContext* context);
@@ -256,6 +293,12 @@
   UpstreamId primary_;
   TimePoint without_primary_since_;
   LogPosition previous_primary_position_;  // One kStatusPeriod ago.
+  uint64_t highest_term_ = 0;  // In which an upstream was seen to lead.
+  TimePoint primary_since_;    // When primary_ was seen to lead.
+  TimePoint next_lease_request_;
+  UpstreamId awaited_;  // As last reported.
+  TimePoint awaited_since_;
+  TimePoint next_awaited_report_;
   Instant probe_sent_;
   bool is_probe_pending_ = false;
   bool does_probe_need_two_ = false;  // Statuses of two replicas.
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -27,6 +27,10 @@
                      });
 }
 
+bool HasLogOf(const PooledUpstream& upstream, LogPosition position) {
+  return upstream.has_status && !(upstream.status.received < position);
+}
+
 std::string PreparedStatementName(const PreparedShape& shape) {
   return (shape.writes ? "w_" : "r_") + shape.shape;
 }
@@ -48,9 +52,18 @@
                     {"upstream", record.id.value()},
                     {"address", record.address}});
     }
-    if (restarted) upstream.has_status = false;
+    if (restarted) {
+      if (upstream.has_status) {
+        upstream.received_before_restart = upstream.status.received;
+      }
+      upstream.has_status = false;
+    }
     bool moved = !is_new && upstream.record.address != record.address;
     if (moved) upstream.failed_opens = 0;
+    if (!upstream.is_registered) upstream.registered_since = context->now();
+    if (record.leaving && !upstream.record.leaving) {
+      upstream.leaving_noticed_at = context->now();
+    }
     upstream.record = record;
     upstream.is_registered = true;
   }
@@ -404,6 +417,53 @@
   return found == upstreams_.end() ? nullptr : &found->second;
 }
 
+const PooledUpstream* UpstreamPool::FindUpstream(const UpstreamId& id) const {
+  auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+const PooledUpstream* UpstreamPool::ReplacementOf(
+    const PooledUpstream& upstream) const {
+  for (const auto& item : upstreams_) {
+    const PooledUpstream& other = item.second;
+    bool is_replacement = item.first != upstream.record.id &&
+                          other.is_registered &&
+                          other.record.address == upstream.record.address &&
+                          other.record.started_ms > upstream.record.started_ms;
+    LogPosition last = upstream.status.received;
+    LogPosition now = other.status.received;
+    bool is_shorter = upstream.has_status && other.has_status &&
+                      now.term == last.term && now < last;
+    if (is_replacement && !is_shorter) return &other;
+  }
+  return nullptr;
+}
+
+const PooledUpstream* UpstreamPool::WithLogOf(const UpstreamId& id,
+                                              const CommitSet& set) const {
+  const CommitMember& member = set.members.at(id);
+  auto found = upstreams_.find(id);
+  if (found != upstreams_.end()) {
+    const PooledUpstream& upstream = found->second;
+    if (set.HasMember(upstream.record)) {
+      const PooledUpstream* replacement = ReplacementOf(upstream);
+      if (replacement == nullptr) return &upstream;
+      return HasLogOf(*replacement, set.position) ? replacement : nullptr;
+    }
+    bool has_log = HasLogOf(upstream, set.position) &&
+                   HasLogOf(upstream, upstream.received_before_restart);
+    return has_log ? &upstream : nullptr;
+  }
+  for (const auto& item : upstreams_) {
+    const PooledUpstream& other = item.second;
+    bool is_replacement = other.is_registered &&
+                          other.record.address == member.address &&
+                          other.record.started_ms > member.started_ms;
+    if (is_replacement && HasLogOf(other, set.position)) return &other;
+  }
+  return nullptr;
+}
+
 std::vector<ConnectionId> UpstreamPool::ConnectionsOf(
     const UpstreamId& id) const {
   std::vector<ConnectionId> ids;
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflycart/core/proxy/commit_set.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
 #include "fireflycart/core/proxy/work.h"
@@ -56,6 +57,8 @@
   UpstreamRecord record;
   bool is_registered = true;
   TimePoint unregistered_at;
+  // When its entry returned after it had been missing; zero: it never was.
+  TimePoint registered_since;
   ConnectionId control;
   Instant control_opened;     // Sequence 0: the control connection is not open.
   TimePoint control_lost_at;  // When the last one broke; it may have restarted.
@@ -68,7 +71,9 @@
   bool has_status = false;
   UpstreamStatus status;
   Instant status_sent;
-  TimePoint held_since;  // When its answers first reported the hold.
+  LogPosition received_before_restart;
+  TimePoint leaving_noticed_at;  // When its record first said that it leaves.
+  TimePoint held_since;          // When its answers first reported the hold.
   // Until then, an order to resume that was not answered may still arrive.
   TimePoint resume_may_arrive_until;
   LogPosition applied;  // Position in the last answer.
@@ -134,8 +139,12 @@
   // answers no VM. A VM that is cut off from the store and from other VMs does
   // not know which upstreams have left since.
   bool IsListTrusted(TimePoint now) const {
+    return IsListCurrent(now) || IsFleetReachable(now);
+  }
+  // True if all other VMs have answered recently.
+  bool IsFleetReachable(TimePoint now) const {
     bool is_checked = now - fleet_checked_at_ <= kFleetCheckMaxAge;
-    return IsListCurrent(now) || (is_fleet_reachable_ && is_checked);
+    return is_fleet_reachable_ && is_checked;
   }
   // True if every VM knows the present process of the upstream.
   bool IsEstablished(const PooledUpstream& upstream, TimePoint now) const;
@@ -199,6 +208,15 @@
 
   PooledConnection* Find(ConnectionId id);
   PooledUpstream* FindUpstream(const UpstreamId& id);
+  const PooledUpstream* FindUpstream(const UpstreamId& id) const;
+  // The upstream that was started later at the same address and so has the log
+  // of this one, which has ended; null if there is none.
+  const PooledUpstream* ReplacementOf(const PooledUpstream& upstream) const;
+  // The member of the set, or the upstream that has its log now, if either is
+  // known; otherwise null. One that has started again since has the log if it
+  // reaches the positions that are known.
+  const PooledUpstream* WithLogOf(const UpstreamId& id,
+                                  const CommitSet& set) const;
   std::map<UpstreamId, PooledUpstream>& upstreams() { return upstreams_; }
   const std::map<UpstreamId, PooledUpstream>& upstreams() const {
     return upstreams_;
--- a/fireflycart/standins/testing/session_return_test.cc
+++ b/fireflycart/standins/testing/session_return_test.cc
@@ -48,6 +48,7 @@
 
   // The dead id of the primary sorts before the one that it returns under.
   void PrimaryAndReplica_ReturnUnderLaterIds_ServiceResumes() {
+    CutThird();
     Crash({"up-a", "up-b"});
     LapseAfter(kLapse);
     world_->Run(Duration::Millis(1400));
@@ -56,6 +57,7 @@
   }
 
   void PrimaryAndReplica_ReturnUnderEarlierIds_ServiceResumes() {
+    CutThird();
     Crash({"up-a", "up-b"});
     LapseAfter(kLapse);
     world_->Run(Duration::Millis(1400));
@@ -66,6 +68,7 @@
   void PrimaryAndReplica_ReturnBeforeEntriesLapse_ServiceResumes() {
     for (const char* prefix : {"up-x", "up-0"}) {
       setUp();
+      CutThird();
       Crash({"up-a", "up-b"});
       world_->Run(Duration::Seconds(1));
       std::string primary = prefix + std::string("1");
@@ -82,6 +85,7 @@
   // might take effect.
   void PrimaryAndReplica_ReturnAfterHolderChanged_ServiceResumes() {
     constexpr Duration kStuckHold = Duration::Seconds(10);
+    CutThird();
     Crash({"up-a", "up-b"});
     LapseAfter(kLapse);
     KillOwner();
@@ -92,6 +96,7 @@
   }
 
   void PrimaryAndReplica_ReturnBeforeHolderChanges_ServiceResumes() {
+    CutThird();
     Crash({"up-a", "up-b"});
     LapseAfter(kLapse);
     world_->Run(Duration::Millis(1400));
@@ -222,6 +227,12 @@
   }
 
  private:
+  // The third upstream misses the last commits, so it cannot take over.
+  void CutThird() {
+    world_->Cut("up-a", "up-c");
+    world_->Run(Duration::Millis(300));
+  }
+
   void Crash(const std::vector<std::string>& ids) {
     crashed_.clear();
     for (const std::string& id : ids) {
@@ -236,6 +247,7 @@
   }
 
   void ReturnAs(const std::vector<std::string>& ids) {
+    world_->HealAll();
     for (size_t i = 0; i < ids.size(); i++) {
       world_->RestartUpstreamAs(crashed_[i], UpstreamId(ids[i]));
     }
