--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -485,6 +485,15 @@
   Restart(id);
 }
 
+std::vector<DatabaseOutput> DatabaseModel::Rename(const UpstreamId& id,
+                                                  const UpstreamId& new_id) {
+  bool leads = upstreams_.at(id).is_primary;
+  std::vector<DatabaseOutput> lost = Crash(id);
+  RestartAs(id, new_id);
+  upstreams_[new_id].is_primary = leads;
+  return lost;
+}
+
 void DatabaseModel::Rebirth(const UpstreamId& upstream) {
   Upstream fresh;
   fresh.term = 0;
@@ -536,6 +545,10 @@
   return upstreams_.at(upstream).is_running;
 }
 
+bool DatabaseModel::IsPrimary(const UpstreamId& upstream) const {
+  return upstreams_.at(upstream).is_primary;
+}
+
 std::map<std::string, int> DatabaseModel::Effects(
     const UpstreamId& upstream) const {
   std::map<std::string, int> effects;
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -90,6 +90,10 @@
   void Restart(const UpstreamId& upstream);
   // Starts an upstream that has crashed with its log under another id.
   void RestartAs(const UpstreamId& crashed, const UpstreamId& id);
+  // The upstream goes on under another id, in its role. Its connections are
+  // lost.
+  std::vector<DatabaseOutput> Rename(const UpstreamId& id,
+                                     const UpstreamId& new_id);
   // Starts under the same id with nothing.
   void Rebirth(const UpstreamId& upstream);
   // Cuts or mends the way between two upstreams.
@@ -116,6 +120,8 @@
   UpstreamId primary() const;
   const std::vector<LogEntry>& LogOf(const UpstreamId& upstream) const;
   bool IsRunning(const UpstreamId& upstream) const;
+  // It leads its own term, which may be over.
+  bool IsPrimary(const UpstreamId& upstream) const;
   // How often each text is in the log of the upstream.
   std::map<std::string, int> Effects(const UpstreamId& upstream) const;
   uint64_t held_term(const UpstreamId& upstream) const;
--- a/fireflycart/standins/testing/session_silences.cc
+++ b/fireflycart/standins/testing/session_silences.cc
@@ -1,4 +1,4 @@
-// Faults of single connections, links and tables.
+// Faults of single connections, links and tables, and of parts of the network.
 
 #include <algorithm>
 
@@ -24,6 +24,47 @@
   });
 }
 
+uint64_t SessionWorld::IslandOf(const std::string& name) const {
+  auto found = islands_.find(name);
+  return found == islands_.end() ? 0 : found->second;
+}
+
+void SessionWorld::ApplyCutsOf(const UpstreamId& id) {
+  for (const auto& item : records_) {
+    if (item.first != id) ApplyCut(id.value(), item.first.value());
+  }
+}
+
+void SessionWorld::LapseIfIsolated(const UpstreamId& id) {
+  uint64_t island = IslandOf(id.value());
+  if (island == 0) return;
+  timers_.emplace(now_ + kEntryLapse, [this, id, island] {
+    if (IslandOf(id.value()) == island) Unregister(id);
+  });
+}
+
+void SessionWorld::Isolate(const std::vector<std::string>& names) {
+  uint64_t island = ++last_number_;
+  for (const std::string& name : names) islands_[name] = island;
+  for (const std::string& name : names) {
+    UpstreamId id(name);
+    if (records_.count(id) == 0) continue;
+    ApplyCutsOf(id);
+    LapseIfIsolated(id);
+  }
+}
+
+void SessionWorld::Rejoin(const std::vector<std::string>& names) {
+  for (const std::string& name : names) islands_.erase(name);
+  for (const std::string& name : names) {
+    UpstreamId id(name);
+    if (records_.count(id) == 0) continue;
+    ApplyCutsOf(id);
+    bool is_missing = unregistered_.count(id) != 0 && database_->IsRunning(id);
+    if (is_missing) Register(id, records_[id].leaving);
+  }
+}
+
 void SessionWorld::MuteConnections(int vm, const UpstreamId& upstream) {
   const Vm* from = vms_[static_cast<size_t>(vm)].get();
   for (const auto& item : connections_) {
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -18,6 +18,7 @@
 // As in the daemon, which delays its exit to finish writing the last answers.
 constexpr Duration kExitDelay = Duration::Millis(50);
 constexpr int kMaxConnections = 16;
+constexpr int kSlots = 4;  // Of an upstream.
 const GroupId kGroup("ledger");
 
 }  // namespace
@@ -33,7 +34,7 @@
     record.id = id;
     record.group = kGroup;
     record.address = id.value();
-    record.slots = 4;
+    record.slots = kSlots;
     record.is_primary = id == ids.front();
     records_[id] = record;
     PutUpstream(id);
@@ -108,6 +109,7 @@
     store_.SetRefusing(false);
     store_.Restore(moment);
     WriteRowsAgain();
+    for (const auto& item : records_) LapseIfIsolated(item.first);
   });
 }
 
@@ -126,6 +128,7 @@
         now_ + Duration::Millis(static_cast<int64_t>(Random(limit))),
         [this, id, writes] {
           if (upstream_writes_[id] != writes) return;
+          if (IslandOf(id.value()) != 0) return;
           if (unregistered_.count(id) == 0) {
             PutUpstream(id);
           } else {
@@ -240,7 +243,8 @@
 
 bool SessionWorld::IsCut(const std::string& a, const std::string& b) const {
   Link link(std::min(a, b), std::max(a, b));
-  return cuts_.count(link) != 0 || passing_cuts_.count(link) != 0;
+  return cuts_.count(link) != 0 || passing_cuts_.count(link) != 0 ||
+         IslandOf(a) != IslandOf(b);
 }
 
 void SessionWorld::ApplyCut(const std::string& a, const std::string& b) {
@@ -456,13 +460,36 @@
 void SessionWorld::RestartUpstreamAs(const UpstreamId& crashed,
                                      const UpstreamId& id) {
   database_->RestartAs(crashed, id);
-  proxy::UpstreamRecord record = records_[crashed];
-  record.id = id;
+  RegisterAs(crashed, id);
+}
+
+void SessionWorld::RenameUpstream(const UpstreamId& id,
+                                  const UpstreamId& new_id) {
+  for (const DatabaseOutput& lost : database_->Rename(id, new_id)) {
+    LoseConnection(lost.connection);
+  }
+  RegisterAs(id, new_id);
+}
+
+void SessionWorld::RegisterAs(const UpstreamId& id, const UpstreamId& new_id) {
+  proxy::UpstreamRecord record = records_[id];
+  record.id = new_id;
   record.started_ms = now_.millis();
   record.leaving = false;
-  record.is_primary = database_->primary() == id;
-  records_[id] = record;
-  PutUpstream(id);
+  record.is_primary = database_->IsPrimary(new_id);
+  records_[new_id] = record;
+  ApplyCutsOf(new_id);
+  PutUpstream(new_id);
+}
+
+void SessionWorld::AddUpstream(const UpstreamId& id) {
+  proxy::UpstreamRecord& record = records_[id];
+  record.id = id;
+  record.group = kGroup;
+  record.address = id.value();
+  record.slots = kSlots;
+  ApplyCutsOf(id);
+  ReplaceUpstream(id);
 }
 
 void SessionWorld::ReplaceUpstream(const UpstreamId& id) {
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -81,6 +81,13 @@
   // A cut beside those of Cut(), which ends by itself. What was sent meanwhile
   // is delivered then.
   void CutFor(const std::string& a, const std::string& b, Duration time);
+  // Separates these VMs and upstreams from all others, the store and the
+  // promotion service, until Rejoin(). HealAll() does not end it. The registry
+  // entries of the upstreams lapse after kEntryLapse.
+  static constexpr Duration kEntryLapse = Duration::Millis(3600);
+  void Isolate(const std::vector<std::string>& names);
+  // Upstreams that run and whose entries have lapsed register themselves again.
+  void Rejoin(const std::vector<std::string>& names);
   // The open connections between a VM and an upstream go silent for good: what
   // is on its way is lost, in both directions, and so is the end of the
   // connection. New connections work. The upstream drops them after 3 s.
@@ -98,8 +105,13 @@
   // Starts a crashed upstream with its log under another id; it registers
   // itself. The earlier entry stays until Unregister().
   void RestartUpstreamAs(const UpstreamId& crashed, const UpstreamId& id);
+  // The upstream goes on under another id, with its log and in its role. Its
+  // connections are lost; it registers itself.
+  void RenameUpstream(const UpstreamId& id, const UpstreamId& new_id);
   // Starts a new upstream with an empty log in its place.
   void ReplaceUpstream(const UpstreamId& id);
+  // Starts a new upstream with an empty log at an address of its own.
+  void AddUpstream(const UpstreamId& id);
   void Drain(const UpstreamId& id);
   void Unregister(const UpstreamId& id);
   void Register(const UpstreamId& id, bool leaving);
@@ -150,6 +162,12 @@
   bool IsCut(const std::string& a, const std::string& b) const;
   // Tells the database whether the link is cut, if it is between upstreams.
   void ApplyCut(const std::string& a, const std::string& b);
+  void ApplyCutsOf(const UpstreamId& id);
+  // The separated part of the network that the endpoint is in; 0: none.
+  uint64_t IslandOf(const std::string& name) const;
+  // Removes the entry after kEntryLapse if the upstream is isolated till then.
+  void LapseIfIsolated(const UpstreamId& id);
+  void RegisterAs(const UpstreamId& id, const UpstreamId& new_id);
   bool IsMute(uint64_t connection) const {
     return mute_connections_.count(connection) != 0;
   }
@@ -227,7 +245,8 @@
   std::multimap<TimePoint, Delivery> timers_;
   std::map<Link, std::deque<std::pair<TimePoint, Delivery>>> links_;
   std::set<Link> cuts_;
-  std::multiset<Link> passing_cuts_;  // Those of CutFor().
+  std::multiset<Link> passing_cuts_;         // Those of CutFor().
+  std::map<std::string, uint64_t> islands_;  // Of those that are isolated.
   std::set<std::pair<std::string, proxy::StoreTable>> refused_tables_;
   std::map<uint64_t, std::pair<Vm*, ConnectionId>> connections_;
   std::map<std::pair<Vm*, ConnectionId>, uint64_t> connection_numbers_;
