List of upstreams: keep a row that follows its removal in one answer

Cause: one answer of the feed may hold the removal of a key and then its new row. The key stayed in the removals, which are applied last. The list of VMs had the same form.

Evidence: Follow_RemovalAndNewRowInOneAnswer_KeepsTheLastOfThem failed before (expected 1 record, found 0).

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -455,6 +455,8 @@
       continue;
     }
     list.records[change.id] = change.record;
+    removed.erase(std::remove(removed.begin(), removed.end(), change.id),
+                  removed.end());
     if (!change.record.leaving) continue;
     context->Log(LogLevel::kInfo, kPart, "upstream_leaving",
                  {{"group", change.record.group.value()},
@@ -515,8 +517,11 @@
     std::string problem;
     if (!row.is_deleted && DecodeVm(row.value, &record, &problem)) {
       list.records[record.vm] = record;
+      removed.erase(std::remove(removed.begin(), removed.end(), record.vm),
+                    removed.end());
       continue;
     }
+    list.records.erase(record.vm);
     removed.push_back(record.vm);
     if (!problem.empty()) LogSkipped(StoreTable::kVms, problem, context);
   }
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
   CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
   CPPUNIT_TEST(AllTables_Refused_OneCallAtATime);
+  CPPUNIT_TEST(Follow_RemovalAndNewRowInOneAnswer_KeepsTheLastOfThem);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -285,6 +286,20 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
   }
 
+  void Follow_RemovalAndNewRowInOneAnswer_KeepsTheLastOfThem() {
+    UpstreamChange removal;
+    removal.id = kUpstream;
+    StoreAnswered answer;
+    answer.upstreams = {removal, MakeChange(kUpstream, 60, false)};
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kFirst, 110}, answer);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count(kUpstream.value().c_str()));
+    answer.upstreams = {MakeChange(kUpstream, 70, false), removal};
+    Answer(Open<FollowTable>(StoreTable::kUpstreams), StoreStatus::kOk,
+           {kFirst, 120}, answer);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count(kUpstream.value().c_str()));
+  }
+
  private:
   void Begin() { context_.Begin(now_, &effects_); }
 
