Commit set: close the gaps that a review and the soak showed

By reading of the review: a removal also needs what this VM passed on; a new term is recorded by the only writer; a replica outside the set confirms no primary alone; a former owner with an unseen order stops renewing the lease; a restored row may hide an order; an upstream without a status or with a shorter log is no replacement; a forgotten upstream that may go on receiving ends the steady state. A lease that is only kept is marked as such, so that the next holder does not wait for an order.

--- a/fireflycart/core/proxy/duty_lease.cc
+++ b/fireflycart/core/proxy/duty_lease.cc
@@ -12,6 +12,8 @@
 
 constexpr char kPart[] = "duty";
 constexpr char kPromoting[] = "promoting";
+// Excludes other holders like kPromoting, but no promotion is ordered.
+constexpr char kKeeping[] = "keeping";
 constexpr char kIdle[] = "idle";
 constexpr int kEraBits = 64 - DutyLease::kTokenNumberBits;
 
@@ -25,13 +27,17 @@
   return true;
 }
 
-bool IsPromoting(const std::string& value) {
-  std::string suffix = std::string(" ") + kPromoting;
+bool HasState(const std::string& value, const char* state) {
+  std::string suffix = std::string(" ") + state;
   return value.size() >= suffix.size() &&
          value.compare(value.size() - suffix.size(), suffix.size(), suffix) ==
              0;
 }
 
+bool IsPromoting(const std::string& value) {
+  return HasState(value, kPromoting) || HasState(value, kKeeping);
+}
+
 // The VM, its incarnation and the state are the last three words. Before them
 // is the commit set, if one was recorded.
 size_t HolderOffset(const std::string& value) {
@@ -45,15 +51,14 @@
   return offset + 1;
 }
 
-std::string HolderText(bool is_promoting, ProxyContext* context) {
+std::string HolderText(const char* state, ProxyContext* context) {
   return context->self().value() + " " +
-         std::to_string(context->incarnation()) + " " +
-         (is_promoting ? kPromoting : kIdle);
+         std::to_string(context->incarnation()) + " " + state;
 }
 
-std::string RowValue(const CommitSet& set, bool is_promoting,
+std::string RowValue(const CommitSet& set, const char* state,
                      ProxyContext* context) {
-  std::string holder = HolderText(is_promoting, context);
+  std::string holder = HolderText(state, context);
   return set.is_known() ? FormatCommitSet(set) + " " + holder : holder;
 }
 
@@ -61,8 +66,9 @@
 
 bool DutyLease::IsOwn(const std::string& value, ProxyContext* context) const {
   std::string holder = value.substr(HolderOffset(value));
-  return holder == HolderText(true, context) ||
-         holder == HolderText(false, context);
+  return holder == HolderText(kPromoting, context) ||
+         holder == HolderText(kKeeping, context) ||
+         holder == HolderText(kIdle, context);
 }
 
 void DutyLease::Learn(ProxyContext* context) {
@@ -77,11 +83,27 @@
   // A set is proposed for the row that was read last.
   if (!has_row_) return;
   proposed_set_ = set;
-  Acquire(keeps_promoting, term, context);
+  Request(keeps_promoting, term, context);
+}
+
+const char* DutyLease::WritingState() const {
+  if (!is_writing_promoting_) return kIdle;
+  return is_writing_keeping_ ? kKeeping : kPromoting;
+}
+
+void DutyLease::Keep(uint64_t term, ProxyContext* context) {
+  is_keeping_ = true;
+  Request(true, term, context);
 }
 
 void DutyLease::Acquire(bool is_promoting, uint64_t term,
                         ProxyContext* context) {
+  is_keeping_ = false;
+  Request(is_promoting, term, context);
+}
+
+void DutyLease::Request(bool is_promoting, uint64_t term,
+                        ProxyContext* context) {
   if (!is_promoting) EndExclusive(context->now());
   requested_row_ =
       is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
@@ -152,8 +174,9 @@
   row.table = StoreTable::kDuties;
   row.key = group_.value();
   is_writing_promoting_ = requested_row_ == RequestedRow::kPromotingRow;
+  is_writing_keeping_ = is_keeping_;
   writing_set_ = proposed_set_ ? *proposed_set_ : commit_set_;
-  row.value = RowValue(writing_set_, is_writing_promoting_, context);
+  row.value = RowValue(writing_set_, WritingState(), context);
   row.has_condition = true;
   row.expected_version = row_version_;
   context->Emit(StoreCall{write_, kStoreTimeout, row});
@@ -214,7 +237,7 @@
       is_promoting ? RequestedRow::kPromotingRow : RequestedRow::kIdleRow;
   has_row_ = true;
   row_version_ = answer.version;
-  row_value_ = RowValue(writing_set_, is_promoting, context);
+  row_value_ = RowValue(writing_set_, WritingState(), context);
   row_seen_at_ = context->now();
   if (commit_set_ != writing_set_) {
     context->Log(
@@ -297,11 +320,13 @@
                  {{"group", group_.value()}, {"problem", problem}});
     return;
   }
-  bool is_left_behind = IsPromoting(value) && !IsOwn(value, context);
+  bool is_left_behind = HasState(value, kPromoting) && !IsOwn(value, context);
   if (stored.is_known() && is_left_behind) stored.may_have_order = true;
   commit_set_ = stored;
   if (!is_restored) return;
   commit_set_ = MergeCommitSets(stored, known);
+  // A holder that was promoting before the restore may be forgotten.
+  if (commit_set_.is_known() && !was_holder_) commit_set_.may_have_order = true;
   if (commit_set_ != stored) proposed_set_ = commit_set_;
 }
 
--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -58,6 +58,8 @@
 
   // Starts to write the row with this VM as holder, as "promoting" or idle.
   void Acquire(bool is_promoting, uint64_t term, ProxyContext* context);
+  // The same without the intent to order a promotion.
+  void Keep(uint64_t term, ProxyContext* context);
   // Starts to mark the row as idle after a promotion. Keeps the token.
   void Release(uint64_t term, ProxyContext* context);
   bool is_acquiring() const { return requested_row_ != RequestedRow::kNone; }
@@ -115,6 +117,9 @@
   bool IsConfirmed(TimePoint now) const {
     return has_token_ && now - confirmed_at_ <= kConfirmationMaxAge;
   }
+  TimePoint confirmed_until() const {
+    return confirmed_at_ + kConfirmationMaxAge;
+  }
   // True if a read that was to confirm the row got no answer.
   bool is_confirmation_failing() const { return is_confirmation_failing_; }
   // True if this VM is the only one since sole_since() that takes its row for
@@ -138,6 +143,8 @@
  private:
   enum class RequestedRow { kNone, kIdleRow, kPromotingRow };
 
+  void Request(bool is_promoting, uint64_t term, ProxyContext* context);
+  const char* WritingState() const;
   void Step(ProxyContext* context);
   void Read(ProxyContext* context);
   void Write(ProxyContext* context);
@@ -155,7 +162,9 @@
   CallId read_;
   CallId write_;
   // What the write under way contains.
+  bool is_keeping_ = false;  // No promotion is to be ordered.
   bool is_writing_promoting_ = false;
+  bool is_writing_keeping_ = false;
   CommitSet writing_set_;
   TimePoint write_sent_at_;
   bool has_row_ = false;
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -127,7 +127,7 @@
   if (lease_.is_acquiring()) return;
   if (context->now() >= next_renewal_) {
     next_renewal_ = context->now() + kLeaseRenewal;
-    lease_.Acquire(true, term, context);
+    lease_.Keep(term, context);
   }
   context->WakeAt(next_renewal_);
 }
@@ -201,14 +201,16 @@
                                ProxyContext* context) {
   if (!lease_.IsSole(context->now())) return;
   TimePoint sole_since = lease_.sole_since();
-  bool is_known =
-      base_term_ == primary.status.term && base_sole_since_ == sole_since;
+  bool is_known = base_term_ == primary.status.term &&
+                  base_sole_since_ == sole_since &&
+                  primary.status_sent.time - base_time_ < kBaseInterval;
   bool is_evidence = lease_.commit_set().term == primary.status.term &&
                      primary.status_sent.time >= sole_since;
   if (is_known || !is_evidence) return;
   base_term_ = primary.status.term;
   base_sole_since_ = sole_since;
   base_position_ = primary.status.received;
+  base_time_ = primary.status_sent.time;
 }
 
 LogPosition Failover::PassedOnPosition(uint64_t term,
@@ -220,17 +222,15 @@
   return base_position_ < acknowledged_ ? acknowledged_ : base_position_;
 }
 
-bool Failover::IsComplete(const PooledUpstream& replica, LogPosition position,
+// What other VMs passed on before the position was taken is covered by it;
+// later on, they knew the replica.
+bool Failover::IsComplete(const PooledUpstream& replica,
+                          const UpstreamPool& pool, LogPosition position,
                           ProxyContext* context) const {
-  TimePoint now = context->now();
-  TimePoint known_since = replica.record.known_since;
-  bool is_listed_everywhere =
-      replica.is_registered &&
-      (known_since == TimePoint() ||
-       now - known_since >= kMaxUntrustedListAge) &&
-      (replica.registered_since == TimePoint() ||
-       now - replica.registered_since >= kMaxUntrustedListAge);
-  return is_listed_everywhere && !replica.is_down && !replica.record.leaving &&
+  bool is_listed = replica.is_registered &&
+                   pool.WasListed(replica, base_time_ - kMaxUntrustedListAge) &&
+                   pool.ListAge(context->now()) <= kUnregisteredTimeout;
+  return is_listed && !replica.is_down && !replica.record.leaving &&
          replica.has_status && !replica.status.is_primary &&
          lease_.commit_set().HasMember(replica.record) &&
          !(replica.status.received < position);
@@ -241,7 +241,7 @@
   LogPosition position = PassedOnPosition(term, context);
   if (!position.known()) return false;
   for (const auto& item : pool.upstreams()) {
-    if (IsComplete(item.second, position, context)) return true;
+    if (IsComplete(item.second, pool, position, context)) return true;
   }
   return false;
 }
@@ -256,7 +256,8 @@
   for (const auto& item : pool.upstreams()) {
     bool may_lead =
         is_planned() ? item.first == successor_ : IsHeld(item.second);
-    bool is_complete = may_lead && IsComplete(item.second, position, context);
+    bool is_complete =
+        may_lead && IsComplete(item.second, pool, position, context);
     leaves_out_silent_ = leaves_out_silent_ || is_complete;
   }
 }
@@ -455,11 +456,40 @@
     all_hold = false;
     bool is_ordered = stage_ != FailoverStage::kHoldingReplicas;
     if (is_ordered && HasNewerHold(upstream)) continue;
+    if (LeadsEarlierTerm(upstream)) {
+      SendDemote(upstream, pool, context);
+      continue;
+    }
     SendCommand(item.first, CommandKind::kHold, pool, context);
   }
   return all_hold;
 }
 
+// The primary of an earlier term cannot be held before it is a replica.
+bool Failover::LeadsEarlierTerm(const PooledUpstream& upstream) const {
+  return !upstream.is_down && upstream.is_status_of_this_connection() &&
+         upstream.status.is_primary && upstream.status.term < term_;
+}
+
+void Failover::SendDemote(const PooledUpstream& upstream, UpstreamPool* pool,
+                          ProxyContext* context) {
+  TimePoint& sent_at = command_sent_at_[upstream.record.id];
+  if (sent_at != TimePoint() && context->now() - sent_at < kCommandInterval) {
+    context->WakeAt(sent_at + kCommandInterval);
+    return;
+  }
+  UpstreamCommand demote;
+  demote.kind = CommandKind::kDemote;
+  demote.term = term_;
+  if (!pool->SendControl(upstream.record.id, demote, context)) return;
+  sent_at = context->now();
+  context->WakeAt(sent_at + kCommandInterval);
+  context->Log(LogLevel::kInfo, kPart, "demoted",
+               {{"group", group_.value()},
+                {"upstream", upstream.record.id.value()},
+                {"term", std::to_string(term_)}});
+}
+
 bool Failover::IsExcluded(const UpstreamId& id, ProxyContext* context) const {
   auto excluded = excluded_until_.find(id);
   return excluded != excluded_until_.end() && context->now() < excluded->second;
@@ -864,7 +894,15 @@
 
 void Failover::OnOwnershipLost(UpstreamPool* pool, ProxyContext* context) {
   lease_.OnOwnershipLost();
-  if (stage_ != FailoverStage::kHoldingReplicas || has_unseen_order_) return;
+  if (stage_ != FailoverStage::kHoldingReplicas) return;
+  if (has_unseen_order_) {
+    // The replicas stay held. The row that is left as promoting tells the next
+    // holder that an order may have been given.
+    stage_ = FailoverStage::kIdle;
+    held_position_ = LogPosition();
+    lease_.Cancel();
+    return;
+  }
   GiveUp("another VM owns the group", pool, context);
 }
 
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -60,9 +60,9 @@
 
 class Failover {
  public:
-  // An upstream whose registry entry is missing for this long is sent no work;
-  // the platform restores entries within 2 s. Its log may still be needed.
-  static constexpr Duration kUnregisteredTimeout = Duration::Millis(2300);
+  // An upstream whose registry entry is missing for this long is sent no work.
+  // Its log may still be needed.
+  static constexpr Duration kUnregisteredTimeout = UpstreamPool::kEndedTime;
   // An attempt that cannot hold every replica is given up after this time, so
   // that a primary that only this VM cannot reach goes on serving.
   static constexpr Duration kHoldTimeout = Duration::Seconds(5);
@@ -99,9 +99,11 @@
   // the longest log is complete; without it, the wait has no limit.
   static constexpr Duration kShortLogTimeout = Duration::Seconds(4);
   // A VM that does not know the newest list of upstreams passes on what every
-  // replica of its list has, if the list is at most this old. So a replica that
-  // has been listed for as long has all of that.
-  static constexpr Duration kMaxUntrustedListAge = Duration::Seconds(30);
+  // replica of its list has, if the list is at most this old. So a replica has
+  // all that was passed on after it had been listed for this long.
+  static constexpr Duration kMaxUntrustedListAge = Duration::Seconds(4);
+  // Interval at which the primary's position is recorded.
+  static constexpr Duration kBaseInterval = Duration::Seconds(2);
 
   explicit Failover(GroupId group) : group_(std::move(group)), lease_(group_) {}
 
@@ -181,6 +183,9 @@
   // replaced and an earlier replacement gives an estimate; otherwise zero.
   TimePoint expected_end() const;
   const UpstreamId& successor() const { return successor_; }
+  // True if replicas that do not answer, and so may acknowledge commits of the
+  // old primary, are left out.
+  bool leaves_out_silent() const { return is_active() && leaves_out_silent_; }
 
   // The successor's log position while all replicas are held; unknown at other
   // times. The successor then has every acknowledged commit, so reads of any
@@ -229,8 +234,8 @@
   // The position up to which commits of this term and earlier ones may have
   // been passed on, if this VM knows it; otherwise unknown.
   LogPosition PassedOnPosition(uint64_t term, ProxyContext* context) const;
-  bool IsComplete(const PooledUpstream& replica, LogPosition position,
-                  ProxyContext* context) const;
+  bool IsComplete(const PooledUpstream& replica, const UpstreamPool& pool,
+                  LogPosition position, ProxyContext* context) const;
   bool HasCompleteReplica(const UpstreamPool& pool, uint64_t term,
                           ProxyContext* context) const;
   void ReviewSilentReplicas(const UpstreamPool& pool, ProxyContext* context);
@@ -245,6 +250,9 @@
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
   void RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context);
+  bool LeadsEarlierTerm(const PooledUpstream& upstream) const;
+  void SendDemote(const PooledUpstream& upstream, UpstreamPool* pool,
+                  ProxyContext* context);
   bool IsExcluded(const UpstreamId& id, ProxyContext* context) const;
   bool IsCandidate(const PooledUpstream& upstream, ProxyContext* context) const;
   void ChooseSuccessor(UpstreamPool* pool, ProxyContext* context);
@@ -314,6 +322,7 @@
   LogPosition base_position_;
   uint64_t base_term_ = 0;
   TimePoint base_sole_since_;
+  TimePoint base_time_;  // When that status was requested.
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/group_commit_set.cc
+++ b/fireflycart/core/proxy/group_commit_set.cc
@@ -11,8 +11,9 @@
 //   member has all that the primary has, so that the group need not wait for it
 //   when the primary is lost, too. Meanwhile no VM may count it alone: see
 //   DutyLease::IsSole().
-// - If no other replica is left, the primary remains alone. The group cannot
-//   replace it then, until an upstream joins.
+// - If no other replica is left, the set stays as it is. The group cannot
+// replace
+//   its primary then, until an upstream joins or one of these returns.
 //
 // A new primary begins with a new set, since a replica may still lack what the
 // primary has received in the term before. It is recorded once a replica has
@@ -66,7 +67,16 @@
     return;
   }
   CommitSet next = NextCommitSet(*primary, context);
-  if (next == lease.commit_set()) return;
+  bool is_alone = true;
+  for (const auto& item : pool_.upstreams()) {
+    bool is_other =
+        item.first != primary_ && !pool_.HasEnded(item.second, context->now());
+    if (is_other) is_alone = false;
+  }
+  // One that starts again must have all that was passed on. Nothing is without
+  // a replica.
+  bool has_old_position = is_alone && next.position < primary->status.received;
+  if (next == lease.commit_set() && !has_old_position) return;
   bool awaits_first = lease.commit_set().is_known() &&
                       next.term > lease.commit_set().term &&
                       next.members.size() == 1 &&
@@ -81,10 +91,14 @@
 
 CommitSet GroupOwner::NextCommitSet(const PooledUpstream& primary,
                                     ProxyContext* context) const {
-  const CommitSet& recorded = failover_.lease().commit_set();
+  const DutyLease& lease = failover_.lease();
+  const CommitSet& recorded = lease.commit_set();
   if (recorded.term > primary.status.term) return recorded;
   CommitSet next = recorded;
   if (recorded.term < primary.status.term) {
+    // An earlier writer of the row may still count a member alone.
+    bool may_replace = !recorded.is_known() || lease.IsSole(context->now());
+    if (!may_replace) return recorded;
     next = CommitSet();
     next.term = primary.status.term;
   }
@@ -99,7 +113,6 @@
   next.Add(primary.record);
   if (next.may_have_order) {
     next.may_have_order = !HasOrderLapsed(primary);
-    return next;
   }
   for (const auto& member : recorded.members) {
     if (member.first == next.primary || next.members.count(member.first) == 0) {
@@ -142,6 +155,8 @@
   if (replica.record.id == primary.record.id) return false;
   if (!Follows(replica, primary)) return false;
   if (!pool_.IsEstablished(replica, context->now())) return false;
+  TimePoint listed_since = context->now() - UpstreamPool::kEstablishedAge;
+  if (!pool_.WasListed(replica, listed_since)) return false;
   LogPosition needed = previous_primary_position_.known()
                            ? previous_primary_position_
                            : primary.status.received;
@@ -180,30 +195,24 @@
     last_counted = std::max(last_counted, upstream.last_answer);
   }
   if (primary.status_sent.time < last_counted) return false;
-  if (IsCoveredWithout(id, primary, context)) return true;
-  bool is_gone =
-      !upstream.is_registered && context->now() - upstream.unregistered_at >=
-                                     Failover::kUnregisteredTimeout;
-  if (!upstream.is_down || (!is_leaving && !is_gone)) return false;
-  for (const auto& item : pool_.upstreams()) {
-    bool may_follow = item.first != primary.record.id && item.first != id &&
-                      item.second.is_registered && !item.second.record.leaving;
-    if (may_follow) return false;
-  }
-  return true;
+  return IsCoveredWithout(id, primary, context);
 }
 
 // True if another recorded replica has all that the primary has.
 bool GroupOwner::IsCoveredWithout(const UpstreamId& id,
                                   const PooledUpstream& primary,
                                   ProxyContext* context) const {
+  TimePoint listed_since =
+      primary.status_sent.time - Failover::kMaxUntrustedListAge;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& replica = item.second;
     bool covers =
         item.first != id && item.first != primary.record.id &&
         Follows(replica, primary) && pool_.IsLasting(replica, context->now()) &&
+        pool_.WasListed(replica, listed_since) &&
         failover_.lease().IsRecorded(replica.record, primary.status.term) &&
-        !(replica.status.received < primary.status.received);
+        !(replica.status.received < primary.status.received) &&
+        !(replica.status.received < failover_.acknowledged());
     if (covers) return true;
   }
   return false;
--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -55,9 +55,11 @@
   if (lease.IsConfirmed(context->now())) return true;
   // While the store does not answer this VM, no other one has taken the row if
   // all of them answer.
-  bool is_failing = lease.is_confirmation_failing() || lease.is_failing();
+  bool is_failing = lease.is_confirmation_failing() ||
+                    (lease.is_acquiring() && lease.is_failing());
   return lease.is_last_writer() && is_failing &&
-         pool_.IsFleetReachable(context->now());
+         pool_.IsFleetReachable(context->now()) &&
+         pool_.fleet_reachable_since() <= lease.confirmed_until();
 }
 
 // True if the commit set of the term, or of the one before until that of a new
@@ -65,6 +67,7 @@
 // by the earlier set needs the log of the new primary.
 bool GroupOwner::IsInCommitSet(const PooledUpstream& replica,
                                uint64_t term) const {
+  if (spec_.sync_replicas == 0) return true;
   const DutyLease& lease = failover_.lease();
   return lease.IsRecorded(replica.record, term) ||
          lease.IsRecordedMember(replica.record, term - 1);
@@ -75,10 +78,12 @@
 bool GroupOwner::IsSteady(const Work& work, ProxyContext* context) const {
   if (spec_.sync_replicas == 0) return true;
   // The holds of this VM exclude others.
+  if (failover_.leaves_out_silent()) return false;
   if (failover_.is_promoting() && failover_.IsChangeExclusive(context->now())) {
     return true;
   }
   bool may_be_steady = unconfirmed_.empty() && CountsSingleReplicas(context) &&
+                       !pool_.may_have_forgotten_replica() &&
                        pool_.IsListCurrent(context->now()) &&
                        context->now() - work.sent.time <= kMaxSteadyCommitTime;
   if (!may_be_steady) return false;
@@ -101,14 +106,19 @@
 bool GroupOwner::IsKept(LogPosition position, ProxyContext* context) const {
   bool counts_single =
       pool_.IsListTrusted(context->now()) && CountsSingleReplicas(context);
+  // A replica that was left out may answer again.
+  bool needs_successor = failover_.leaves_out_silent();
   bool has_lasting = false;
   bool has_replica = false;
   bool have_all = true;
   for (const auto& item : pool_.upstreams()) {
-    if (item.first == primary_) continue;
+    bool is_replica =
+        item.first != primary_ && !pool_.HasEnded(item.second, context->now());
+    if (!is_replica) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool has_received = HasReceived(item.second, position);
     bool suffices = is_lasting && has_received && counts_single &&
+                    !needs_successor &&
                     IsInCommitSet(item.second, position.term);
     if (suffices) return true;
     has_lasting = has_lasting || is_lasting;
@@ -120,7 +130,8 @@
                        successor != pool_.upstreams().end() &&
                        HasReceived(successor->second, position);
   if (has_successor) return true;
-  return has_replica && have_all && MayCountAll(has_lasting, context);
+  return !needs_successor && has_replica && have_all &&
+         MayCountAll(has_lasting, context);
 }
 
 // True if every failover includes one of the replicas that this VM knows.
@@ -144,7 +155,9 @@
   bool has_replica = false;
   bool receive_all = true;
   for (const auto& item : pool_.upstreams()) {
-    if (item.first == primary_) continue;
+    bool is_replica =
+        item.first != primary_ && !pool_.HasEnded(item.second, context->now());
+    if (!is_replica) continue;
     bool is_lasting = pool_.IsLasting(item.second, context->now());
     bool is_receiving = IsReceiving(item.second);
     bool suffices = is_lasting && is_receiving && counts_single &&
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -92,11 +92,13 @@
                   status.term == primary->status.term;
   if (!receives) return;
   // A VM that does not know the replica does not hold it.
-  bool is_evidence =
-      pool_.IsEstablished(*pool_.FindUpstream(upstream), context->now()) ||
-      !HasEstablishedReplica(context);
+  const PooledUpstream& replica = *pool_.FindUpstream(upstream);
+  bool is_evidence = pool_.IsEstablished(replica, context->now()) ||
+                     !HasEstablishedReplica(context);
   if (!is_evidence) return;
-  if (CountsSingleReplicas(context)) {
+  bool suffices = CountsSingleReplicas(context) &&
+                  IsInCommitSet(replica, primary->status.term);
+  if (suffices) {
     leadership_.OnReplicaReceives(upstream, command.at);
   } else {
     ConfirmByAllReplicas(*primary, context);
@@ -112,7 +114,9 @@
   bool has_replica = false;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& replica = item.second;
-    if (item.first == primary_) continue;
+    bool counts =
+        item.first != primary_ && !pool_.HasEnded(replica, context->now());
+    if (!counts) continue;
     has_replica = true;
     bool receives =
         !replica.is_down && replica.is_status_of_this_connection() &&
@@ -189,7 +193,7 @@
   const CommitSet& set = failover_.lease().commit_set();
   if (spec_.sync_replicas == 0) return true;
   return set.term == primary.status.term && !set.may_have_order &&
-         set.members.size() == 1 && set.HasMember(primary.record);
+         set.primary == primary.record.id;
 }
 
 void GroupOwner::ProveSoleLeadership(ProxyContext* context) {
@@ -502,7 +506,7 @@
     for (ConnectionId connection : pool_.ConnectionsOf(id)) {
       OnConnectionLost(pool_.Close(connection, context), context);
     }
-    pool_.upstreams().erase(id);
+    pool_.Forget(id);
     context->Log(LogLevel::kInfo, kPart, "upstream_gone",
                  {{"group", spec_.id.value()}, {"upstream", id.value()}});
   }
--- a/fireflycart/core/proxy/sole_leadership.cc
+++ b/fireflycart/core/proxy/sole_leadership.cc
@@ -58,7 +58,8 @@
   }
   bool is_listed =
       has_list_ && list_sent_at_ >= settled_at && list_era_ == lease.era();
-  is_proven_ = is_listed && AreOthersReplicas(pool, primary, settled_at);
+  is_proven_ =
+      is_listed && AreOthersReplicas(pool, primary, settled_at, context->now());
   if (!is_proven_) {
     ReadList(context);
     return;
@@ -102,12 +103,14 @@
 
 bool SoleLeadership::AreOthersReplicas(const UpstreamPool& pool,
                                        const UpstreamId& primary,
-                                       TimePoint since) const {
+                                       TimePoint since, TimePoint now) const {
   for (const UpstreamId& id : listed_) {
     if (pool.upstreams().count(id) == 0) return false;
   }
   for (const auto& item : pool.upstreams()) {
     const PooledUpstream& upstream = item.second;
+    // Without the lease it cannot have been ordered to lead.
+    if (pool.HasEnded(upstream, now)) continue;
     bool is_fresh = !upstream.is_down &&
                     upstream.is_status_of_this_connection() &&
                     upstream.status_sent.time >= since;
--- a/fireflycart/core/proxy/sole_leadership.h
+++ b/fireflycart/core/proxy/sole_leadership.h
@@ -49,7 +49,7 @@
  private:
   void ReadList(ProxyContext* context);
   bool AreOthersReplicas(const UpstreamPool& pool, const UpstreamId& primary,
-                         TimePoint since) const;
+                         TimePoint since, TimePoint now) const;
 
   GroupId group_;
   // What the evidence is for.
--- a/fireflycart/core/proxy/testing/duty_lease_test.cc
+++ b/fireflycart/core/proxy/testing/duty_lease_test.cc
@@ -25,6 +25,14 @@
   CPPUNIT_TEST(Acquire_WhileIdleWriteIsUnanswered_GivesNoTokenYet);
   CPPUNIT_TEST(Release_WhilePromotingWriteIsUnanswered_RowIsMarkedIdle);
   CPPUNIT_TEST(Release_WhilePromotingWriteIsUnanswered_IsNotExclusive);
+  CPPUNIT_TEST(Record_NextWriter_ReadsTheSet);
+  CPPUNIT_TEST(Record_OtherVmWroteTheRow_DropsTheSet);
+  CPPUNIT_TEST(Record_UnreadableSet_KeepsTheKnownOne);
+  CPPUNIT_TEST(Acquire_RowLeftPromoting_MayHaveOrder);
+  CPPUNIT_TEST(Acquire_RestoredRow_KeepsTheLaterSet);
+  CPPUNIT_TEST(KeepConfirmed_RowUnchanged_IsSoleAfterDelay);
+  CPPUNIT_TEST(KeepConfirmed_OtherVmWroteTheRow_EndsConfirmation);
+  CPPUNIT_TEST(KeepConfirmed_StoreSilent_ConfirmationExpires);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,7 +219,140 @@
     CPPUNIT_ASSERT(!lease_.IsExclusive(now_));
   }
 
+  void Record_NextWriter_ReadsTheSet() {
+    TakeRow(31);
+    lease_.Record(Set(4), 4, &context_);
+    std::string value = LastWrite().value;
+    AnswerWrite(StoreStatus::kOk, 32, {});
+    CPPUNIT_ASSERT(lease_.commit_set() == Set(4));
+    DutyLease next(kGroup);
+    Begin();
+    next.Learn(&context_);
+    StoreAnswered answer;
+    answer.call = LastCall()->call;
+    answer.status = StoreStatus::kOk;
+    answer.version = {era_, 32};
+    answer.rows = {StoreRow{kGroup.value(), value, {era_, 32}, false}};
+    CPPUNIT_ASSERT(next.OnStore(answer, &context_));
+    CPPUNIT_ASSERT(next.commit_set() == Set(4));
+    CPPUNIT_ASSERT(!next.is_last_writer());
+  }
+
+  // The evidence for the set does not hold for the row of the other VM.
+  void Record_OtherVmWroteTheRow_DropsTheSet() {
+    TakeRow(31);
+    lease_.Record(Set(4), 4, &context_);
+    AnswerWrite(StoreStatus::kConflict, 40, {OtherRow(Set(5), "idle", 40)});
+    CPPUNIT_ASSERT(lease_.commit_set() == Set(5));
+    CPPUNIT_ASSERT_EQUAL(FormatCommitSet(Set(5)) + " vm-1 1 idle",
+                         LastWrite().value);
+  }
+
+  void Record_UnreadableSet_KeepsTheKnownOne() {
+    TakeRow(31);
+    lease_.Record(Set(4), 4, &context_);
+    AnswerWrite(StoreStatus::kOk, 32, {});
+    lease_.Acquire(true, 4, &context_);
+    StoreRow bad{
+        kGroup.value(), "{\"term\":-1} vm-9 1 idle", {era_, 40}, false};
+    AnswerWrite(StoreStatus::kConflict, 40, {bad});
+    CPPUNIT_ASSERT(lease_.commit_set() == Set(4));
+  }
+
+  void Acquire_RowLeftPromoting_MayHaveOrder() {
+    Begin();
+    lease_.Learn(&context_);
+    AnswerRead({OtherRow(Set(4), "promoting", 25)});
+    CPPUNIT_ASSERT(lease_.commit_set().may_have_order);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, lease_.commit_set().term);
+  }
+
+  void Acquire_RestoredRow_KeepsTheLaterSet() {
+    era_ = StoreEra(1);
+    TakeRow(31);
+    lease_.Record(Set(5), 5, &context_);
+    AnswerWrite(StoreStatus::kOk, 32, {});
+    era_ = StoreEra(2);
+    lease_.OnStoreRestored(era_, now_);
+    Begin();
+    lease_.Acquire(true, 5, &context_);
+    AnswerRead({OtherRow(Set(4), "idle", 20)});
+    CPPUNIT_ASSERT(lease_.commit_set() == Set(5));
+    Wait(DutyLease::kLeaseDuration);
+    lease_.OnWake(&context_);
+    if (HasOpen<ReadTable>()) AnswerRead({OtherRow(Set(4), "idle", 20)});
+    CPPUNIT_ASSERT_EQUAL(FormatCommitSet(Set(5)) + " vm-1 1 promoting",
+                         LastWrite().value);
+  }
+
+  void KeepConfirmed_RowUnchanged_IsSoleAfterDelay() {
+    TakeRow(31);
+    TimePoint written_at = now_;
+    CPPUNIT_ASSERT(lease_.IsConfirmed(now_));
+    while (now_ - written_at < DutyLease::kSoleDelay) {
+      CPPUNIT_ASSERT(!lease_.IsSole(now_));
+      Wait(Duration::Millis(500));
+      lease_.KeepConfirmed(&context_);
+      if (HasOpen<ReadTable>()) AnswerRead({OwnRow(31)});
+    }
+    CPPUNIT_ASSERT(lease_.IsSole(now_));
+  }
+
+  void KeepConfirmed_OtherVmWroteTheRow_EndsConfirmation() {
+    TakeRow(31);
+    Wait(DutyLease::kConfirmationInterval);
+    lease_.KeepConfirmed(&context_);
+    AnswerRead({OtherRow(Set(4), "idle", 40)});
+    CPPUNIT_ASSERT(!lease_.IsConfirmed(now_));
+    CPPUNIT_ASSERT(!lease_.is_last_writer());
+  }
+
+  void KeepConfirmed_StoreSilent_ConfirmationExpires() {
+    TakeRow(31);
+    Wait(DutyLease::kConfirmationInterval);
+    lease_.KeepConfirmed(&context_);
+    Answer(StoreStatus::kUnknown, 0, {});
+    CPPUNIT_ASSERT(lease_.is_confirmation_failing());
+    CPPUNIT_ASSERT(lease_.IsConfirmed(now_));
+    Wait(DutyLease::kConfirmationMaxAge);
+    CPPUNIT_ASSERT(!lease_.IsConfirmed(now_));
+    CPPUNIT_ASSERT(lease_.is_last_writer());
+  }
+
  private:
+  static CommitSet Set(uint64_t term) {
+    CommitSet set;
+    set.term = term;
+    set.primary = UpstreamId("up-a");
+    set.members[UpstreamId("up-a")] = CommitMember{"10.0.0.1:80", 5};
+    set.members[UpstreamId("up-b")] = CommitMember{"10.0.0.2:80", 6};
+    return set;
+  }
+
+  StoreRow OtherRow(const CommitSet& set, const std::string& state,
+                    uint64_t version) const {
+    return StoreRow{kGroup.value(),
+                    FormatCommitSet(set) + " vm-9 1 " + state,
+                    {era_, version},
+                    false};
+  }
+
+  StoreRow OwnRow(uint64_t version) const {
+    return StoreRow{kGroup.value(), "vm-1 1 idle", {era_, version}, false};
+  }
+
+  void TakeRow(uint64_t version) {
+    Begin();
+    lease_.Acquire(false, 4, &context_);
+    AnswerRead({});
+    AnswerWrite(StoreStatus::kOk, version, {});
+  }
+
+  void Wait(Duration time) {
+    now_ = now_ + time;
+    Begin();
+  }
+
   void Begin() { context_.Begin(now_, &effects_); }
 
   template <typename T>
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -42,6 +42,7 @@
   std::set<UpstreamId> registered;
   for (const UpstreamRecord& record : records) {
     registered.insert(record.id);
+    forgotten_addresses_.erase(record.address);
     PooledUpstream& upstream = upstreams_[record.id];
     bool is_new = upstream.record.id == UpstreamId();
     bool restarted = !is_new && upstream.record.started_ms != record.started_ms;
@@ -90,6 +91,21 @@
   return !may_have_restarted;
 }
 
+bool UpstreamPool::HasEnded(const PooledUpstream& upstream,
+                            TimePoint now) const {
+  return upstream.is_down && !upstream.is_registered &&
+         now - upstream.unregistered_at >= kEndedTime;
+}
+
+void UpstreamPool::Forget(const UpstreamId& id) {
+  auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  if (!found->second.record.leaving) {
+    forgotten_addresses_.insert(found->second.record.address);
+  }
+  upstreams_.erase(found);
+}
+
 int UpstreamPool::MaxDataConnections() const {
   int shared_limit = (max_connections_ - 1) / 2;
   int sole_owner_limit =
@@ -432,9 +448,8 @@
                           other.record.started_ms > upstream.record.started_ms;
     LogPosition last = upstream.status.received;
     LogPosition now = other.status.received;
-    bool is_shorter = upstream.has_status && other.has_status &&
-                      now.term == last.term && now < last;
-    if (is_replacement && !is_shorter) return &other;
+    bool has_log = other.has_status && !(now < last);
+    if (is_replacement && has_log) return &other;
   }
   return nullptr;
 }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -108,6 +108,9 @@
   // StoreFollower::kStoreAgeLimit.
   static constexpr Duration kListMaxAge = Duration::Millis(3600);
   static constexpr Duration kFleetCheckMaxAge = Duration::Millis(500);
+  // Time without an entry after which an upstream that does not answer is sent
+  // nothing more; the platform restores entries within 2 s.
+  static constexpr Duration kEndedTime = Duration::Millis(2300);
   // Time until the list of upstreams shows the restart of one.
   static constexpr Duration kRestartNoticeTime = Duration::Millis(1500);
   // An order to resume is sent within this time after it was given, or not.
@@ -132,6 +135,7 @@
   }
   // Sets whether the other VMs have answered recently.
   void SetFleetReachable(bool is_reachable, TimePoint now) {
+    if (is_reachable && !IsFleetReachable(now)) fleet_reachable_since_ = now;
     is_fleet_reachable_ = is_reachable;
     fleet_checked_at_ = now;
   }
@@ -146,8 +150,27 @@
     bool is_checked = now - fleet_checked_at_ <= kFleetCheckMaxAge;
     return is_fleet_reachable_ && is_checked;
   }
+  // Since when they have answered without a gap.
+  TimePoint fleet_reachable_since() const { return fleet_reachable_since_; }
   // True if every VM knows the present process of the upstream.
   bool IsEstablished(const PooledUpstream& upstream, TimePoint now) const;
+  // True if the store has listed the upstream since that time without a gap, as
+  // far as is known.
+  bool WasListed(const PooledUpstream& upstream, TimePoint since) const {
+    return (upstream.record.known_since == TimePoint() ||
+            upstream.record.known_since <= since) &&
+           (upstream.registered_since == TimePoint() ||
+            upstream.registered_since <= since);
+  }
+  // True if it has ended, as far as work is concerned; see
+  // Failover::kUnregisteredTimeout.
+  bool HasEnded(const PooledUpstream& upstream, TimePoint now) const;
+  // True if an upstream that did not leave was forgotten, and none has started
+  // at its address since. It may go on receiving the log.
+  bool may_have_forgotten_replica() const {
+    return !forgotten_addresses_.empty();
+  }
+  void Forget(const UpstreamId& id);
   // True if it is also not about to end, as far as is known.
   bool IsLasting(const PooledUpstream& upstream, TimePoint now) const {
     return upstream.is_registered && !upstream.record.leaving &&
@@ -254,6 +277,8 @@
   TimePoint list_time_;
   bool is_fleet_reachable_ = false;
   TimePoint fleet_checked_at_;
+  TimePoint fleet_reachable_since_;
+  std::set<std::string> forgotten_addresses_;
   Duration drain_limit_ = Duration::Millis(5500);
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
