--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -241,6 +241,7 @@
   for (const auto& item : owners_) {
     const GroupOwner& owner = *item.second;
     if (owner.is_active()) gauges.owned_groups++;
+    if (owner.is_awaiting_upstream()) gauges.groups_awaiting_upstream++;
     gauges.owner_statements += static_cast<int64_t>(owner.work_count());
     gauges.owner_transactions +=
         static_cast<int64_t>(owner.open_transactions());
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -50,6 +50,8 @@
   int64_t sessions = 0;
   int64_t open_statements = 0;
   int64_t owned_groups = 0;
+  // Groups that cannot replace their primary without a silent upstream.
+  int64_t groups_awaiting_upstream = 0;
   int64_t owner_statements = 0;
   int64_t owner_transactions = 0;
   int64_t upstream_connections = 0;
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -52,6 +52,7 @@
   Gauge("sessions", gauges.sessions, &out);
   Gauge("open_statements", gauges.open_statements, &out);
   Gauge("owned_groups", gauges.owned_groups, &out);
+  Gauge("groups_awaiting_upstream", gauges.groups_awaiting_upstream, &out);
   Gauge("owner_statements", gauges.owner_statements, &out);
   Gauge("owner_transactions", gauges.owner_transactions, &out);
   Gauge("upstream_connections", gauges.upstream_connections, &out);
