Soak: the primary and another upstream go silent together

Meanwhile the daemon that replaces the primary is killed and links to the store are held up. All return with their logs but at most one, so each acknowledged write is in a log that returns, and the check is the present one, without an exception.

--severed no longer leaves this case out. It said that split upstreams which crash, lapse or leave a lagging replica behind are "the loss of both copies", and that an upstream without an entry is to be treated as gone. Rule LOST has no exception for entries that lapsed: a log that is silent still exists, and what it acknowledged has to be in the log of whoever is promoted.

Callers go on in their session after a refusal, and end it only where the protocol requires it. The last acknowledged number of a session concerns the item that it was written to.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,6 +4,8 @@
     soak.py BUILD --tour                      a fixed order of the main faults
     soak.py BUILD --seeds=1-50 --severed      upstreams come and go while the
                                               primary is split off, see severed.py
+    soak.py BUILD --seeds=1-50 --silent-pairs  the primary and another upstream go
+                                              silent together, see silent_pairs.py
 
 Faults come from outside: loopback proxies delay, reset, cut and mute
 connections, signals pause, kill, stop and restart daemons, the stand-in crashes
@@ -27,11 +29,15 @@
 from soak.faults import Faults, random_faults, tour
 from soak.fleet import FIRST_ROUTES, LONG, PORTS, VMS, Fleet, wait_until
 from soak.severed import SeveredFaults, severed_faults
+from soak.silent_pairs import SilentPairFaults, silent_pair_faults
 
 CALLERS = 8
-FAULT_SECONDS = 14
 SEVERED_VMS = 5
-SEVERED_SECONDS = 30
+MODES = {  # Number of daemons, the faults, what plays them and for how many seconds.
+    "seed": (VMS, Faults, random_faults, 14),
+    "severed": (SEVERED_VMS, SeveredFaults, severed_faults, 30),
+    "silent-pairs": (SEVERED_VMS, SilentPairFaults, silent_pair_faults, 18),
+}
 LEAST_WRITES = 100  # Acknowledged in a run; fewer mean that nothing was tested.
 
 
@@ -100,14 +106,15 @@
     return problems
 
 
-async def play(build, number, logs, seed, is_severed):
+async def play(build, number, logs, seed, mode):
     """One run in the network of that number; returns problems and a summary."""
     draw = random.Random(seed)
-    fleet = Fleet(build, number, logs, SEVERED_VMS if is_severed else VMS)
+    vms, kind, play_faults, seconds = MODES[mode]
+    fleet = Fleet(build, number, logs, vms)
     history = History()
     callers = [Caller(i, fleet, history, random.Random(draw.random())) for i in range(CALLERS)]
     watcher = RouteWatcher(fleet, history, random.Random(draw.random()))
-    faults = (SeveredFaults if is_severed else Faults)(fleet, history, draw)
+    faults = kind(fleet, history, draw)
     state = {"effects": {}, "dropped": {}, "promotions": 0}
     tasks = []
     try:
@@ -117,10 +124,8 @@
         await asyncio.sleep(1)
         if seed is None:
             await tour(faults)
-        elif is_severed:
-            await severed_faults(faults, SEVERED_SECONDS)
         else:
-            await random_faults(faults, FAULT_SECONDS)
+            await play_faults(faults, seconds)
         await heal(fleet)
         for worker in [*callers, watcher]:
             worker.stops = True
@@ -145,13 +150,13 @@
                       + faults.summary())
 
 
-async def play_and_report(build, number, name, seed, is_severed=False):
+async def play_and_report(build, number, name, seed, mode="seed"):
     """One run with its logs; returns whether it passed."""
     logs = f"{build}/soak/{name}"
     shutil.rmtree(logs, ignore_errors=True)
     os.makedirs(logs)
     began = time.monotonic()
-    problems, summary = await play(build, number, logs, seed, is_severed)
+    problems, summary = await play(build, number, logs, seed, mode)
     print(f"{name}: {summary}, broken promises: {len(problems)}, "
           f"{time.monotonic() - began:.0f} s", flush=True)
     for problem in problems[:10]:
@@ -163,7 +168,7 @@
     return not problems
 
 
-async def play_seeds(build, seeds, numbers, is_severed):
+async def play_seeds(build, seeds, numbers, mode):
     """Plays all seeds, one at a time in each network; returns how many failed."""
     waiting = list(seeds)
     failed = 0
@@ -172,8 +177,7 @@
         nonlocal failed
         while waiting:
             seed = waiting.pop(0)
-            name = f"severed-{seed}" if is_severed else f"seed-{seed}"
-            if not await play_and_report(build, number, name, seed, is_severed):
+            if not await play_and_report(build, number, f"{mode}-{seed}", seed, mode):
                 failed += 1
     await asyncio.gather(*(work(number) for number in numbers))
     return failed
@@ -188,12 +192,17 @@
     parser.add_argument("--network", type=int, default=0,
                         help="first network, so that two soaks can run at a time")
     parser.add_argument("--tour", action="store_true", help="fixed faults in a fixed order")
-    parser.add_argument("--severed", action="store_true",
+    parser.add_argument("--severed", action="store_const", dest="mode", const="severed",
+                        default="seed",
                         help="upstreams come and go while the primary is split off")
+    parser.add_argument("--silent-pairs", action="store_const", dest="mode",
+                        const="silent-pairs",
+                        help="the primary and another upstream go silent together")
     parser.add_argument("--islands", action="store_true",
-                        help="with --severed: entries of split replicas lapse")
+                        help="with --severed: every split takes replicas along, and "
+                             "their entries lapse")
     arguments = parser.parse_args()
-    SeveredFaults.lapses_replicas = arguments.islands
+    SeveredFaults.islands_only = arguments.islands
     if not 1 <= arguments.jobs <= 8:
         parser.error(f"jobs {arguments.jobs} is not allowed; allowed are 1 to 8")
     if arguments.tour:
@@ -201,7 +210,7 @@
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     numbers = range(arguments.network, arguments.network + arguments.jobs)
-    failed = asyncio.run(play_seeds(arguments.build, seeds, numbers, arguments.severed))
+    failed = asyncio.run(play_seeds(arguments.build, seeds, numbers, arguments.mode))
     print(f"{len(seeds)} seeds, {failed} failed")
     return 1 if failed else 0
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -53,6 +53,7 @@
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.state = "I"  # As the last answer gave it.
 
     @classmethod
     async def open(cls, address, database):
@@ -90,6 +91,7 @@
             elif word == "ERR":
                 code = rest.split(" ")[0]
             elif word == "READY":
+                self.state = rest.split(" ")[0]
                 if code is not None:
                     raise Failed(code)
                 return rows, signature
@@ -113,7 +115,7 @@
         self.stops = False
         self.vm = 0
         self.database = ""
-        self.own = 0         # Last number acknowledged in this session.
+        self.own = 0         # Last number of its item acknowledged in this session.
         self.values = {}     # Session values that were acknowledged.
 
     @property
@@ -137,7 +139,11 @@
                 for _ in range(self.random.randint(1, 60)):
                     if self.stops:
                         break
-                    await self.operate(session, callers)
+                    try:
+                        await self.operate(session, callers)
+                    except Failed:
+                        if session.state != "I":
+                            await self.query(session, "ROLLBACK")
                     await asyncio.sleep(self.random.uniform(0.005, 0.03))
             except (OSError, Failed, asyncio.TimeoutError):
                 pass
@@ -207,11 +213,15 @@
             return
         self.history.unknown += 1
         self.generation += 1
+        self.own = 0
 
     async def set_value(self, session):
         """Sets a session value and reads it back from an upstream."""
         name, value = self.random.choice("uvw"), str(next(self.ids))
-        await self.query(session, f"SET {name} {value}")
+        try:
+            await self.query(session, f"SET {name} {value}")
+        except Failed as error:
+            raise ConnectionError("the value may be set") from error
         self.values[name] = value
         for known, expected in self.values.items():
             rows = await self.query(session, f"READ @{known}")
--- a/tools/soak/severed.py
+++ b/tools/soak/severed.py
@@ -5,12 +5,12 @@
 entries of living upstreams go missing, and daemons are paused, killed or isolated
 as soon as they log that they start or give up a failover.
 
-No upstream crashes here: with a split, that would be the loss of both copies of a
-commit. The store stays up, so that upstreams leave 7.5 s and more after it said so.
-Entries of split replicas lapse only with --islands: a commit that only they have
-is then gone for the others after some seconds, as the pages say.
-On the store's side of a split there is always an upstream that has been there for
-some time, has the log and stays: the group never loses all that it had before the split.
+Split upstreams may lose their entries, or crash and return with their logs, and the
+replicas on the store's side may lag: then nobody there has what was acknowledged.
+
+The store stays up, so that upstreams leave 7.5 s and more after it said so. One at a
+time leaves, and only while the primary and another upstream have the whole log: a
+commit that was acknowledged is always in some log that stays.
 """
 
 import asyncio
@@ -34,15 +34,17 @@
 class SeveredFaults(Faults):
     """Injects these faults into a fleet."""
 
-    lapses_replicas = False  # Whether entries of split replicas may lapse.
+    islands_only = False  # Every split takes replicas along, and their entries lapse.
 
     def __init__(self, fleet, history, random):
         super().__init__(fleet, history, random)
-        self.islands = {}    # Number of a split: (its upstreams, its daemon).
+        self.islands = {}    # Number of a split: (its upstreams, daemon, cut ways).
         self.joined_at = {}  # Upstream: time of its start, if it joined.
         self.draining = ""   # The upstream that leaves.
         self.late = ""       # The upstream that receives nothing.
-        self.silent = set()  # Split upstreams that do not reach the store either.
+        self.silent = set()  # Upstreams that crashed or do not reach the store.
+        self.cuts = collections.Counter()  # Pairs of upstreams: faults that cut them.
+        self.cuts_lock = asyncio.Lock()
         self.numbers = itertools.count(1)
         self.turns = []      # (time, daemon, event): failovers as they were logged.
         self.tasks = []      # What outlasts the fault that began it.
@@ -81,6 +83,25 @@
             await asyncio.sleep(0.005)
         return None
 
+    async def separate(self, pairs):
+        """Cuts the ways between these upstreams."""
+        async with self.cuts_lock:
+            for pair in pairs:
+                self.cuts[tuple(sorted(pair))] += 1
+                await self.fleet.admin("cut?%s,%s" % pair)
+
+    def is_cut(self, a, b):
+        """Whether a fault cuts the way between two upstreams."""
+        return self.cuts[tuple(sorted((a, b)))] > 0
+
+    async def reconnect(self, pairs):
+        """Mends the ways that no other fault cuts."""
+        async with self.cuts_lock:
+            for pair in pairs:
+                self.cuts[tuple(sorted(pair))] -= 1
+                if not self.is_cut(*pair):
+                    await self.fleet.admin("mend?%s,%s" % pair)
+
     def established(self, island):
         """Upstreams outside the island that have been there for some time and stay."""
         now = time.monotonic()
@@ -96,11 +117,16 @@
     async def release(self):
         """Replaces an upstream by a new one with another id."""
         async with self.upstream_lock:
-            upstream = (await self.fleet.admin("state"))["primary"]
-            if upstream not in self.fleet.upstreams or self.random.random() < 0.6:
+            state = await self.fleet.admin("state")
+            primary = upstream = state["primary"]
+            if self.random.random() < 0.6:
                 upstream = self.random.choice(self.fleet.upstreams)
-            island = [u for upstreams, _ in self.islands.values() for u in upstreams]
-            if upstream in self.silent or not self.established([*island, upstream]):
+            island = [u for upstreams, _, _ in self.islands.values() for u in upstreams]
+            has_copy = any(state["missing"][u] <= IN_FLIGHT and not self.is_cut(u, primary)
+                           for u in self.fleet.upstreams if u not in (primary, upstream))
+            if (primary not in self.fleet.upstreams or not has_copy
+                    or upstream in self.silent
+                    or not self.established([*island, upstream])):
                 return
             self.draining = upstream
             joins_first = self.random.random() < 0.5
@@ -120,40 +146,43 @@
     async def join(self):
         """Starts a new upstream, on the store's side of all splits."""
         new = f"up-{self.fleet.next_port}"
-        for upstreams, _ in self.islands.values():
-            for other in upstreams:
-                await self.fleet.admin(f"cut?{new},{other}")
+        for island, _, pairs in list(self.islands.values()):
+            added = [(other, new) for other in island]
+            pairs += added
+            await self.separate(added)
         self.note(f"join {new}")
         await self.fleet.join()
         self.joined_at[new] = time.monotonic()
-        for _, vm in self.islands.values():
+        for _, vm, _ in self.islands.values():
             self.fleet.upstream_links[new].sever(vm)
 
     async def split(self):
         """Splits the primary off, with some replicas and one daemon."""
-        fleet = self.fleet
-        if self.islands:
-            return
-        state = await fleet.admin("state")
-        primary = state["primary"]
-        replicas = [u for u in fleet.upstreams if u != primary]
-        if primary not in fleet.upstreams or not replicas or self.islands or self.late:
-            return
-        island = [primary, *self.random.sample(replicas, self.random.randrange(len(replicas)))]
-        if all(state["missing"][u] > IN_FLIGHT for u in self.established(island)):
+        primary = (await self.fleet.admin("state"))["primary"]
+        replicas = [u for u in self.fleet.upstreams if u != primary]
+        least = 1 if self.islands_only else 0
+        if primary not in self.fleet.upstreams or len(replicas) <= least or self.islands:
             return
+        island = [primary, *self.random.sample(
+            replicas, self.random.randrange(least, len(replicas)))]
+        lapses = self.islands_only or self.random.random() < 0.5
+        await self.split_off(island, lapses, self.random.uniform(1, 12))
+
+    async def split_off(self, island, lapses, seconds):
+        """Splits these upstreams off, with one daemon; they may crash."""
+        fleet = self.fleet
         vm, number = self.random.randrange(fleet.vms), next(self.numbers)
         hears = self.random.random() < 0.3  # The daemon is still called by the others.
-        lapses, seconds = self.random.random() < 0.5, self.random.uniform(1, 12)
-        lapses = lapses and (self.lapses_replicas or len(island) == 1)
+        crashes = self.draining not in island and self.random.random() < 0.2
         others = [other for other in range(fleet.vms) if other != vm]
         self.note(f"split {number}: {' '.join(island)} and vm-{vm} for {seconds:.1f} s, "
                   f"their entries {'lapse' if lapses else 'stay'}"
+                  f"{', they crash' if crashes else ''}"
                   f"{', it is called by the others' if hears else ''}")
-        self.islands[number] = (island, vm)
         pairs = [(a, b) for a in island for b in fleet.upstreams if b not in island]
-        for a, b in pairs:
-            await fleet.admin(f"cut?{a},{b}")
+        self.islands[number] = (island, vm, pairs)
+        self.silent.update(island if lapses or crashes else [])
+        await self.separate(pairs)
         for upstream, link in fleet.upstream_links.items():
             for severed in others if upstream in island else [vm]:
                 link.sever(severed)
@@ -163,28 +192,43 @@
                 fleet.peer_links[vm].sever(other)
         fleet.store_links[vm].block("requests", "answers")
         end = time.monotonic() + seconds
-        self.silent.update(island if lapses else [])
-        has_lapsed = lapses and await self.lapse_island(island, seconds)
+        outages = []
+        if crashes:
+            await self.lasts(0, seconds / 2)
+            outages = [asyncio.create_task(self.crash_until(end, u)) for u in island]
+        has_lapsed = lapses and await self.lapse_island(island, end)
         await asyncio.sleep(max(0, end - time.monotonic()))
         self.note(f"split {number} ends")
         del self.islands[number]
-        self.silent.clear()
-        for a, b in itertools.product(island, fleet.upstreams):
-            await fleet.admin(f"mend?{a},{b}")
+        await self.reconnect(pairs)
         for link in [*fleet.upstream_links.values(), *fleet.peer_links]:
             for severed in range(fleet.vms):
                 if seconds > EXPIRY_SECONDS:
                     link.expire(severed)
                 link.mend(severed)
         fleet.store_links[vm].heal()
+        await asyncio.gather(*outages)
+        self.silent.difference_update(island)
         if has_lapsed:
             for upstream in island:
                 self.tasks.append(asyncio.create_task(self.appear(upstream)))
 
-    async def lapse_island(self, island, seconds):
+    async def crash_until(self, end, upstream):
+        """Crashes an upstream; it returns with its log."""
+        pairs = [(upstream, other) for other in self.fleet.upstreams if other != upstream]
+        await self.separate(pairs)
+        self.note(f"crash {upstream}")
+        await self.fleet.admin(f"crash?{upstream}")
+        await asyncio.sleep(max(0, end - time.monotonic()))
+        await self.lasts(*RETURN_SECONDS)
+        self.note(f"return {upstream}")
+        await self.reconnect(pairs)
+        await self.fleet.admin(f"return?{upstream}")
+
+    async def lapse_island(self, island, end):
         """Removes the entries of split upstreams; returns whether it came to that."""
         pause = self.random.uniform(*LAPSE_SECONDS)
-        if pause > seconds:
+        if time.monotonic() + pause > end:
             return False
         await asyncio.sleep(pause)
         for upstream in island:
@@ -201,14 +245,14 @@
         """A replica receives nothing for a while."""
         state = await self.fleet.admin("state")
         replicas = self.established([state["primary"]])
-        if not replicas or self.islands or self.late:
+        if not replicas or not state["primary"] or self.late:
             return
         self.late = self.random.choice(replicas)
-        pair = f"{state['primary']},{self.late}"
-        self.note(f"late {pair}")
-        await self.fleet.admin(f"cut?{pair}")
-        await self.lasts(0.3, 3)
-        await self.fleet.admin(f"mend?{pair}")
+        pair = (state["primary"], self.late)
+        self.note("late %s,%s" % pair)
+        await self.separate([pair])
+        await self.lasts(0.3, 6)
+        await self.reconnect([pair])
         self.late = ""
 
     async def lapse_at_turn(self):
