--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -649,8 +649,8 @@
       if (is_first) pool->SendControl(item.first, status, context);
       continue;
     }
-    if (held_at_.erase(item.first) == 0 || !MustHold(item.first, *pool))
-      continue;
+    bool was_held = held_at_.erase(item.first) != 0;
+    if (!was_held || !MustHold(item.first, *pool)) continue;
     context->Log(LogLevel::kWarning, kPart, "hold_lost",
                  {{"group", group_.value()},
                   {"upstream", item.first.value()},
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -226,8 +226,8 @@
   UpstreamCommand status;
   size_t wanted = needs_two ? 2 : 1;
   bool needs_all = !CountsSingleReplicas(context);
-  if (is_probe_pending_ || needs_all)
-    wanted = pool_.upstreams().size();  // Timed out.
+  // All are asked after a time-out, too.
+  if (is_probe_pending_ || needs_all) wanted = pool_.upstreams().size();
   size_t asked = 0;
   for (const auto& item : pool_.upstreams()) {
     const PooledUpstream& upstream = item.second;
