Failover: a lone successor leads only once the silent upstreams have no entry

What callers saw: when a primary and a replica crash together and return after 5 s, the third, which has everything, led at once, but alone.

If another replica answers, the order is given at once.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -435,10 +435,28 @@
     ChooseSuccessor(pool, context);
     if (successor_ == UpstreamId()) return;
     held_position_ = pool->FindUpstream(successor_)->status.received;
+    // Reads are served at the successor meanwhile.
+    if (WouldLeadAlone(*pool, context)) return;
   }
   RequestPromotion(*pool, context);
 }
 
+// True if the successor would have no replica, and so could not acknowledge
+// commits, while the upstreams that were left out may return any moment: then
+// the old primary goes on, or the successor has a replica.
+bool Failover::WouldLeadAlone(const UpstreamPool& pool,
+                              ProxyContext* context) const {
+  if (!leaves_out_silent_) return false;
+  bool may_return = false;
+  for (const auto& item : pool.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    if (item.first == successor_) continue;
+    if (!upstream.is_down) return false;
+    may_return = may_return || !pool.HasEnded(upstream, context->now());
+  }
+  return may_return;
+}
+
 // True if a token may be used now. Writes the row again to replace a token that
 // is too old.
 bool Failover::RenewToken(const UpstreamPool& pool, ProxyContext* context) {
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -250,6 +250,7 @@
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
   void RequestHoldEvidence(UpstreamPool* pool, ProxyContext* context);
+  bool WouldLeadAlone(const UpstreamPool& pool, ProxyContext* context) const;
   bool LeadsEarlierTerm(const PooledUpstream& upstream) const;
   void SendDemote(const PooledUpstream& upstream, UpstreamPool* pool,
                   ProxyContext* context);
