--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -58,8 +58,9 @@
     Mutant(
         "commit passed on though other VMs may not know its replica",
         "proxy/group_commits.cc",
-        "if (is_lasting && has_received && is_list_trusted) return true;",
-        "if (has_received) return true;",
+        "bool suffices = is_lasting && has_received && counts_single &&",
+        "if (has_received) return true;\n"
+        "    bool suffices = is_lasting && has_received && counts_single &&",
     ),
     Mutant(
         "restart of a replica not noticed",
@@ -187,7 +188,7 @@
     Mutant(
         "replicas resumed while the successor may lead unseen",
         "proxy/failover.cc",
-        "if (IsOrderSettled(*pool, context)) {",
+        "if (IsOrderSettled(*pool)) {",
         "if (true) {",
     ),
     Mutant(
