--- a/fireflycart/core/proxy/duty_lease.h
+++ b/fireflycart/core/proxy/duty_lease.h
@@ -15,7 +15,7 @@
 // VM that wrote the row last confirms it by reading it again:
 //
 //   lease.KeepConfirmed(&context);          // after every event of the group
-//   if (lease.IsConfirmed(now)) ...         // nobody else wrote the row lately
+//   if (lease.IsConfirmed(now)) ...         // no other VM counts on the row
 //   if (lease.IsSole(now)) lease.Record(set, term, &context);
 //
 // Limits: of a row that another VM has written, only what was read last is
@@ -113,7 +113,7 @@
   void KeepConfirmed(ProxyContext* context);
   // True if this VM wrote the row last, as far as is known.
   bool is_last_writer() const { return has_token_; }
-  // True if no other VM had written the row kConfirmationMaxAge ago.
+  // True if the row was this VM's at some time within kConfirmationMaxAge.
   bool IsConfirmed(TimePoint now) const {
     return has_token_ && now - confirmed_at_ <= kConfirmationMaxAge;
   }
@@ -161,8 +161,8 @@
   uint64_t term_ = 0;
   CallId read_;
   CallId write_;
-  // What the write under way contains.
   bool is_keeping_ = false;  // No promotion is to be ordered.
+  // What the write under way contains.
   bool is_writing_promoting_ = false;
   bool is_writing_keeping_ = false;
   CommitSet writing_set_;
--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -7,11 +7,11 @@
 // no commit was passed on because it alone had it.
 //
 // The VM that alone counts single replicas, see DutyLease::IsSole(), knows up
-// to which position commits were passed on: the primary's position when it
-// became that, or a later one that it passed on itself. Other VMs pass on only
-// what every replica of their lists has. So a held replica that has been listed
-// for kMaxUntrustedListAge and has that position has every such commit, and as
-// it is held, no other VM passes on anything more.
+// to which position commits were passed on: a position of the primary, taken
+// every kBaseInterval, or a later one that it passed on itself. Other VMs pass
+// on only what every replica of their lists has. So a held replica that had
+// been listed for kMaxUntrustedListAge when the position was taken, and has it,
+// has every such commit; as it is held, no other VM passes on anything more.
 //
 // A replica reports the term of the last hold that it was sent. Holds of VMs
 // with different tokens differ, so a VM sees when another one has replaced its
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -217,7 +217,8 @@
                              ProxyContext* context) const;
 
   // Records an acknowledged position. An upstream below it is not promoted,
-  // except after kShortLogTimeout or as successor of a leaving primary.
+  // except as successor of a leaving primary, or after kShortLogTimeout if the
+  // commit set is known.
   void OnAcknowledged(LogPosition position) {
     if (acknowledged_ < position) acknowledged_ = position;
   }
@@ -318,8 +319,8 @@
   bool has_unseen_order_ = false;
   // Replicas that do not answer may be left out of this attempt.
   bool leaves_out_silent_ = false;
-  // The primary's position when this VM had become the only one that counts
-  // single replicas, and since when it has been that.
+  // A position of the primary that was taken while this VM was the only one
+  // that counts single replicas, its term, and since when it has been that.
   LogPosition base_position_;
   uint64_t base_term_ = 0;
   TimePoint base_sole_since_;
--- a/fireflycart/core/proxy/group_commit_set.cc
+++ b/fireflycart/core/proxy/group_commit_set.cc
@@ -12,8 +12,7 @@
 //   when the primary is lost, too. Meanwhile no VM may count it alone: see
 //   DutyLease::IsSole().
 // - If no other replica is left, the set stays as it is. The group cannot
-// replace
-//   its primary then, until an upstream joins or one of these returns.
+//   replace its primary then, until an upstream joins or one of these returns.
 //
 // A new primary begins with a new set, since a replica may still lack what the
 // primary has received in the term before. It is recorded once a replica has
--- a/fireflycart/standins/testing/session_silent_upstream_test.cc
+++ b/fireflycart/standins/testing/session_silent_upstream_test.cc
@@ -436,7 +436,7 @@
     });
   }
 
-  // Writes wait for an upstream of which nobody knows when it returns.
+  // Nothing announces when the upstream returns, so writes must not wait.
   void Group_WaitsForNewPrimaryAndReplica_WritesAreRefusedAtOnce() {
     MakeWriteWorld();
     TakeOver();
