Tenants: keys at the session's start, a connection carries one tenant

Change: the route table holds tenants with digests of their keys; a session is authenticated when it starts and again at each statement; the statement and the upstream connection carry the tenant's name. A key is digested as its line or document is parsed, so the core, peers and logs never hold one. Deployments whose configuration has no tenants field are served as before. Connections of another tenant are closed for a new one in no good order yet; the age of keys, limits and fairness follow.

--- a/fireflycart/core/ids.h
+++ b/fireflycart/core/ids.h
@@ -47,6 +47,7 @@
 using DataCentreId = StrongId<struct DataCentreIdTag, std::string>;
 using GroupId = StrongId<struct GroupIdTag, std::string>;
 using UpstreamId = StrongId<struct UpstreamIdTag, std::string>;
+using TenantId = StrongId<struct TenantIdTag, std::string>;
 using KindId = StrongId<struct KindIdTag, std::string>;
 using CallerId = StrongId<struct CallerIdTag, std::string>;
 using SessionId = StrongId<struct SessionIdTag, std::string>;
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -221,8 +221,8 @@
 
 bool GroupOwner::Start(Work* work, PooledUpstream* upstream,
                        ProxyContext* context) {
-  PooledConnection* connection =
-      pool_.Take(upstream->record.id, work->call.values, context);
+  PooledConnection* connection = pool_.Take(
+      upstream->record.id, work->call.tenant, work->call.values, context);
   if (connection == nullptr) return false;
   queue_.Remove(work);
   if (context->now() > work->latest_start) {
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -38,6 +38,7 @@
 // Durations are relative, since the clocks of two VMs are not comparable.
 struct StatementCall {
   GroupId group;
+  TenantId tenant;  // Empty if the deployment has no tenants.
   SessionKey session;
   TransactionKind transaction = TransactionKind::kNone;
   uint64_t transaction_number = 0;  // Counts the session's transactions.
--- a/fireflycart/core/proxy/proxy_event.h
+++ b/fireflycart/core/proxy/proxy_event.h
@@ -13,6 +13,7 @@
 #include "fireflycart/core/event.h"
 #include "fireflycart/core/proxy/statement.h"
 #include "fireflycart/core/proxy/store.h"
+#include "fireflycart/core/tenants/key_digest.h"
 
 namespace fireflycart::proxy {
 
@@ -22,6 +23,7 @@
 struct SessionStarted {
   SessionNumber session;
   std::string database;
+  KeyDigest key;  // Empty if the caller sent none.
 };
 
 // The next statement of a session. It arrives only after the previous one was
@@ -93,6 +95,7 @@
   ConnectionId connection;
   std::string address;
   GroupId group;
+  TenantId tenant;      // Whose statements it carries; may be empty.
   UpstreamId upstream;  // Any other upstream refuses the connection.
   Duration timeout;
 };
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -260,7 +260,8 @@
 void ProxyReducer::Handle(const WakeUp& event) { (void)event; }
 
 void ProxyReducer::Handle(const SessionStarted& event) {
-  session_manager_.OnStarted(event.session, event.database, &context_);
+  session_manager_.OnStarted(event.session, event.database, event.key,
+                             &context_);
 }
 
 void ProxyReducer::Handle(const StatementReceived& event) {
--- a/fireflycart/core/proxy/route.h
+++ b/fireflycart/core/proxy/route.h
@@ -16,6 +16,7 @@
 #include "fireflycart/core/clock.h"
 #include "fireflycart/core/ids.h"
 #include "fireflycart/core/proxy/store_version.h"
+#include "fireflycart/core/tenants/tenant_directory.h"
 
 namespace fireflycart::proxy {
 
@@ -35,6 +36,8 @@
   Duration timeout;  // Of one statement.
   Duration target;   // Target latency of a whole operation.
   int priority = 0;  // 0 is the most urgent.
+  // Callers need no key, even if the deployment has tenants.
+  bool is_public = false;
 };
 
 struct GroupSpec {
@@ -51,6 +54,10 @@
   std::map<GroupId, GroupSpec> groups;
   Duration transaction_idle_timeout;  // Idle transactions may be ended after
                                       // this time.
+  // True if the configuration names tenants, even if there are none: then a
+  // caller needs the key of one, except on a public route.
+  bool has_tenants = false;
+  TenantDirectory tenants;
 };
 
 struct UpstreamRecord {
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -14,6 +14,7 @@
 
 constexpr char kPart[] = "entry";
 constexpr char kStopping[] = "this VM is stopping";
+constexpr char kNoValidKey[] = "no valid key";
 
 CallerAnswer MakeAnswer(Outcome outcome, const std::string& detail) {
   CallerAnswer answer;
@@ -31,9 +32,10 @@
 
 void SessionManager::OnStarted(SessionNumber number,
                                const std::string& database,
-                               ProxyContext* context) {
+                               const KeyDigest& key, ProxyContext* context) {
   Session& session = sessions_[number];
   session.database = database;
+  session.key = key;
   session.idle_since = context->now();
   if (stop_stage_ >= StopStage::kRefusing) {
     RefuseSession(number, Outcome::kBusy, kStopping, context);
@@ -48,15 +50,55 @@
 }
 
 void SessionManager::Greet(SessionNumber number, ProxyContext* context) {
-  const std::string& database = sessions_[number].database;
+  const Session& session = sessions_[number];
   const RouteTable& table = router_->routes();
-  bool is_known = table.routes.count(database) != 0;
-  if (is_known) {
-    context->Emit(GreetCaller{number, Outcome::kDone, ""});
+  auto route = table.routes.find(session.database);
+  if (route == table.routes.end()) {
+    Outcome outcome =
+        table.version == 0 ? Outcome::kBusy : Outcome::kNoDatabase;
+    RefuseSession(number, outcome, session.database, context);
+    return;
+  }
+  TenantId tenant;
+  if (!IsAuthenticated(session, route->second, &tenant)) {
+    RefuseSession(number, Outcome::kNotAuthenticated, kNoValidKey, context);
     return;
   }
-  Outcome outcome = table.version == 0 ? Outcome::kBusy : Outcome::kNoDatabase;
-  RefuseSession(number, outcome, database, context);
+  context->Emit(GreetCaller{number, Outcome::kDone, ""});
+}
+
+bool SessionManager::IsAuthenticated(const Session& session, const Route& route,
+                                     TenantId* tenant) const {
+  const RouteTable& table = router_->routes();
+  *tenant = TenantId();
+  if (!table.has_tenants || route.is_public) return true;
+  const TenantSpec* found = table.tenants.FindByKey(session.key);
+  if (found == nullptr) return false;
+  *tenant = found->id;
+  return true;
+}
+
+// The route and the key are looked up at each statement, since either may have
+// been removed while the session was open.
+bool SessionManager::RefuseUnauthenticated(SessionNumber number,
+                                           Session* session,
+                                           ProxyContext* context) {
+  const RouteTable& table = router_->routes();
+  auto found = table.routes.find(session->database);
+  bool is_known = found != table.routes.end();
+  const Route& route = is_known ? found->second : session->route;
+  TenantId tenant;
+  bool is_valid = IsAuthenticated(*session, route, &tenant);
+  // The transaction runs on a connection of the tenant that began it.
+  bool is_open = session->state == TransactionState::kOpen;
+  if (is_open && session->is_begun && tenant != session->tenant) {
+    is_valid = false;
+  }
+  session->tenant = tenant;
+  if (is_valid) return false;
+  if (is_open) AbortTransaction(number, session, context);
+  Refuse(number, session, Outcome::kNotAuthenticated, kNoValidKey, context);
+  return true;
 }
 
 void SessionManager::RefuseSession(SessionNumber number, Outcome outcome,
@@ -187,6 +229,10 @@
            context);
     return;
   }
+  bool only_ends =
+      ends_transaction && (session->state == TransactionState::kFailed ||
+                           statement.kind == StatementKind::kRollback);
+  if (!only_ends && RefuseUnauthenticated(number, session, context)) return;
   if (TryAnswerLocally(number, session, statement, context)) return;
   Forward(number, session, statement, context);
 }
@@ -318,6 +364,7 @@
   call.transaction_number = in_transaction ? session->transaction_number : 0;
   call.opens_transaction = in_transaction && !session->is_begun;
   call.id = statement.id;
+  call.tenant = session->tenant;
   call.values = session->values;
   call.consistency = route.consistency;
   call.max_age = route.max_age;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -2,7 +2,7 @@
 // prepared statements and transactions, and the last commit that their reads
 // must include.
 //
-//   sessions.OnStarted(session, "ledger-app", &context);
+//   sessions.OnStarted(session, "ledger-app", key, &context);
 //   sessions.OnStatement(session, statement, &context);
 //   sessions.OnReply(session, reply, &context);    // from the group's owner
 //
@@ -51,7 +51,7 @@
   explicit SessionManager(StatementRouter* router) : router_(router) {}
 
   void OnStarted(SessionNumber session, const std::string& database,
-                 ProxyContext* context);
+                 const KeyDigest& key, ProxyContext* context);
   void OnStatement(SessionNumber session, const CallerStatement& statement,
                    ProxyContext* context);
   void OnEnded(SessionNumber session, ProxyContext* context);
@@ -87,6 +87,8 @@
  private:
   struct Session {
     std::string database;
+    KeyDigest key;    // Empty if the caller sent none.
+    TenantId tenant;  // Of the current statement; empty if none is needed.
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedShape> prepared;
     TransactionState state = TransactionState::kNone;
@@ -131,6 +133,14 @@
                         bool is_read_only, ProxyContext* context);
   void RollBack(SessionNumber number, Session* session, ProxyContext* context);
   bool FindRoute(SessionNumber number, Session* session, ProxyContext* context);
+  // True if the caller may use the route now; sets *tenant to whose caller it
+  // is, or to none.
+  bool IsAuthenticated(const Session& session, const Route& route,
+                       TenantId* tenant) const;
+  // Refuses a statement whose caller has no valid key, or no longer, and ends
+  // its transaction; false if the statement may proceed.
+  bool RefuseUnauthenticated(SessionNumber number, Session* session,
+                             ProxyContext* context);
   void Forward(SessionNumber number, Session* session,
                const CallerStatement& statement, ProxyContext* context);
   void Greet(SessionNumber number, ProxyContext* context);
--- a/fireflycart/core/proxy/statement.cc
+++ b/fireflycart/core/proxy/statement.cc
@@ -24,6 +24,8 @@
       return "no_statement";
     case Outcome::kNoDatabase:
       return "no_database";
+    case Outcome::kNotAuthenticated:
+      return "not_authenticated";
     case Outcome::kBadRequest:
       return "bad_request";
     case Outcome::kFailed:
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -60,8 +60,11 @@
   // It is unknown whether the statement took effect.
   kTimeout,
   kUnknown,
+  // The caller has no valid key. Last, since peers of earlier versions number
+  // the outcomes.
+  kNotAuthenticated,
 };
-constexpr int kOutcomes = 13;
+constexpr int kOutcomes = 14;
 
 // Lower-case name of an outcome in logs and metrics.
 const char* OutcomeName(Outcome outcome);
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -118,11 +118,12 @@
   return upstream.running < upstream.record.slots + kExtraInFlight;
 }
 
-void UpstreamPool::Open(PooledUpstream* upstream, bool is_control,
-                        ProxyContext* context) {
+void UpstreamPool::Open(PooledUpstream* upstream, const TenantId& tenant,
+                        bool is_control, ProxyContext* context) {
   PooledConnection connection;
   connection.id = context->NextConnection();
   connection.upstream = upstream->record.id;
+  connection.tenant = tenant;
   connection.is_control = is_control;
   if (is_control) {
     upstream->control = connection.id;
@@ -130,7 +131,7 @@
     upstream->connections++;
   }
   context->Emit(OpenUpstream{connection.id, upstream->record.address, group_,
-                             upstream->record.id, kOpenTimeout});
+                             tenant, upstream->record.id, kOpenTimeout});
   connections_[connection.id] = std::move(connection);
 }
 
@@ -142,20 +143,25 @@
       context->WakeAt(upstream.next_open);
       continue;
     }
-    Open(&upstream, true, context);
+    Open(&upstream, TenantId(), true, context);
   }
 }
 
 PooledConnection* UpstreamPool::Take(
-    const UpstreamId& id, const std::map<std::string, std::string>& values,
-    ProxyContext* context) {
+    const UpstreamId& id, const TenantId& tenant,
+    const std::map<std::string, std::string>& values, ProxyContext* context) {
   PooledConnection* best = nullptr;
+  ConnectionId idle_of_other;
   bool is_opening = false;
   for (auto& item : connections_) {
     PooledConnection& connection = item.second;
     if (connection.upstream != id) continue;
     if (!connection.is_open && !connection.is_control) is_opening = true;
     if (!connection.is_idle()) continue;
+    if (connection.tenant != tenant) {
+      idle_of_other = connection.id;
+      continue;
+    }
     if (connection.values == values) return &connection;
     if (best == nullptr || best->values.size() > connection.values.size()) {
       best = &connection;
@@ -164,9 +170,13 @@
   if (best != nullptr) return best;
   PooledUpstream* upstream = FindUpstream(id);
   bool may_open = upstream != nullptr && !is_opening && !upstream->is_down &&
-                  upstream->connections < MaxDataConnections() &&
                   context->now() >= upstream->next_open;
-  if (may_open) Open(upstream, false, context);
+  if (!may_open) return nullptr;
+  if (upstream->connections >= MaxDataConnections()) {
+    if (idle_of_other == ConnectionId()) return nullptr;
+    Close(idle_of_other, context);
+  }
+  Open(upstream, tenant, false, context);
   return nullptr;
 }
 
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -2,7 +2,8 @@
 // them, and records the session state and the unanswered commands of each.
 //
 //   pool.SetRecords(records, &context);
-//   PooledConnection* c = pool.Take(upstream, call.values, &context);
+//   PooledConnection* c =
+//       pool.Take(upstream, call.tenant, call.values, &context);
 //   pool.Send(c, commands, work, &context);
 //
 // Each upstream has one control connection, for status requests and role
@@ -38,6 +39,7 @@
 struct PooledConnection {
   ConnectionId id;
   UpstreamId upstream;
+  TenantId tenant;  // Whose statements it carries; may be empty.
   bool is_control = false;
   bool is_open = false;
   bool is_pinned = false;        // Reserved for a transaction.
@@ -188,9 +190,10 @@
   // Opens control connections that are missing.
   void OpenControls(ProxyContext* context);
 
-  // Returns an idle connection, preferably one with these session values. If
-  // there is none, returns null and opens one more if the limit allows.
-  PooledConnection* Take(const UpstreamId& upstream,
+  // Returns an idle connection of the tenant, preferably one with these session
+  // values. If there is none, returns null and opens one more if the limit
+  // allows, or once an idle connection of another tenant is closed.
+  PooledConnection* Take(const UpstreamId& upstream, const TenantId& tenant,
                          const std::map<std::string, std::string>& values,
                          ProxyContext* context);
   // True if a transaction may pin one more connection.
@@ -264,7 +267,8 @@
 
  private:
   int MaxDataConnections() const;
-  void Open(PooledUpstream* upstream, bool is_control, ProxyContext* context);
+  void Open(PooledUpstream* upstream, const TenantId& tenant, bool is_control,
+            ProxyContext* context);
   void OnOpenFailed(PooledUpstream* upstream, const std::string& reason,
                     ProxyContext* context);
   PooledConnection Remove(ConnectionId id);
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -5,7 +5,9 @@
 
 #include "fireflycart/net/proxy_codec.h"
 
+#include <map>
 #include <utility>
+#include <vector>
 
 namespace fireflycart::proxy {
 namespace {
@@ -67,7 +69,7 @@
 
 Json ToJson(const Route& r) {
   return Pack(r.database, r.group, EnumNumber(r.consistency), r.max_age,
-              r.timeout, r.target, r.priority);
+              r.timeout, r.target, r.priority, r.is_public);
 }
 void FromJson(const Json& json, Route* r) {
   Unpacker(json)
@@ -77,7 +79,8 @@
       .Take(&r->max_age)
       .Take(&r->timeout)
       .Take(&r->target)
-      .Take(&r->priority);
+      .Take(&r->priority)
+      .TakeOptional(&r->is_public);
 }
 
 Json ToJson(const GroupSpec& g) {
@@ -125,9 +128,51 @@
   return list;
 }
 
+// Keys are sent as digests, in the order of their tenants.
+Json ToJson(const TenantDirectory& d) {
+  std::map<TenantId, Json> keys;
+  for (const auto& item : d.tenants()) keys[item.first] = Json::array();
+  for (const auto& item : d.keys()) {
+    keys[item.second].push_back(item.first.ToHex());
+  }
+  Json list = Json::array();
+  for (const auto& item : d.tenants()) {
+    const TenantSpec& spec = item.second;
+    list.push_back(
+        Json::array({spec.id.value(), spec.has_limit, spec.rate_per_s,
+                     spec.burst, spec.priority, std::move(keys[spec.id])}));
+  }
+  return list;
+}
+void FromJson(const Json& json, TenantDirectory* d) {
+  for (const Json& item : json) {
+    Unpacker fields(item);
+    TenantSpec spec;
+    fields.Take(&spec.id)
+        .Take(&spec.has_limit)
+        .Take(&spec.rate_per_s)
+        .Take(&spec.burst)
+        .Take(&spec.priority);
+    std::vector<KeyDigest> keys;
+    for (const Json& hex : fields.Next()) {
+      KeyDigest key;
+      if (!KeyDigest::FromHex(hex.get<std::string>(), &key)) {
+        throw Error(ErrorCode::kProtocol, "decode digest of a key",
+                    spec.id.value(), "it is not hexadecimal");
+      }
+      keys.push_back(key);
+    }
+    std::string problem;
+    if (!d->Add(spec, keys, &problem)) {
+      throw Error(ErrorCode::kProtocol, "decode tenants", "", problem);
+    }
+  }
+}
+
 Json ToJson(const RouteTable& t) {
   return Json::array({t.version, ValuesToJson(t.routes), ValuesToJson(t.groups),
-                      t.transaction_idle_timeout});
+                      t.transaction_idle_timeout, t.has_tenants,
+                      ToJson(t.tenants)});
 }
 void FromJson(const Json& json, RouteTable* t) {
   Unpacker fields(json);
@@ -142,7 +187,8 @@
     FromJson(item, &group);
     t->groups[group.id] = group;
   }
-  fields.Take(&t->transaction_idle_timeout);
+  fields.Take(&t->transaction_idle_timeout).TakeOptional(&t->has_tenants);
+  if (fields.HasNext()) FromJson(fields.Next(), &t->tenants);
 }
 
 Json ToJson(const UpstreamList& l) {
@@ -235,13 +281,13 @@
 }  // namespace
 
 Json ToJson(const StatementCall& c) {
-  return Json::array({c.group.value(), ToJson(c.session),
-                      EnumNumber(c.transaction), c.transaction_number,
-                      c.opens_transaction, EnumNumber(c.access), c.id.value(),
-                      c.text, c.is_prepared, c.prepared.writes,
-                      c.prepared.shape, c.values, EnumNumber(c.consistency),
-                      c.max_age.millis(), ToJson(c.own_position), c.priority,
-                      c.target_left.millis(), c.time_left.millis()});
+  return Json::array(
+      {c.group.value(), ToJson(c.session), EnumNumber(c.transaction),
+       c.transaction_number, c.opens_transaction, EnumNumber(c.access),
+       c.id.value(), c.text, c.is_prepared, c.prepared.writes, c.prepared.shape,
+       c.values, EnumNumber(c.consistency), c.max_age.millis(),
+       ToJson(c.own_position), c.priority, c.target_left.millis(),
+       c.time_left.millis(), c.tenant.value()});
 }
 
 void FromJson(const Json& json, StatementCall* c) {
@@ -262,6 +308,7 @@
       .Take(&c->max_age);
   FromJson(fields.Next(), &c->own_position);
   fields.Take(&c->priority).Take(&c->target_left).Take(&c->time_left);
+  fields.TakeOptional(&c->tenant);
 }
 
 Json ToJson(const StatementReply& r) {
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -18,6 +18,7 @@
   libhttp-parser-dev
   libnghttp2-dev
   librestinio-dev
+  libsodium-dev
   libxxhash-dev
   make
   ninja-build
