Tenants: tests of keys, documents and messages; no key in an error

Writing them showed that the text of an error could hold a key: a syntax error quoted the place, and a wrong type was shown with its value.

--- a/fireflycart/core/bounded_json.cc
+++ b/fireflycart/core/bounded_json.cc
@@ -50,12 +50,13 @@
   bool end_object() override { return Close(); }
   bool end_array() override { return Close(); }
 
+  // Names the place only: the text there may be a secret of the document.
   bool parse_error(size_t position, const std::string& token,
                    const json::exception& error) override {
-    (void)position;
     (void)token;
+    (void)error;
     if (!key_.empty()) problem_ = "after key " + ShortText(key_) + ": ";
-    problem_ += ShortText(error.what());
+    problem_ += "syntax error at byte " + std::to_string(position);
     return false;
   }
 
@@ -126,7 +127,9 @@
 json ParseJsonObject(const std::string& text) {
   json document = ParseJson(text);
   if (!document.is_object()) {
-    throw BadDocument("document is not a JSON object: " + Shown(document));
+    throw BadDocument(
+        std::string("document is not a JSON object, it is of type ") +
+        document.type_name());
   }
   return document;
 }
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -7,6 +7,8 @@
 
 #include <string>
 
+#include "fireflycart/core/error.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -17,6 +19,9 @@
 constexpr size_t kEarlierUpstreamListFields = 2;
 constexpr size_t kEarlierVmListFields = 3;
 constexpr size_t kEarlierVmFields = 6;
+constexpr size_t kEarlierRouteTableFields = 4;
+constexpr size_t kTenantsField = 5;
+constexpr char kKey[] = "rbn4ryrbbkf83fgfwrz5";
 
 void Shorten(Json* json, size_t size) {
   while (json->size() > size) json->erase(json->size() - 1);
@@ -30,6 +35,11 @@
   CPPUNIT_TEST(Snapshot_Decoded_HasEras);
   CPPUNIT_TEST(Snapshot_OfEarlierVersion_HasEraZero);
   CPPUNIT_TEST(Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces);
+  CPPUNIT_TEST(Snapshot_WithTenants_DecodedEqual);
+  CPPUNIT_TEST(Snapshot_OfVersionWithoutTenants_HasNone);
+  CPPUNIT_TEST(Snapshot_OddTenants_Refused);
+  CPPUNIT_TEST(Statement_OfTenant_DecodedWithTenant);
+  CPPUNIT_TEST(Statement_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,7 +115,90 @@
                          vm[kEarlierVmFields - 1].get<uint64_t>());
   }
 
+  void Snapshot_WithTenants_DecodedEqual() {
+    Json json = ToJson(MakeTenants());
+    CPPUNIT_ASSERT(json.dump().find(kKey) == std::string::npos);
+    SnapshotReply reply;
+    FromJson(json, &reply);
+    CPPUNIT_ASSERT(reply.routes.has_tenants);
+    CPPUNIT_ASSERT(reply.routes.routes.at("notices").is_public);
+    const TenantDirectory& tenants = reply.routes.tenants;
+    CPPUNIT_ASSERT(tenants.tenants() == MakeTenants().routes.tenants.tenants());
+    CPPUNIT_ASSERT(tenants.keys() == MakeTenants().routes.tenants.keys());
+    const TenantSpec* acme = tenants.FindByKey(KeyDigest::Of(kKey));
+    CPPUNIT_ASSERT(acme != nullptr);
+    CPPUNIT_ASSERT_EQUAL(TenantId("acme"), acme->id);
+    CPPUNIT_ASSERT_EQUAL(2.5, acme->rate_per_s);
+  }
+
+  void Snapshot_OfVersionWithoutTenants_HasNone() {
+    Json json = ToJson(MakeTenants());
+    Shorten(&json[0], kEarlierRouteTableFields);
+    SnapshotReply reply;
+    FromJson(json, &reply);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, reply.routes.version);
+    CPPUNIT_ASSERT(!reply.routes.has_tenants);
+  }
+
+  void Snapshot_OddTenants_Refused() {
+    Json tenants = ToJson(MakeTenants())[0][kTenantsField];
+    Json twice = tenants;
+    twice.push_back(tenants[0]);
+    Json no_digest = tenants;
+    no_digest[0].back()[0] = kKey;
+    for (const Json& odd : {twice, no_digest}) {
+      Json json = ToJson(MakeTenants());
+      json[0][kTenantsField] = odd;
+      SnapshotReply reply;
+      try {
+        FromJson(json, &reply);
+        CPPUNIT_FAIL("not refused: " + odd.dump());
+      } catch (const Error& e) {
+        CPPUNIT_ASSERT(std::string(e.what()).find(kKey) == std::string::npos);
+      }
+    }
+  }
+
+  void Statement_OfTenant_DecodedWithTenant() {
+    StatementCall call;
+    call.tenant = TenantId("acme");
+    StatementCall decoded;
+    FromJson(ToJson(call), &decoded);
+    CPPUNIT_ASSERT_EQUAL(TenantId("acme"), decoded.tenant);
+  }
+
+  void Statement_OfVersionWithoutTenants_HasNone() {
+    StatementCall call;
+    call.tenant = TenantId("acme");
+    Json json = ToJson(call);
+    Shorten(&json, json.size() - 1);
+    StatementCall decoded;
+    FromJson(json, &decoded);
+    CPPUNIT_ASSERT_EQUAL(TenantId(), decoded.tenant);
+  }
+
  private:
+  static SnapshotReply MakeTenants() {
+    SnapshotReply reply = MakeSnapshot();
+    reply.routes.version = 7;
+    reply.routes.routes["notices"].database = "notices";
+    reply.routes.routes["notices"].is_public = true;
+    reply.routes.has_tenants = true;
+    TenantSpec acme;
+    acme.id = TenantId("acme");
+    acme.has_limit = true;
+    acme.rate_per_s = 2.5;
+    acme.burst = 10;
+    acme.priority = 1;
+    TenantSpec keyless;
+    keyless.id = TenantId("keyless");
+    std::string problem;
+    reply.routes.tenants.Add(acme, {KeyDigest::Of(kKey), KeyDigest::Of("b")},
+                             &problem);
+    reply.routes.tenants.Add(keyless, {}, &problem);
+    return reply;
+  }
+
   static HeartbeatCall MakeHeartbeat() {
     HeartbeatCall call;
     call.heartbeat.known.upstreams = {kEra, 40};
