Dispatch: work without a connection of its tenant blocks no other work

Cause: a connection carries one tenant. If the first work of the queue had none idle, nothing behind it started, and one connection at a time was opened. Change: with tenants, dispatch passes over work without an idle connection, asks for one in the order of service, and prefers a replica with a free slot that has one. Connections being opened count as statements in flight, since each occupies a slot. Groups without tenants dispatch as before. The simulated deployment has tenants (Zipf, 1.2), openings that occupy a slot, and checks that no statement runs on a connection of another tenant.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -14,6 +14,7 @@
 // anything when the read arrived.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "fireflycart/core/error.h"
@@ -64,6 +65,58 @@
   }
   while (DispatchAny(context)) {
   }
+  RequestConnections(context);
+}
+
+// With tenants, work without an idle connection is passed over, so that work
+// behind it which has one can start.
+bool GroupOwner::HasConnection(const Work& work,
+                               const UpstreamId& upstream) const {
+  return !pool_.carries_tenants() ||
+         idle_tenants_.count({upstream, work.call.tenant}) != 0;
+}
+
+// In the order of service, so that the most urgent work gets the next opening.
+void GroupOwner::RequestConnections(ProxyContext* context) {
+  if (!pool_.carries_tenants() || queue_.size() == 0) return;
+  idle_tenants_ = pool_.IdleTenants();
+  connected_tenants_ = pool_.ConnectedTenants();
+  std::set<std::pair<UpstreamId, TenantId>> requested;
+  for (const Work* work : queue_.All()) {
+    UpstreamId target = ConnectionTarget(*work, context);
+    bool is_needed = target != UpstreamId() && !HasConnection(*work, target) &&
+                     requested.emplace(target, work->call.tenant).second;
+    if (is_needed) pool_.OpenFor(target, work->call.tenant, context);
+  }
+}
+
+UpstreamId GroupOwner::ConnectionTarget(const Work& work,
+                                        ProxyContext* context) {
+  if (context->now() < work.not_before) return UpstreamId();
+  if (LaneFor(work.call) == Lane::kAny) {
+    LogPosition min_position = MinPositionFor(work);
+    const PooledUpstream* best = nullptr;
+    auto best_rank = std::make_tuple(false, false, 0);
+    for (const auto& item : pool_.upstreams()) {
+      const PooledUpstream& upstream = item.second;
+      if (!IsUsableReplica(work, upstream, min_position, context)) continue;
+      bool is_connected =
+          connected_tenants_.count({item.first, work.call.tenant}) != 0;
+      auto rank = std::make_tuple(pool_.HasSlot(upstream), is_connected,
+                                  -upstream.connections);
+      if (best != nullptr && !(best_rank < rank)) continue;
+      best = &upstream;
+      best_rank = rank;
+    }
+    if (best != nullptr) return best->record.id;
+  }
+  bool is_replacing = failover_.is_active() && !failover_.is_planned();
+  if (is_replacing) return failover_.successor();
+  const PooledUpstream* primary = Primary();
+  bool is_usable = primary != nullptr &&
+                   !pool_.IsDrained(*primary, context->now()) &&
+                   work.excluded_upstreams.count(primary_) == 0;
+  return is_usable ? primary_ : UpstreamId();
 }
 
 // True if the work must observe every commit that was acknowledged before it
@@ -109,13 +162,15 @@
 
 bool GroupOwner::DispatchPrimary(ProxyContext* context) {
   if (queue_.IsEmpty(Lane::kPrimary)) return false;
+  if (pool_.carries_tenants()) idle_tenants_ = pool_.IdleTenants();
   bool is_blocked = failover_.is_active() && !failover_.is_planned();
   if (is_blocked) return DispatchDuringFailover(context);
   PooledUpstream* primary = Primary();
   if (primary == nullptr || !pool_.HasSlot(*primary)) return false;
   Work* work =
       queue_.First(Lane::kPrimary, context->now(), [&](const Work& candidate) {
-        return MayStartAtPrimary(candidate, context);
+        return HasConnection(candidate, primary_) &&
+               MayStartAtPrimary(candidate, context);
       });
   return work != nullptr && Start(work, primary, context);
 }
@@ -134,6 +189,7 @@
                      (!candidate.in_transaction() &&
                       candidate.call.access == Access::kRead);
         return reads && !(context->now() < candidate.not_before) &&
+               HasConnection(candidate, successor->record.id) &&
                candidate.excluded_upstreams.count(successor->record.id) == 0 &&
                (!candidate.in_transaction() ||
                 pool_.MayPin(successor->record.id));
@@ -143,6 +199,7 @@
 
 bool GroupOwner::DispatchAny(ProxyContext* context) {
   if (queue_.IsEmpty(Lane::kAny)) return false;
+  if (pool_.carries_tenants()) idle_tenants_ = pool_.IdleTenants();
   PooledUpstream* chosen = nullptr;
   Work* work =
       queue_.First(Lane::kAny, context->now(), [&](const Work& candidate) {
@@ -153,9 +210,9 @@
         bool has_free_slot = primary != nullptr &&
                              primary->running < primary->record.slots &&
                              candidate.excluded_upstreams.count(primary_) == 0;
-        if (!has_free_slot || !MayStartAtPrimary(candidate, context)) {
-          return false;
-        }
+        bool may_start = has_free_slot && HasConnection(candidate, primary_) &&
+                         MayStartAtPrimary(candidate, context);
+        if (!may_start) return false;
         chosen = primary;
         return true;
       });
@@ -185,6 +242,19 @@
   return now - lag < leadership_.ReachedAt(min_position);
 }
 
+bool GroupOwner::IsUsableReplica(const Work& work,
+                                 const PooledUpstream& upstream,
+                                 LogPosition min_position,
+                                 ProxyContext* context) const {
+  const UpstreamId& id = upstream.record.id;
+  bool is_usable =
+      min_position.known() && id != primary_ && upstream.is_registered &&
+      !upstream.record.leaving && !upstream.is_down && upstream.has_status &&
+      !upstream.status.is_primary && work.excluded_upstreams.count(id) == 0 &&
+      context->now() - upstream.status_sent.time < kStatusMaxAge;
+  return is_usable && !IsBehind(upstream, min_position, context->now());
+}
+
 PooledUpstream* GroupOwner::ReplicaFor(const Work& work,
                                        ProxyContext* context) {
   LogPosition min_position = MinPositionFor(work);
@@ -192,14 +262,9 @@
   PooledUpstream* best = nullptr;
   for (auto& item : pool_.upstreams()) {
     PooledUpstream& upstream = item.second;
-    bool is_usable = item.first != primary_ && upstream.is_registered &&
-                     !upstream.record.leaving && !upstream.is_down &&
-                     upstream.has_status && !upstream.status.is_primary &&
-                     pool_.HasSlot(upstream) &&
-                     work.excluded_upstreams.count(item.first) == 0 &&
-                     context->now() - upstream.status_sent.time < kStatusMaxAge;
-    if (!is_usable) continue;
-    if (IsBehind(upstream, min_position, context->now())) continue;
+    bool has_room = HasConnection(work, item.first) && pool_.HasSlot(upstream);
+    if (!has_room) continue;
+    if (!IsUsableReplica(work, upstream, min_position, context)) continue;
     if (work.in_transaction() && !pool_.MayPin(item.first)) continue;
     // Compares the running statements per slot, cross-multiplied.
     bool is_better =
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -92,6 +92,7 @@
   work->origin = origin;
   work->call = std::move(call);
   work->arrived = context->instant();
+  if (work->call.tenant != TenantId()) pool_.SetCarriesTenants();
   work->expected_service =
       service_times_.Expected(ServiceKindOf(work->call), context->now());
   work->target_deadline = context->now() + work->call.target_left;
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fireflycart/core/admission/lag_relief.h"
@@ -133,6 +134,16 @@
   bool DispatchDuringFailover(ProxyContext* context);
   bool DispatchAny(ProxyContext* context);
   bool Start(Work* work, PooledUpstream* upstream, ProxyContext* context);
+  // True if a connection that may carry the work is idle, or if the group has
+  // no tenants, so that any connection may.
+  bool HasConnection(const Work& work, const UpstreamId& upstream) const;
+  // Requests connections for queued work that has none to start on.
+  void RequestConnections(ProxyContext* context);
+  // The upstream at which a connection for the work is to be opened or awaited;
+  // none if the work may not run now.
+  UpstreamId ConnectionTarget(const Work& work, ProxyContext* context);
+  bool IsUsableReplica(const Work& work, const PooledUpstream& upstream,
+                       LogPosition min_position, ProxyContext* context) const;
   void SendStatement(Work* work, PooledConnection* connection,
                      std::vector<UpstreamCommand> commands,
                      ProxyContext* context);
@@ -283,6 +294,9 @@
   WorkQueue queue_;
   std::map<StatementNumber, std::unique_ptr<Work>> work_;
   std::map<TransactionKey, Transaction> transactions_;
+  // Snapshots during a dispatch, if the group carries tenants.
+  std::set<std::pair<UpstreamId, TenantId>> idle_tenants_;
+  std::set<std::pair<UpstreamId, TenantId>> connected_tenants_;
   Duration transaction_idle_timeout_;
   bool is_assigned_ = false;
   bool is_active_ = false;
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -115,7 +115,8 @@
 }
 
 bool UpstreamPool::HasSlot(const PooledUpstream& upstream) const {
-  return upstream.running < upstream.record.slots + kExtraInFlight;
+  int in_flight = upstream.running + (carries_tenants_ ? upstream.opening : 0);
+  return in_flight < upstream.record.slots + kExtraInFlight;
 }
 
 void UpstreamPool::Open(PooledUpstream* upstream, const TenantId& tenant,
@@ -129,6 +130,7 @@
     upstream->control = connection.id;
   } else {
     upstream->connections++;
+    upstream->opening++;
   }
   context->Emit(OpenUpstream{connection.id, upstream->record.address, group_,
                              tenant, upstream->record.id, kOpenTimeout});
@@ -151,33 +153,61 @@
     const UpstreamId& id, const TenantId& tenant,
     const std::map<std::string, std::string>& values, ProxyContext* context) {
   PooledConnection* best = nullptr;
-  ConnectionId idle_of_other;
-  bool is_opening = false;
   for (auto& item : connections_) {
     PooledConnection& connection = item.second;
-    if (connection.upstream != id) continue;
-    if (!connection.is_open && !connection.is_control) is_opening = true;
-    if (!connection.is_idle()) continue;
-    if (connection.tenant != tenant) {
-      idle_of_other = connection.id;
-      continue;
-    }
+    bool is_usable = connection.upstream == id && connection.is_idle() &&
+                     connection.tenant == tenant;
+    if (!is_usable) continue;
     if (connection.values == values) return &connection;
     if (best == nullptr || best->values.size() > connection.values.size()) {
       best = &connection;
     }
   }
-  if (best != nullptr) return best;
+  if (best == nullptr && !carries_tenants_) OpenFor(id, tenant, context);
+  return best;
+}
+
+void UpstreamPool::OpenFor(const UpstreamId& id, const TenantId& tenant,
+                           ProxyContext* context) {
   PooledUpstream* upstream = FindUpstream(id);
-  bool may_open = upstream != nullptr && !is_opening && !upstream->is_down &&
-                  context->now() >= upstream->next_open;
-  if (!may_open) return nullptr;
+  bool may_open = upstream != nullptr && upstream->opening == 0 &&
+                  !upstream->is_down && context->now() >= upstream->next_open;
+  if (!may_open) return;
   if (upstream->connections >= MaxDataConnections()) {
-    if (idle_of_other == ConnectionId()) return nullptr;
+    ConnectionId idle_of_other;
+    for (const auto& item : connections_) {
+      const PooledConnection& connection = item.second;
+      bool may_close = connection.upstream == id && connection.is_idle() &&
+                       connection.tenant != tenant;
+      if (may_close) idle_of_other = connection.id;
+    }
+    if (idle_of_other == ConnectionId()) return;
     Close(idle_of_other, context);
   }
   Open(upstream, tenant, false, context);
-  return nullptr;
+}
+
+std::set<std::pair<UpstreamId, TenantId>> UpstreamPool::IdleTenants() const {
+  std::set<std::pair<UpstreamId, TenantId>> tenants;
+  for (const auto& item : connections_) {
+    const PooledConnection& connection = item.second;
+    if (connection.is_idle()) {
+      tenants.emplace(connection.upstream, connection.tenant);
+    }
+  }
+  return tenants;
+}
+
+std::set<std::pair<UpstreamId, TenantId>> UpstreamPool::ConnectedTenants()
+    const {
+  std::set<std::pair<UpstreamId, TenantId>> tenants;
+  for (const auto& item : connections_) {
+    const PooledConnection& connection = item.second;
+    if (!connection.is_control) {
+      tenants.emplace(connection.upstream, connection.tenant);
+    }
+  }
+  return tenants;
 }
 
 bool UpstreamPool::MayPin(const UpstreamId& id) const {
@@ -276,8 +306,9 @@
                             ProxyContext* context) {
   PooledConnection* connection = Find(id);
   if (connection == nullptr) return;
-  connection->is_open = true;
   PooledUpstream& upstream = upstreams_[connection->upstream];
+  if (!connection->is_control && !connection->is_open) upstream.opening--;
+  connection->is_open = true;
   if (connection->is_control) upstream.control_opened = context->instant();
   upstream.failed_opens = 0;
   upstream.last_answer = context->now();
@@ -336,6 +367,7 @@
     }
   } else {
     upstream.connections--;
+    if (!removed.is_open) upstream.opening--;
   }
   for (const SentCommand& command : removed.sent) {
     bool is_statement = command.kind == CommandKind::kVerbatim ||
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fireflycart/core/proxy/commit_set.h"
@@ -66,6 +67,7 @@
   TimePoint control_lost_at;  // When the last one broke; it may have restarted.
   int running = 0;            // Statements sent and not yet answered.
   int connections = 0;        // Data connections, opening ones included.
+  int opening = 0;            // Data connections that are not open yet.
   int failed_opens = 0;       // Consecutive.
   bool is_down = false;       // It does not answer.
   TimePoint next_open;        // Earliest next attempt to connect.
@@ -190,12 +192,26 @@
   // Opens control connections that are missing.
   void OpenControls(ProxyContext* context);
 
+  // Set once statements of tenants arrive. From then on Take() opens nothing:
+  // the connections to open are requested by OpenFor(), and those under way
+  // count as statements in flight, since each occupies a slot.
+  void SetCarriesTenants() { carries_tenants_ = true; }
+  bool carries_tenants() const { return carries_tenants_; }
+
   // Returns an idle connection of the tenant, preferably one with these session
-  // values. If there is none, returns null and opens one more if the limit
-  // allows, or once an idle connection of another tenant is closed.
+  // values. If there is none, returns null, and without tenants opens one more
+  // if the limit allows.
   PooledConnection* Take(const UpstreamId& upstream, const TenantId& tenant,
                          const std::map<std::string, std::string>& values,
                          ProxyContext* context);
+  // Opens a connection for the tenant if the limit allows, or once an idle
+  // connection of another tenant is closed.
+  void OpenFor(const UpstreamId& upstream, const TenantId& tenant,
+               ProxyContext* context);
+  // The tenants that have an idle connection, by upstream.
+  std::set<std::pair<UpstreamId, TenantId>> IdleTenants() const;
+  // The tenants that have any data connection, opening ones included.
+  std::set<std::pair<UpstreamId, TenantId>> ConnectedTenants() const;
   // True if a transaction may pin one more connection.
   bool MayPin(const UpstreamId& upstream) const;
 
@@ -278,6 +294,7 @@
   GroupId group_;
   int max_connections_ = 1;
   bool is_sole_owner_ = false;
+  bool carries_tenants_ = false;
   TimePoint list_time_;
   bool is_fleet_reachable_ = false;
   TimePoint fleet_checked_at_;
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -53,14 +53,39 @@
 bool DatabaseModel::Open(const UpstreamId& upstream, ConnectionId connection) {
   auto found = upstreams_.find(upstream);
   if (found == upstreams_.end() || !found->second.is_running) return false;
-  connections_[connection].upstream = upstream;
+  Connection& opened = connections_[connection];
+  opened.upstream = upstream;
+  opened.is_opening = options_.open_time > Duration();
+  if (!opened.is_opening) AnswerOpened(connection, found->second);
+  return true;
+}
+
+void DatabaseModel::AnswerOpened(ConnectionId id, const Upstream& upstream) {
   DatabaseOutput output;
-  output.connection = connection;
+  output.connection = id;
   output.is_open = true;
-  if (!found->second.log.empty()) {
-    output.answer.position = found->second.log.back().position;
+  if (!upstream.log.empty()) {
+    output.answer.position = upstream.log.back().position;
   }
   opened_.push_back(output);
+}
+
+bool DatabaseModel::FinishOpening(ConnectionId id, Connection* connection,
+                                  TimePoint now) {
+  if (!connection->is_opening) return true;
+  Upstream& upstream = upstreams_[connection->upstream];
+  if (!connection->has_slot) {
+    if (options_.slots > 0 && upstream.running >= options_.slots) return false;
+    upstream.running++;
+    connection->has_slot = true;
+    connection->ready_at = now + options_.open_time;
+    slow_openings_++;
+  }
+  if (now < connection->ready_at) return false;
+  upstream.running--;
+  connection->has_slot = false;
+  connection->is_opening = false;
+  AnswerOpened(id, upstream);
   return true;
 }
 
@@ -91,6 +116,7 @@
   Replicate(now);
   for (auto& item : connections_) {
     Connection& connection = item.second;
+    if (!FinishOpening(item.first, &connection, now)) continue;
     // Short commands of one write run at once; bounded by the queue.
     while (!connection.commands.empty()) {
       size_t before = connection.commands.size();
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -35,6 +35,8 @@
   Duration step_down = Duration::Millis(1000);
   // Statements that an upstream runs at the same time; others wait. 0: any.
   int slots = 0;
+  // Time for which a new connection occupies a slot; zero: none.
+  Duration open_time;
   // A promoted upstream leads at once, but refuses statements until it has
   // applied what it had received.
   bool applies_before_leading = false;
@@ -128,6 +130,8 @@
   size_t connection_count(const UpstreamId& upstream) const;
   // Statements that were refused because a replica lacked their position.
   int behind_answers() const { return behind_answers_; }
+  // Connections that were opened with open_time.
+  int slow_openings() const { return slow_openings_; }
 
  private:
   struct Upstream {
@@ -155,12 +159,16 @@
     std::vector<std::string> writes;  // Of the open transaction.
     std::deque<proxy::UpstreamCommand> commands;
     TimePoint ready_at;  // The first command is done then.
+    bool is_opening = false;
     bool is_started = false;
     bool has_slot = false;
     bool awaits_replica = false;
     proxy::LogPosition awaited;
   };
 
+  void AnswerOpened(ConnectionId id, const Upstream& upstream);
+  // True once the connection is open.
+  bool FinishOpening(ConnectionId id, Connection* connection, TimePoint now);
   void Replicate(TimePoint now);
   void Follow(Upstream* replica, const UpstreamId& id, TimePoint now);
   void ApplyPromotions(TimePoint now);
@@ -203,6 +211,7 @@
   int answers_to_break_ = 0;
   int busy_answers_ = 0;
   int behind_answers_ = 0;
+  int slow_openings_ = 0;
 };
 
 }  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -64,8 +64,12 @@
   caller->connected = now_;
   caller->acknowledged_values.clear();
   vm->sessions[caller->session.value()] = caller;
-  SendFromCaller(caller, proxy::SessionStarted{caller->session,
-                                               RouteName(caller->consistency)});
+  TenantId tenant = TenantOf(caller->index);
+  KeyDigest key;
+  if (tenant != TenantId()) key = KeyDigest::Of("key-" + tenant.value());
+  SendFromCaller(caller,
+                 proxy::SessionStarted{caller->session,
+                                       RouteName(caller->consistency), key});
 }
 
 void SessionWorld::BeginOperation(Caller* caller) {
@@ -78,6 +82,9 @@
     statement.kind = kind;
     statement.id = proxy::StatementId("s" + std::to_string(++last_number_));
     statement.text = text;
+    if (options_.tenants > 0) {
+      statement_tenants_[statement.id.value()] = TenantOf(caller->index);
+    }
     caller->pending_statements.push_back(statement);
   };
   auto write_text = [&] {
@@ -176,9 +183,12 @@
   bool writes = !caller->texts.empty();
   auto priority = static_cast<size_t>(caller->consistency);
   Duration took = now_ - caller->started;
+  TenantId tenant = TenantOf(caller->index);
+  counts_.tenant_operations[tenant]++;
   if (outcome == Outcome::kDone) {
     counts_.done++;
     bool is_in_target = took <= options_.target;
+    if (is_in_target) counts_.tenant_in_target[tenant]++;
     (is_in_target ? counts_.in_target : counts_.late)[priority]++;
     TimePoint& last = writes ? last_write_ : last_read_;
     int64_t& gap = writes ? counts_.write_gap : counts_.read_gap;
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -5,6 +5,7 @@
 #include "fireflycart/standins/testing/session_world.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "fireflycart/standins/testing/session_world_parts.h"
 
@@ -17,7 +18,6 @@
 constexpr Duration kLinkLatency = Duration::Millis(1);
 // As in the daemon, which delays its exit to finish writing the last answers.
 constexpr Duration kExitDelay = Duration::Millis(50);
-constexpr int kMaxConnections = 16;
 constexpr int kSlots = 4;  // Of an upstream.
 const GroupId kGroup("ledger");
 
@@ -62,6 +62,35 @@
 
 SessionWorld::~SessionWorld() = default;
 
+// The callers are dealt out by a low-discrepancy sequence, so that the shares
+// do not depend on the seed and are the same for callers of each route.
+TenantId SessionWorld::TenantOf(int caller) const {
+  if (options_.tenants == 0) return TenantId();
+  constexpr double kGoldenRatio = 0.6180339887498949;
+  constexpr double kExponent = 1.2;
+  double place = std::fmod((caller + 0.5) * kGoldenRatio, 1.0);
+  double hot = options_.hot_percent / 100.0;
+  if (place < hot) return TenantId("t0");
+  double total = 0;
+  for (int i = 1; i <= options_.tenants; i++) total += std::pow(i, -kExponent);
+  double left = (place - hot) / (1 - hot) * total;
+  int tenant = 1;
+  while (tenant < options_.tenants && left > std::pow(tenant, -kExponent)) {
+    left -= std::pow(tenant, -kExponent);
+    tenant++;
+  }
+  return TenantId("t" + std::to_string(tenant - 1));
+}
+
+void SessionWorld::CheckTenant(uint64_t connection,
+                               const proxy::StatementId& id) {
+  auto found = statement_tenants_.find(id.value());
+  if (found == statement_tenants_.end()) return;
+  if (found->second == tenant_of_[connection]) return;
+  Report("statement of " + found->second.value() + " on a connection of " +
+         tenant_of_[connection].value());
+}
+
 std::string SessionWorld::RouteName(ReadConsistency consistency) const {
   return "db-" + std::to_string(static_cast<int>(consistency));
 }
@@ -72,7 +101,7 @@
   routes_.transaction_idle_timeout = Duration::Seconds(3);
   proxy::GroupSpec group;
   group.id = kGroup;
-  group.max_connections = kMaxConnections;
+  group.max_connections = options_.max_connections;
   group.sync_replicas = 1;
   routes_.groups[kGroup] = group;
   for (int rule = 0; rule < proxy::kReadConsistencies; rule++) {
@@ -86,6 +115,14 @@
     route.priority = rule;
     routes_.routes[route.database] = route;
   }
+  routes_.has_tenants = options_.tenants > 0;
+  for (int i = 0; i < options_.tenants; i++) {
+    TenantSpec tenant;
+    tenant.id = TenantId("t" + std::to_string(i));
+    std::string problem;
+    KeyDigest key = KeyDigest::Of("key-" + tenant.id.value());
+    if (!routes_.tenants.Add(tenant, {key}, &problem)) Report(problem);
+  }
   PutRoutes();
 }
 
@@ -553,6 +590,7 @@
   connections_[number] = {vm, e.connection};
   connection_numbers_[{vm, e.connection}] = number;
   upstream_of_[number] = e.upstream;
+  tenant_of_[number] = e.tenant;
   uint64_t incarnation = vm->incarnation;
   ConnectionId connection = e.connection;
   UpstreamId upstream = e.upstream;
@@ -560,7 +598,7 @@
        [this, vm, incarnation, number, connection, upstream] {
          if (connections_.count(number) == 0) return;
          bool is_full = database_->connection_count(upstream) >=
-                        static_cast<size_t>(kMaxConnections);
+                        static_cast<size_t>(options_.max_connections);
          if (!is_full && database_->Open(upstream, ConnectionId(number))) {
            accepted_connections_.insert(number);
            return;
@@ -591,6 +629,7 @@
   if (found == connection_numbers_.end()) return;
   uint64_t number = found->second;
   for (const proxy::UpstreamCommand& command : e.commands) {
+    CheckTenant(number, command.id);
     Send(vm->name, upstream_of_[number].value(), [this, number, command] {
       if (reset_connections_.count(number) != 0) return;
       if (IsMute(number)) return;
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -44,6 +44,12 @@
   Duration max_age = Duration::Millis(1000);
   Duration target = Duration::Millis(200);
   Duration timeout = Duration::Millis(1000);  // Of one statement.
+  int max_connections = 16;                   // Of an upstream.
+  // Tenants t0, t1 and so on, to which the callers belong in shares that fall
+  // with the rank (Zipf, exponent 1.2). 0: the deployment has no tenants.
+  int tenants = 0;
+  // Share of the callers that belong to the first tenant besides, in percent.
+  int hot_percent = 0;
 };
 
 // Outcomes of the callers' operations.
@@ -59,6 +65,9 @@
   std::array<int, proxy::kReadConsistencies> not_served = {};
   // Time that operations spent before they were refused, in ms.
   int64_t refused_wait = 0;
+  // By tenant.
+  std::map<TenantId, int> tenant_in_target;
+  std::map<TenantId, int> tenant_operations;
   // Longest time without a successful operation that writes, or that only
   // reads, in ms.
   int64_t write_gap = 0;
@@ -214,6 +223,10 @@
   void OnCloseRequest(Caller* caller);
   void OnDisconnected(Caller* caller);
   std::string RouteName(proxy::ReadConsistency consistency) const;
+  // The tenant of a caller; none without tenants.
+  TenantId TenantOf(int caller) const;
+  // Reports a statement that is sent on a connection of another tenant.
+  void CheckTenant(uint64_t connection, const proxy::StatementId& id);
   void WriteRoutes(uint64_t version, Duration timeout);
   void PutRoutes();
   void PutUpstream(const UpstreamId& id);
@@ -253,9 +266,11 @@
   std::map<uint64_t, std::function<void(proxy::StoreAnswered)>> store_calls_;
   std::map<uint64_t, std::function<void(PeerCallError, PeerReplyBody)>>
       peer_calls_;
-  std::map<uint64_t, std::string> call_receivers_;  // By pending peer call.
-  std::map<uint64_t, std::string> call_senders_;    // By peer call.
-  std::map<uint64_t, UpstreamId> upstream_of_;      // By connection.
+  std::map<uint64_t, std::string> call_receivers_;     // By pending peer call.
+  std::map<uint64_t, std::string> call_senders_;       // By peer call.
+  std::map<uint64_t, UpstreamId> upstream_of_;         // By connection.
+  std::map<uint64_t, TenantId> tenant_of_;             // By connection.
+  std::map<std::string, TenantId> statement_tenants_;  // By statement id.
   std::set<uint64_t> accepted_connections_;
   std::set<uint64_t> opened_connections_;  // The VM was told.
   std::set<uint64_t> mute_connections_;
