Keys: a VM serves callers with keys only while it knows them to be current

Cause: a VM that was cut off, frozen or turned away by the store served with its last table for ever, so a key that was taken away went on there. Change: each VM knows the start of the newest read of the store that its table reflects (KeyAge), from its own calls or from peers that it asked; past the limit, callers with keys are refused at once and the VM isn't ready. Readers follow the routes with shorter waits, two VMs of each data centre ask them, the others ask those; a VM whose peers know nothing young asks the store itself. New flag key_age_limit_ms, filled from the platform's bounds where keys must end. The reply to a probe is now counted from its own sending, also if the VM was removed and added meanwhile.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr char kPart[] = "fleet";
+// VMs of a data centre that ask the readers of the store for the age of the
+// keys, so that one may fail, and one more for so many VMs.
+constexpr size_t kMinKeyRelays = 2;
+constexpr size_t kVmsPerKeyRelay = 40;
 
 }  // namespace
 
@@ -80,9 +84,41 @@
     }
   }
   store_readers_ = ChooseStoreReaders(self_.vm, with_store, without_store);
+  RecomputeKeySources();
   version_++;
 }
 
+void Fleet::RecomputeKeySources() {
+  // By rank, of all VMs that reach the store, and of this data centre.
+  std::map<uint64_t, VmId> with_store;
+  std::map<uint64_t, VmId> near;
+  for (const auto& item : vms_) {
+    const Vm& vm = item.second;
+    if (!IsUsable(item.first) || !vm.can_own) continue;
+    uint64_t rank = RankOf(item.first);
+    if (vm.reaches_store) with_store[rank] = item.first;
+    bool is_near = vm.record.data_centre == self_.data_centre;
+    if (is_near) near[rank] = item.first;
+  }
+  size_t relays = std::max(kMinKeyRelays, near.size() / kVmsPerKeyRelay);
+  uint64_t own = RankOf(self_.vm);
+  auto before_self =
+      static_cast<size_t>(std::distance(near.begin(), near.lower_bound(own)));
+  bool is_relay = before_self < relays;
+  const std::map<uint64_t, VmId>& from = is_relay ? with_store : near;
+  size_t count = is_relay ? kStoreReaders : relays;
+  key_sources_.clear();
+  for (const auto& item : from) {
+    if (key_sources_.size() == count) break;
+    key_sources_.push_back(item.second);
+  }
+}
+
+void Fleet::Check(const VmId& vm, ProxyContext* context) {
+  auto found = vms_.find(vm);
+  if (found != vms_.end()) Probe(&found->second, context);
+}
+
 VmId Fleet::OwnerOf(const GroupId& group) const {
   auto found = owners_.find(group);
   return found == owners_.end() ? self_.vm : found->second;
@@ -279,9 +315,8 @@
 void Fleet::Probe(Vm* vm, ProxyContext* context) {
   if (vm->has_open_probe) return;
   vm->has_open_probe = true;
-  vm->probe_sent_at = context->now();
   CallId call = context->NextCall();
-  probes_[call] = vm->record.vm;
+  probes_[call] = OpenProbe{vm->record.vm, context->now()};
   context->Emit(CallPeer{call, vm->record.vm, vm->record.address, kProbeTimeout,
                          MakeCall(*vm)});
 }
@@ -289,7 +324,8 @@
 bool Fleet::OnReply(const PeerReplied& reply, ProxyContext* context) {
   auto probe = probes_.find(reply.call);
   if (probe == probes_.end()) return false;
-  VmId id = probe->second;
+  VmId id = probe->second.vm;
+  TimePoint sent = probe->second.sent;
   probes_.erase(probe);
   auto found = vms_.find(id);
   if (found == vms_.end()) return true;
@@ -308,7 +344,7 @@
   vm.last_answer_at = context->now();
   SetDown(&vm, false, "probe_answered", context);
   OnHeartbeat(id, body->heartbeat, context);
-  heartbeat_handler_->OnProbeAnswered(body->heartbeat, vm.probe_sent_at);
+  heartbeat_handler_->OnProbeAnswered(body->heartbeat, sent);
   if (!vm.can_own) AskAgain(&vm, context);
   return true;
 }
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -82,6 +82,12 @@
   std::vector<VmRecord> Records() const;
   // The VMs that follow the store, from the view of this one.
   const StoreReaders& store_readers() const { return store_readers_; }
+  // The VMs to ask first how old the knowledge of the keys is. Of each data
+  // centre the first few VMs by rank ask the readers of the store, and the
+  // others ask them.
+  const std::vector<VmId>& key_sources() const { return key_sources_; }
+  // Probes a VM that left a call unanswered.
+  void Check(const VmId& vm, ProxyContext* context);
   // Sends a heartbeat, which says whether this VM reaches the store, to the VMs
   // that would follow the store next.
   void NotifyStoreReaders(ProxyContext* context);
@@ -127,7 +133,6 @@
     TimePoint unanswered_since;  // Since when open calls have had no answer.
     TimePoint last_answer_at;
     bool has_open_probe = false;
-    TimePoint probe_sent_at;
     TimePoint next_probe;
     int failed_probes = 0;  // Consecutive, up to kMaxProbeDoublings.
   };
@@ -139,6 +144,7 @@
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
   void RecomputeStoreReaders();
+  void RecomputeKeySources();
   void ProbeWatchedReader(ProxyContext* context);
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
   void AskAgain(Vm* vm, ProxyContext* context);
@@ -150,10 +156,15 @@
   std::map<VmId, Vm> vms_;  // Without this VM.
   std::set<VmId> watched_;  // Down, or with open calls.
   std::vector<VmId> contacts_;
-  std::map<CallId, VmId> probes_;
+  struct OpenProbe {
+    VmId vm;
+    TimePoint sent;
+  };
+  std::map<CallId, OpenProbe> probes_;
   std::vector<GroupId> groups_;
   std::map<GroupId, VmId> owners_;
   StoreReaders store_readers_;
+  std::vector<VmId> key_sources_;
   uint64_t version_ = 1;
   TimePoint next_probe_;
   TimePoint doubted_until_;
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,9 @@
   // era, so its tables may be out of date.
   bool tells_era = true;
   std::vector<UpstreamAge> upstream_ages;
+  // How long ago the store was asked for the routes that the sender has; none
+  // if it does not know, or if keys have no age limit.
+  std::optional<Duration> routes_age;
 };
 struct HeartbeatCall {
   Heartbeat heartbeat;
@@ -136,6 +140,14 @@
   RouteTable routes;
   UpstreamList upstreams;
   VmList vms;
+  std::optional<Duration> routes_age;  // As in a heartbeat.
+};
+
+// Asks for the age of the receiver's routes; see key_age_inquiry.h.
+struct RoutesAgeCall {};
+struct RoutesAgeReply {
+  uint64_t routes = 0;  // Version.
+  std::optional<Duration> age;
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -46,6 +46,7 @@
     : self_(self),
       options_(options),
       context_(self.vm, self.incarnation, seed),
+      follower_(options.key_age_limit()),
       fleet_(self, this),
       session_manager_(this) {}
 
@@ -91,6 +92,14 @@
 void ProxyReducer::OnWake() {
   follower_.OnWake(&context_);
   fleet_.OnWake(&context_);
+  // A reader whose calls are answered knows best.
+  bool asks_peers =
+      follower_.has_key_age() && !(follower_.follows_store() &&
+                                   follower_.key_age().IsYoung(context_.now()));
+  if (asks_peers) {
+    key_age_inquiry_.OnWake(follower_.key_age(), fleet_, &context_);
+  }
+  CheckKeys();
   session_manager_.OnWake(&context_);
   for (auto& item : owners_) item.second->OnWake(&context_);
   AdvanceStop();
@@ -230,7 +239,31 @@
   bool has_peers =
       follower_.has_vms() || context_.now() - started_ > kVmListTimeout;
   return !is_stopping_ && follower_.routes().version != 0 &&
-         follower_.has_upstreams() && has_peers;
+         follower_.has_upstreams() && has_peers && HasCurrentKeys();
+}
+
+bool ProxyReducer::HasCurrentKeys() const {
+  return !follower_.has_key_age() ||
+         follower_.key_age().MayServe(context_.now());
+}
+
+std::optional<Duration> ProxyReducer::RoutesAge() const {
+  const KeyAge& age = follower_.key_age();
+  if (!follower_.has_key_age() || !age.is_confirmed()) return std::nullopt;
+  return age.Age(context_.now());
+}
+
+// Records from when to when callers with keys are refused.
+void ProxyReducer::CheckKeys() {
+  bool has_current_keys = HasCurrentKeys();
+  if (has_current_keys == had_current_keys_) return;
+  had_current_keys_ = has_current_keys;
+  std::optional<Duration> age = RoutesAge();
+  context_.Log(LogLevel::kWarning, kPart,
+               has_current_keys ? "keys_current" : "keys_out_of_date",
+               {{"age_ms", age ? std::to_string(age->millis()) : "unknown"},
+                {"limit_ms", std::to_string(options_.key_age_limit().millis())},
+                {"reaches_store", follower_.reaches_store() ? "yes" : "no"}});
 }
 
 ProxyGauges ProxyReducer::gauges() const {
@@ -254,6 +287,8 @@
   gauges.is_ready = is_ready();
   gauges.follows_store = follower_.follows_store();
   gauges.store_age = follower_.store_age(context_.now());
+  gauges.key_age = RoutesAge().value_or(Duration());
+  gauges.has_current_keys = HasCurrentKeys();
   return gauges;
 }
 
@@ -300,10 +335,16 @@
   if (snapshot_call_ != CallId() && event.call == snapshot_call_) {
     snapshot_call_ = CallId();
     const auto* body = std::get_if<SnapshotReply>(&event.body);
-    if (body != nullptr) follower_.OnSnapshot(*body, &context_);
+    if (body != nullptr) {
+      follower_.OnSnapshot(*body, snapshot_asked_at_, &context_);
+    }
     RequestSnapshot();
     return;
   }
+  if (key_age_inquiry_.OnReply(event, follower_.key_age(), &context_)) {
+    OnRoutesAgeAnswered();
+    return;
+  }
   Forwarder::Result result = forwarder_.OnReply(event, &context_);
   if (!result.is_own_call) return;
   if (result.has_call_failed) {
@@ -322,6 +363,20 @@
   }
 }
 
+void ProxyReducer::OnRoutesAgeAnswered() {
+  const KeyAgeInquiry::Answer& answer = key_age_inquiry_.answer();
+  if (!key_age_inquiry_.has_answer()) {
+    fleet_.Check(answer.peer, &context_);
+    return;
+  }
+  follower_.OnPeerRoutesAge(answer.reply.routes, answer.reply.age,
+                            answer.asked_at);
+  if (answer.reply.routes <= follower_.routes().version) return;
+  newer_peer_ = answer.peer;
+  newer_peer_address_ = fleet_.AddressOf(answer.peer);
+  RequestSnapshot();
+}
+
 void ProxyReducer::Handle(const StoreAnswered& event) {
   if (follower_.OnStore(event, &context_)) return;
   follower_.OnEra(event.version.era, "store", &context_);
@@ -486,10 +541,12 @@
   heartbeat.is_leaving = is_stopping_;
   heartbeat.era = follower_.era();
   heartbeat.upstream_ages = follower_.upstream_times().Ages(context_.now());
+  heartbeat.routes_age = RoutesAge();
   return heartbeat;
 }
 
 void ProxyReducer::OnProbeAnswered(const Heartbeat& heartbeat, TimePoint sent) {
+  follower_.OnPeerRoutesAge(heartbeat.known.routes, heartbeat.routes_age, sent);
   if (heartbeat.known.upstreams != follower_.known().upstreams) return;
   follower_.OnPeerAgrees(sent - heartbeat.store_age);
 }
@@ -514,6 +571,7 @@
 void ProxyReducer::RequestSnapshot() {
   if (snapshot_call_ != CallId() || newer_peer_ == VmId()) return;
   snapshot_call_ = context_.NextCall();
+  snapshot_asked_at_ = context_.now();
   context_.Emit(CallPeer{snapshot_call_, newer_peer_, newer_peer_address_,
                          kSnapshotTimeout, SnapshotCall{follower_.known()}});
   newer_peer_ = VmId();
@@ -576,9 +634,18 @@
   if (follower_.known().vms > call.known.vms) {
     reply.vms = follower_.VmsAfter(call.known.vms);
   }
+  reply.routes_age = RoutesAge();
   context_.Emit(AnswerPeer{handle, std::move(reply)});
 }
 
+void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
+                              const RoutesAgeCall& call) {
+  (void)from;
+  (void)call;
+  context_.Emit(AnswerPeer{
+      handle, RoutesAgeReply{follower_.routes().version, RoutesAge()}});
+}
+
 template <typename T>
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const T& call) {
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -17,12 +17,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "fireflycart/core/proxy/fleet.h"
 #include "fireflycart/core/proxy/forwarder.h"
 #include "fireflycart/core/proxy/group_owner.h"
+#include "fireflycart/core/proxy/key_age_inquiry.h"
 #include "fireflycart/core/proxy/session_manager.h"
 #include "fireflycart/core/proxy/store_follower.h"
 
@@ -40,9 +42,15 @@
   Duration drain_time() const { return drain_time_; }
   void set_drain_time(Duration d) { drain_time_ = d; }
 
+  // Time after which no statement may run that is sent with a key which was
+  // taken away; zero if there is no such limit.
+  Duration key_age_limit() const { return key_age_limit_; }
+  void set_key_age_limit(Duration d) { key_age_limit_ = d; }
+
  private:
   Duration stop_limit_ = Duration::Millis(6000);
   Duration drain_time_ = Duration::Millis(7000);
+  Duration key_age_limit_;
 };
 
 // Current sizes of a VM's state.
@@ -61,6 +69,9 @@
   bool is_ready = false;
   bool follows_store = false;  // Reads the store on behalf of other VMs, too.
   Duration store_age;          // Since its last known answer to any VM.
+  // Of its knowledge of the tenants' keys; zero if that has no limit.
+  Duration key_age;
+  bool has_current_keys = true;  // Serves callers with keys.
 };
 
 class ProxyReducer : private StatementRouter,
@@ -104,6 +115,7 @@
                   const CancelQueuedCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const HeartbeatCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const SnapshotCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const RoutesAgeCall& call);
   template <typename T>
   void OnPeerCall(HandleId handle, const VmId& from, const T& call);
 
@@ -112,6 +124,7 @@
   void RouteEndTransaction(const EndTransactionCall& call) override;
   void RouteCancelQueued(const CancelQueuedCall& call) override;
   const RouteTable& routes() const override { return follower_.routes(); }
+  bool HasCurrentKeys() const override;
 
   // StatementReplyHandler.
   void OnStatementDone(const WorkOrigin& origin, StatementReply reply) override;
@@ -127,6 +140,9 @@
   GroupOwner* OwnerOfConnection(ConnectionId connection);
   // Selects the VM for a statement, and pins it if a transaction begins.
   VmId TargetVm(SessionNumber session, const StatementCall& call);
+  std::optional<Duration> RoutesAge() const;
+  void OnRoutesAgeAnswered();
+  void CheckKeys();
   void RequestSnapshot();
   void ApplyChanges();
   bool ApplyVms();
@@ -148,9 +164,12 @@
   Fleet fleet_;
   SessionManager session_manager_;
   Forwarder forwarder_;
+  KeyAgeInquiry key_age_inquiry_;
+  bool had_current_keys_ = true;
   std::map<GroupId, std::unique_ptr<GroupOwner>> owners_;
   std::unordered_map<uint64_t, GroupId> connection_groups_;
   CallId snapshot_call_;
+  TimePoint snapshot_asked_at_;
   VmId newer_peer_;  // Has newer data; receives the next snapshot request.
   std::string newer_peer_address_;
   uint64_t applied_changes_ = 0;
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -15,6 +15,7 @@
 constexpr char kPart[] = "entry";
 constexpr char kStopping[] = "this VM is stopping";
 constexpr char kNoValidKey[] = "no valid key";
+constexpr char kOldKeys[] = "keys cannot be checked here, try another VM";
 
 CallerAnswer MakeAnswer(Outcome outcome, const std::string& detail) {
   CallerAnswer answer;
@@ -59,6 +60,10 @@
     RefuseSession(number, outcome, session.database, context);
     return;
   }
+  if (NeedsKey(route->second) && !router_->HasCurrentKeys()) {
+    RefuseSession(number, Outcome::kBusy, kOldKeys, context);
+    return;
+  }
   TenantId tenant;
   if (!IsAuthenticated(session, route->second, &tenant)) {
     RefuseSession(number, Outcome::kNotAuthenticated, kNoValidKey, context);
@@ -67,11 +72,15 @@
   context->Emit(GreetCaller{number, Outcome::kDone, ""});
 }
 
+bool SessionManager::NeedsKey(const Route& route) const {
+  return router_->routes().has_tenants && !route.is_public;
+}
+
 bool SessionManager::IsAuthenticated(const Session& session, const Route& route,
                                      TenantId* tenant) const {
   const RouteTable& table = router_->routes();
   *tenant = TenantId();
-  if (!table.has_tenants || route.is_public) return true;
+  if (!NeedsKey(route)) return true;
   const TenantSpec* found = table.tenants.FindByKey(session.key);
   if (found == nullptr) return false;
   *tenant = found->id;
@@ -91,8 +100,13 @@
   bool is_valid = IsAuthenticated(*session, route, &tenant);
   // The transaction runs on a connection of the tenant that began it.
   bool is_open = session->state == TransactionState::kOpen;
-  if (is_open && session->is_begun && tenant != session->tenant) {
-    is_valid = false;
+  bool is_begun = is_open && session->is_begun;
+  if (is_begun && tenant != session->tenant) is_valid = false;
+  if (NeedsKey(route) && !router_->HasCurrentKeys()) {
+    if (is_open) AbortTransaction(number, session, context);
+    Refuse(number, session, is_begun ? Outcome::kAborted : Outcome::kBusy,
+           kOldKeys, context);
+    return true;
   }
   session->tenant = tenant;
   if (is_valid) return false;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -35,6 +35,8 @@
   virtual void RouteEndTransaction(const EndTransactionCall& call) = 0;
   virtual void RouteCancelQueued(const CancelQueuedCall& call) = 0;
   virtual const RouteTable& routes() const = 0;
+  // False if keys may have been taken away without the routes showing it.
+  virtual bool HasCurrentKeys() const = 0;
 };
 
 class SessionManager {
@@ -133,12 +135,14 @@
                         bool is_read_only, ProxyContext* context);
   void RollBack(SessionNumber number, Session* session, ProxyContext* context);
   bool FindRoute(SessionNumber number, Session* session, ProxyContext* context);
+  // True if callers need a key on the route.
+  bool NeedsKey(const Route& route) const;
   // True if the caller may use the route now; sets *tenant to whose caller it
   // is, or to none.
   bool IsAuthenticated(const Session& session, const Route& route,
                        TenantId* tenant) const;
-  // Refuses a statement whose caller has no valid key, or no longer, and ends
-  // its transaction; false if the statement may proceed.
+  // Refuses a statement whose caller has no valid key, or no longer, or may
+  // have none, and ends its transaction; false if the statement may proceed.
   bool RefuseUnauthenticated(SessionNumber number, Session* session,
                              ProxyContext* context);
   void Forward(SessionNumber number, Session* session,
--- a/fireflycart/core/proxy/store.h
+++ b/fireflycart/core/proxy/store.h
@@ -93,6 +93,8 @@
   std::vector<RouteTable> routes;         // kRoutes: newest last.
   std::vector<UpstreamChange> upstreams;  // kUpstreams.
   std::vector<std::string> problems;      // Rows that could not be parsed.
+  // The answer to a FollowTable that lists no change at all.
+  bool is_unchanged = false;
 };
 
 // Asks the platform to make an upstream the primary of its group. Ends with a
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -28,6 +28,8 @@
 // 10,000 cores. Sums over all VMs and twice its value fit an int.
 constexpr int64_t kMaxCpuPermille = 10'000'000;
 constexpr Duration kAnnouncementTimeout = Duration::Millis(1000);
+// The store may decide this long before a wait ends that nothing has changed.
+constexpr Duration kFollowSlack = Duration::Millis(50);
 
 void LogSkipped(StoreTable table, const std::string& problem,
                 ProxyContext* context) {
@@ -81,6 +83,7 @@
 
 void StoreFollower::StepAll(ProxyContext* context) {
   CheckStoreAge(context);
+  CheckKeyAge(context);
   for (Table& table : tables_) Step(&table, context);
 }
 
@@ -102,7 +105,7 @@
   if (table->call != CallId()) return;
   // The lists of a new era come from peers, too.
   bool may_wait = table->is_current || table->version != StoreVersion();
-  if (may_wait && !follows_store()) return;
+  if (may_wait && !IsFollowed(*table)) return;
   if (may_wait && MustWaitForAnswer(*table, context->now())) return;
   if (IsOtherTableRetrying(*table)) return;
   if (context->now() < table->next) {
@@ -110,6 +113,7 @@
     return;
   }
   table->call = context->NextCall();
+  table->called_at = context->now();
   table->is_reading = !table->is_current;
   if (table->is_reading) {
     table->is_continuous = false;
@@ -120,6 +124,7 @@
   Duration wait = WaitOf(*table, context->now());
   table->is_continuous = !table->is_first_follow && table->failures == 0;
   table->is_first_follow = false;
+  table->wait = wait;
   context->Emit(StoreCall{table->call, wait + kFollowTimeoutMargin,
                           FollowTable{table->table, table->version, wait}});
 }
@@ -131,7 +136,13 @@
   int64_t period = kFollowPeriod.millis();
   int64_t offset =
       (&table - tables_.data()) * period / static_cast<int64_t>(kFollowed);
-  int64_t wait = period - (now.millis() - offset) % period;
+  if (table.table == StoreTable::kRoutes && has_key_age()) {
+    // Of the readers, one has often just been answered.
+    period = key_age_.read_period().millis();
+    offset =
+        static_cast<int64_t>(RankOf(self_.vm) % static_cast<uint64_t>(period));
+  }
+  int64_t wait = period - (now.millis() + period - offset) % period;
   if (wait < kShortFollowWait.millis()) wait += period;
   return Duration::Millis(wait);
 }
@@ -154,6 +165,22 @@
   SetFollowing(is_reader_, true, "store_age", context);
 }
 
+// Peers that know nothing younger of the keys, or no peers, leave the store.
+void StoreFollower::CheckKeyAge(ProxyContext* context) {
+  bool must_follow = has_key_age() && !key_age_.IsYoung(context->now());
+  if (must_follow == follows_routes_by_age_) return;
+  follows_routes_by_age_ = must_follow;
+  if (follows_store()) return;
+  Table& routes = tables_.front();
+  routes.is_first_follow = must_follow;
+  if (!must_follow) routes.failures = 0;
+}
+
+bool StoreFollower::IsFollowed(const Table& table) const {
+  return follows_store() ||
+         (follows_routes_by_age_ && table.table == StoreTable::kRoutes);
+}
+
 // While no VM is known to receive answers, many VMs ask the store, each for one
 // table only.
 bool StoreFollower::MustWaitForAnswer(const Table& table, TimePoint now) const {
@@ -330,6 +357,11 @@
     return;
   }
   Apply(*table, answer, table->is_reading, context);
+  if (table->table == StoreTable::kRoutes) {
+    ConfirmRoutes(*table, answer, context->now());
+    // The next call soon confirms more than the start of this one.
+    if (has_key_age() && !answer.is_unchanged) table->is_first_follow = true;
+  }
   if (table->table == StoreTable::kUpstreams) {
     upstreams_confirmed_at_ = context->now();
   }
@@ -337,6 +369,19 @@
   table->is_current = true;
 }
 
+// An answer reflects the store after its call was sent. An answer without
+// changes was held back for the whole wait, so it reflects the end of the wait.
+void StoreFollower::ConfirmRoutes(const Table& table,
+                                  const StoreAnswered& answer, TimePoint now) {
+  if (!has_key_age()) return;
+  TimePoint confirmed_at = table.called_at;
+  bool has_waited = !table.is_reading && answer.is_unchanged &&
+                    table.wait > kFollowSlack &&
+                    now - table.called_at >= table.wait;
+  if (has_waited) confirmed_at = confirmed_at + table.wait - kFollowSlack;
+  key_age_.Confirm(confirmed_at);
+}
+
 // A restored store may lack the row of this VM, or have that of an earlier
 // process. The others learn of this VM only from the row.
 void StoreFollower::CheckOwnRecord(ProxyContext* context) {
@@ -537,11 +582,21 @@
   CheckOwnRecord(context);
 }
 
-void StoreFollower::OnSnapshot(const SnapshotReply& reply,
+void StoreFollower::OnPeerRoutesAge(uint64_t version,
+                                    const std::optional<Duration>& age,
+                                    TimePoint asked_at) {
+  // Older routes were the newest at that moment, too, so these are no older.
+  bool is_covered = version != 0 && version <= routes_.version;
+  if (age && is_covered) key_age_.Confirm(asked_at - *age);
+}
+
+void StoreFollower::OnSnapshot(const SnapshotReply& reply, TimePoint asked_at,
                                ProxyContext* context) {
   NoteEra(std::max(reply.upstreams.version.era, reply.vms.version.era), "peer",
           context);
   ApplyRoutes(reply.routes, "peer", context);
+  // The peer has no newer routes than those that this VM has now.
+  OnPeerRoutesAge(routes_.version, reply.routes_age, asked_at);
   if (reply.upstreams.version > upstreams_.version()) {
     context->Log(LogLevel::kInfo, kPart, "upstreams_from_peer",
                  {{"version", FormatVersion(reply.upstreams.version)},
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -19,6 +19,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
 #include "fireflycart/core/proxy/route.h"
 #include "fireflycart/core/proxy/store_readers.h"
 #include "fireflycart/core/proxy/upstream_times.h"
+#include "fireflycart/core/tenants/key_age.h"
 
 namespace fireflycart::proxy {
 
@@ -60,6 +62,9 @@
 
 class StoreFollower {
  public:
+  // Limits the age of keys if the routes name tenants.
+  explicit StoreFollower(Duration key_age_limit) : key_age_(key_age_limit) {}
+
   // Period of the follow calls of one table; the three tables are a third of it
   // apart. So a VM that gets no answers from the store detects that within a
   // third and the margin, and others can take over and receive routes within
@@ -105,7 +110,9 @@
   // Handles the answer to a call of this object; false if the call is not its
   // own.
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
-  void OnSnapshot(const SnapshotReply& reply, ProxyContext* context);
+  // `asked_at` is when the peer was asked for it.
+  void OnSnapshot(const SnapshotReply& reply, TimePoint asked_at,
+                  ProxyContext* context);
   // A peer, or an answer to a call of another object, is of this era.
   void OnEra(StoreEra era, const char* source, ProxyContext* context);
   void OnWake(ProxyContext* context);
@@ -116,6 +123,9 @@
                       ProxyContext* context);
   // A peer had the same list of upstreams at that time, by the store.
   void OnPeerAgrees(TimePoint confirmed_at);
+  // A peer that was asked then had routes of this version and age.
+  void OnPeerRoutesAge(uint64_t version, const std::optional<Duration>& age,
+                       TimePoint asked_at);
   // A peer reported that the store answered that VM this long ago.
   void OnPeerStoreAge(Duration age, const VmId& reader, ProxyContext* context);
 
@@ -147,6 +157,12 @@
   TimePoint store_answered_at() const { return store_answered_at_; }
   // The list of upstreams includes the changes up to this time.
   TimePoint upstreams_confirmed_at() const { return upstreams_confirmed_at_; }
+  // How old the knowledge of the tenants' keys may be. In use if the routes
+  // name tenants.
+  const KeyAge& key_age() const { return key_age_; }
+  bool has_key_age() const {
+    return key_age_.has_limit() && routes_.has_tenants;
+  }
   // Count the changes of routes and upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
   uint64_t vm_changes() const { return vm_changes_; }
@@ -165,6 +181,8 @@
     StoreVersion version;
     // The open call followed the last answer without a gap.
     bool is_continuous = false;
+    TimePoint called_at;  // The open call, as is wait.
+    Duration wait;
     int failures = 0;
     TimePoint next;
   };
@@ -191,6 +209,10 @@
   void MergeVms(const VmList& vms, ProxyContext* context);
   void AdvanceVersion(StoreTable which, StoreVersion version);
   void CheckStoreAge(ProxyContext* context);
+  void CheckKeyAge(ProxyContext* context);
+  bool IsFollowed(const Table& table) const;
+  void ConfirmRoutes(const Table& table, const StoreAnswered& answer,
+                     TimePoint now);
   void SetFollowing(bool is_reader, bool follows_by_age, const char* cause,
                     ProxyContext* context);
   bool MustWaitForAnswer(const Table& table, TimePoint now) const;
@@ -220,6 +242,9 @@
   StoreVersion vms_removed_version_;
   bool is_reader_ = true;
   bool follows_by_age_ = false;
+  // This VM follows the routes, since its knowledge of the keys is too old.
+  bool follows_routes_by_age_ = false;
+  KeyAge key_age_;
   StoreReaders readers_;
   TimePoint store_answered_at_;
   VmId store_reader_;
--- a/fireflycart/core/proxy/testing/session_keys_test.cc
+++ b/fireflycart/core/proxy/testing/session_keys_test.cc
@@ -28,8 +28,10 @@
   }
   void RouteCancelQueued(const CancelQueuedCall& call) override { (void)call; }
   const RouteTable& routes() const override { return table; }
+  bool HasCurrentKeys() const override { return has_current_keys; }
 
   RouteTable table;
+  bool has_current_keys = true;
   std::vector<StatementCall> calls;
   std::vector<EndTransactionCall> ended;
 };
@@ -49,6 +51,9 @@
   CPPUNIT_TEST(Statement_KeyMovedInTransaction_RefusedAndTransactionEnded);
   CPPUNIT_TEST(Statement_KeyMovedWhileIdle_RunsForNewTenant);
   CPPUNIT_TEST(Statement_KeyReturned_Runs);
+  CPPUNIT_TEST(Start_KeysOutOfDate_RefusedAsBusyExceptPublic);
+  CPPUNIT_TEST(Statement_KeysOutOfDate_RefusedAsBusyUntilCurrent);
+  CPPUNIT_TEST(Commit_KeysOutOfDate_AbortsTransaction);
   CPPUNIT_TEST(Refusal_AnyKey_IsNotLogged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -177,6 +182,33 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
   }
 
+  void Start_KeysOutOfDate_RefusedAsBusyExceptPublic() {
+    router_.has_current_keys = false;
+    CPPUNIT_ASSERT(Start(kDatabase, kKey) == Outcome::kBusy);
+    CPPUNIT_ASSERT(Start(kPublicDatabase, "") == Outcome::kDone);
+    router_.table.has_tenants = false;
+    CPPUNIT_ASSERT(Start(kDatabase, "") == Outcome::kDone);
+  }
+
+  void Statement_KeysOutOfDate_RefusedAsBusyUntilCurrent() {
+    Start(kDatabase, kKey);
+    router_.has_current_keys = false;
+    CPPUNIT_ASSERT(Send(StatementKind::kRead) == Outcome::kBusy);
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kBusy);
+    CPPUNIT_ASSERT(router_.calls.empty());
+    router_.has_current_keys = true;
+    Send(StatementKind::kRead);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
+  void Commit_KeysOutOfDate_AbortsTransaction() {
+    StartTransaction();
+    router_.has_current_keys = false;
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.ended.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
   void Refusal_AnyKey_IsNotLogged() {
     Start(kDatabase, kKey);
     SetTenants({});
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -126,7 +126,7 @@
 
   // A peer of an earlier version answered before the store did.
   void NewEra_AfterPeerWithoutEra_IsNoRestore() {
-    StoreFollower follower;
+    StoreFollower follower{Duration()};
     VmRecord self;
     self.vm = kSelf;
     Begin();
@@ -134,7 +134,7 @@
     SnapshotReply reply;
     reply.upstreams.version.number = 300;
     reply.upstreams.records[kUpstream] = UpstreamRecord();
-    follower.OnSnapshot(reply, &context_);
+    follower.OnSnapshot(reply, context_.now(), &context_);
     follower.OnEra(kFirst, "store", &context_);
     CPPUNIT_ASSERT(follower.restored_at() == TimePoint());
     CPPUNIT_ASSERT(follower.era() == kFirst);
@@ -282,7 +282,7 @@
     reply.upstreams.version = {kFirst, 300};
     reply.upstreams.records[UpstreamId("up-b")] = UpstreamRecord();
     Begin();
-    follower_.OnSnapshot(reply, &context_);
+    follower_.OnSnapshot(reply, context_.now(), &context_);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count("up-b"));
   }
 
@@ -413,7 +413,7 @@
   TimePoint now_;
   ProxyEffects effects_;
   ProxyContext context_{kSelf, 7, 3};
-  StoreFollower follower_;
+  StoreFollower follower_{Duration()};
   std::set<CallId> answered_;
 };
 
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -35,6 +35,7 @@
   proxy::ProxyOptions options;
   options.set_stop_limit(settings.sessions->stop_limit);
   options.set_drain_time(settings.sessions->drain_time);
+  options.set_key_age_limit(settings.sessions->key_age_limit);
   return options;
 }
 
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -62,6 +62,8 @@
   Gauge("ready", gauges.is_ready ? 1 : 0, &out);
   Gauge("follows_store", gauges.follows_store ? 1 : 0, &out);
   Gauge("store_age_ms", gauges.store_age.millis(), &out);
+  Gauge("key_age_ms", gauges.key_age.millis(), &out);
+  Gauge("keys_current", gauges.has_current_keys ? 1 : 0, &out);
   return out.str();
 }
 
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -83,6 +83,10 @@
           "Time after which a leaving upstream must receive no new work items: "
           "2000 to 600000 ms.");
 
+ABSL_FLAG(int, key_age_limit_ms, 0,
+          "Time after which no statement may run that is sent with a key which "
+          "was taken away: 0 for no limit, or 500 to 600000 ms.");
+
 namespace fireflycart {
 namespace {
 
@@ -228,6 +232,13 @@
       600000));
   settings.drain_time = Duration::Millis(
       check->Range("drain_ms", absl::GetFlag(FLAGS_drain_ms), 2000, 600000));
+  int key_age_limit_ms = absl::GetFlag(FLAGS_key_age_limit_ms);
+  bool is_limit = key_age_limit_ms >= 500 && key_age_limit_ms <= 600000;
+  if (!is_limit && key_age_limit_ms != 0) {
+    check->Add("key_age_limit_ms", absl::StrCat(key_age_limit_ms),
+               "0, or a whole number from 500 to 600000");
+  }
+  settings.key_age_limit = Duration::Millis(key_age_limit_ms);
   return settings;
 }
 
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -35,6 +35,7 @@
   size_t max_sessions = 1;
   Duration stop_limit;
   Duration drain_time;
+  Duration key_age_limit;  // Zero if there is none.
 };
 
 struct Settings {
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -258,9 +258,12 @@
 Json ToJson(const Heartbeat& f) {
   Json ages = Json::array();
   for (const UpstreamAge& age : f.upstream_ages) ages.push_back(ToJson(age));
-  return Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
-                      f.is_leaving, f.address, f.takes_receiver_for_lost, f.era,
-                      f.store_reader.value(), std::move(ages)});
+  Json json =
+      Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
+                   f.is_leaving, f.address, f.takes_receiver_for_lost, f.era,
+                   f.store_reader.value(), std::move(ages)});
+  if (f.routes_age) json.push_back(AgeToJson(f.routes_age));
+  return json;
 }
 void FromJson(const Json& json, Heartbeat* f) {
   Unpacker fields(json);
@@ -276,6 +279,7 @@
     FromJson(item, &age);
     f->upstream_ages.push_back(age);
   }
+  if (fields.HasNext()) f->routes_age = AgeFromJson(fields.Next());
 }
 
 }  // namespace
@@ -361,13 +365,26 @@
 void FromJson(const Json& json, SnapshotCall* c) { FromJson(json, &c->known); }
 
 Json ToJson(const SnapshotReply& r) {
-  return Json::array({ToJson(r.routes), ToJson(r.upstreams), ToJson(r.vms)});
+  Json json =
+      Json::array({ToJson(r.routes), ToJson(r.upstreams), ToJson(r.vms)});
+  if (r.routes_age) json.push_back(AgeToJson(r.routes_age));
+  return json;
 }
 void FromJson(const Json& json, SnapshotReply* r) {
   Unpacker fields(json);
   FromJson(fields.Next(), &r->routes);
   FromJson(fields.Next(), &r->upstreams);
   FromJson(fields.Next(), &r->vms);
+  if (fields.HasNext()) r->routes_age = AgeFromJson(fields.Next());
+}
+
+Json ToJson(const RoutesAgeReply& r) {
+  return Json::array({r.routes, AgeToJson(r.age)});
+}
+void FromJson(const Json& json, RoutesAgeReply* r) {
+  Unpacker fields(json);
+  fields.Take(&r->routes);
+  r->age = AgeFromJson(fields.Next());
 }
 
 // Messages without fields.
@@ -375,5 +392,7 @@
 void FromJson(const Json&, EndTransactionReply*) {}
 Json ToJson(const CancelQueuedReply&) { return Json::array(); }
 void FromJson(const Json&, CancelQueuedReply*) {}
+Json ToJson(const RoutesAgeCall&) { return Json::array(); }
+void FromJson(const Json&, RoutesAgeCall*) {}
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/net/proxy_codec.h
+++ b/fireflycart/net/proxy_codec.h
@@ -35,6 +35,10 @@
 void FromJson(const Json& json, SnapshotCall* call);
 Json ToJson(const SnapshotReply& reply);
 void FromJson(const Json& json, SnapshotReply* reply);
+Json ToJson(const RoutesAgeCall& call);
+void FromJson(const Json& json, RoutesAgeCall* call);
+Json ToJson(const RoutesAgeReply& reply);
+void FromJson(const Json& json, RoutesAgeReply* reply);
 
 }  // namespace fireflycart::proxy
 
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(Snapshot_WithTenants_DecodedEqual);
   CPPUNIT_TEST(Snapshot_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST(Snapshot_OddTenants_Refused);
+  CPPUNIT_TEST(RoutesAge_InAnyMessage_DecodedOrMissing);
   CPPUNIT_TEST(Statement_OfTenant_DecodedWithTenant);
   CPPUNIT_TEST(Statement_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST_SUITE_END();
@@ -159,6 +160,28 @@
     }
   }
 
+  void RoutesAge_InAnyMessage_DecodedOrMissing() {
+    HeartbeatCall heartbeat = MakeHeartbeat();
+    SnapshotReply snapshot = MakeSnapshot();
+    RoutesAgeReply reply{7, std::nullopt};
+    for (std::optional<Duration> age :
+         {std::optional<Duration>(), std::optional(Duration::Millis(40))}) {
+      heartbeat.heartbeat.routes_age = age;
+      snapshot.routes_age = age;
+      reply.age = age;
+      HeartbeatCall decoded_heartbeat;
+      FromJson(ToJson(heartbeat), &decoded_heartbeat);
+      CPPUNIT_ASSERT(decoded_heartbeat.heartbeat.routes_age == age);
+      SnapshotReply decoded_snapshot;
+      FromJson(ToJson(snapshot), &decoded_snapshot);
+      CPPUNIT_ASSERT(decoded_snapshot.routes_age == age);
+      RoutesAgeReply decoded;
+      FromJson(ToJson(reply), &decoded);
+      CPPUNIT_ASSERT(decoded.age == age);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{7}, decoded.routes);
+    }
+  }
+
   void Statement_OfTenant_DecodedWithTenant() {
     StatementCall call;
     call.tenant = TenantId("acme");
--- a/fireflycart/standins/prepared_store_model.cc
+++ b/fireflycart/standins/prepared_store_model.cc
@@ -136,6 +136,7 @@
   Answer answer;
   answer.handle = handle;
   answer.table = follow.table;
+  answer.is_follow = true;
   Stamp(&answer);
   uint64_t after = follow.after.number;
   if (after < history_from_ || after > version_) {
--- a/fireflycart/standins/prepared_store_model.h
+++ b/fireflycart/standins/prepared_store_model.h
@@ -35,6 +35,7 @@
     proxy::StoreStatus status = proxy::StoreStatus::kOk;
     proxy::StoreVersion version;
     std::vector<proxy::StoreRow> rows;
+    bool is_follow = false;  // The answer to a FollowTable.
   };
 
   // Writes as the operator or an upstream.
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -207,6 +207,7 @@
     answered.status = answer.status;
     answered.version = answer.version;
     answered.rows = answer.rows;
+    answered.is_unchanged = answer.is_follow && answer.rows.empty();
     if (answer.table == proxy::StoreTable::kRoutes && !answer.rows.empty()) {
       answered.routes.push_back(
           written_routes_[std::stoul(answer.rows.back().value)]);
