Queue: tenants of one priority share the slots fairly

Cause: within a priority the earliest target went first, so a tenant that sends many times its usual made everybody wait. Change: start-time fair queueing between tenants (Goyal, Vin, Cheng 1996, with several statements in service: Jin, Chase, Kaur 2004) inside each lane, lateness and priority; the cost is the expected service time. Within a tenant the earliest target goes first, as before, and without tenants the order is what it was.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -294,6 +294,7 @@
     late_starts_[static_cast<size_t>(LaneFor(work->call))].OnArrival(
         work->expected_service, context->now());
   }
+  queue_.OnStarted(*work);
   work->attempts++;
   work->connection = connection->id;
   work->sent = context->instant();
@@ -339,6 +340,7 @@
   PooledConnection* connection = pool_.Find(found->second.connection);
   CheckInvariant(connection != nullptr && connection->is_pinned,
                  "continue transaction", spec_.id.value());
+  queue_.OnStarted(*work);
   found->second.running = work->number;
   work->stage = WorkStage::kRunning;
   work->connection = connection->id;
