Connections: a plan of what to open, keep, close and wait for

Cause: with tenants, any idle connection of another tenant was closed for a new one, one opening at a time went on whatever waited, and one tenant's transactions could pin every connection. Change: ConnectionPlan, a decision without input or output, made by the owner after each dispatch that left work queued. The idle connection with the fewest expected uses is closed; openings take at most two fifths of the slots while other work could use them; work waits for a busy connection that is free sooner; connections are opened ahead into free room by demand; a tenant's transactions leave as many connections unpinned as they pin. Gauges and counters show states, openings, replacements and the statements that found a connection.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -37,6 +37,11 @@
 constexpr Duration kTransitMargin = Duration::Millis(50);
 // A replica is used only if its last status is more recent than this.
 constexpr Duration kStatusMaxAge = Duration::Seconds(2);
+// From this number of queued statements on, the idle connections are collected
+// once for all of them.
+constexpr size_t kManyQueued = 8;
+// Interval of the search for connections to open ahead.
+constexpr Duration kOpenAheadPeriod = Duration::Millis(100);
 
 UpstreamCommand StatementCommand(const StatementCall& call, LogPosition after) {
   UpstreamCommand command;
@@ -65,28 +70,63 @@
   }
   while (DispatchAny(context)) {
   }
-  RequestConnections(context);
+  PlanConnections(context);
 }
 
 // With tenants, work without an idle connection is passed over, so that work
 // behind it which has one can start.
 bool GroupOwner::HasConnection(const Work& work,
                                const UpstreamId& upstream) const {
-  return !pool_.carries_tenants() ||
-         idle_tenants_.count({upstream, work.call.tenant}) != 0;
+  if (!pool_.carries_tenants()) return true;
+  if (queue_.size() < kManyQueued) {
+    return pool_.HasIdle(upstream, work.call.tenant);
+  }
+  return idle_tenants_.count({upstream, work.call.tenant}) != 0;
+}
+
+// A search of all connections for each statement costs less if there are few.
+void GroupOwner::RefreshIdleTenants() {
+  bool is_needed = pool_.carries_tenants() && queue_.size() >= kManyQueued;
+  if (is_needed) idle_tenants_ = pool_.IdleTenants();
 }
 
-// In the order of service, so that the most urgent work gets the next opening.
-void GroupOwner::RequestConnections(ProxyContext* context) {
-  if (!pool_.carries_tenants() || queue_.size() == 0) return;
-  idle_tenants_ = pool_.IdleTenants();
+void GroupOwner::PlanConnections(ProxyContext* context) {
+  if (!pool_.carries_tenants()) return;
+  if (queue_.size() == 0 && context->now() < next_open_ahead_) return;
+  next_open_ahead_ = context->now() + kOpenAheadPeriod;
+  RefreshIdleTenants();
   connected_tenants_ = pool_.ConnectedTenants();
-  std::set<std::pair<UpstreamId, TenantId>> requested;
-  for (const Work* work : queue_.All()) {
-    UpstreamId target = ConnectionTarget(*work, context);
-    bool is_needed = target != UpstreamId() && !HasConnection(*work, target) &&
-                     requested.emplace(target, work->call.tenant).second;
-    if (is_needed) pool_.OpenFor(target, work->call.tenant, context);
+  std::map<UpstreamId, ConnectionSnapshot> snapshots;
+  for (const auto& item : pool_.upstreams()) {
+    const PooledUpstream& upstream = item.second;
+    if (upstream.is_down || !upstream.has_status) continue;
+    snapshots[item.first] = pool_.SnapshotOf(upstream, context->now());
+  }
+  for (Work* work : queue_.All()) {
+    auto found = snapshots.find(ConnectionTarget(*work, context));
+    if (found == snapshots.end()) continue;
+    if (HasConnection(*work, found->first)) {
+      found->second.startable.insert(work->call.tenant);
+      continue;
+    }
+    work->awaited_connection = true;
+    found->second.waiting.push_back(
+        WaitingWork{work->call.tenant, work->expected_service,
+                    work->latest_start - context->now()});
+  }
+  for (const auto& item : snapshots) {
+    const PooledUpstream* upstream = pool_.FindUpstream(item.first);
+    bool may_open_ahead =
+        is_assigned_ && upstream->is_registered && !upstream->record.leaving;
+    if (item.second.waiting.empty() && !may_open_ahead) continue;
+    bool needs_primary =
+        item.first == primary_ || item.first == failover_.successor();
+    Lane lane = needs_primary ? Lane::kPrimary : Lane::kAny;
+    const TenantDemand& demand = demand_[static_cast<size_t>(lane)];
+    for (const ConnectionStep& step :
+         connection_plan_.Steps(item.second, demand)) {
+      pool_.Perform(item.first, step, context);
+    }
   }
 }
 
@@ -99,6 +139,9 @@
     auto best_rank = std::make_tuple(false, false, 0);
     for (const auto& item : pool_.upstreams()) {
       const PooledUpstream& upstream = item.second;
+      bool may_begin =
+          !work.in_transaction() || pool_.MayPin(item.first, work.call.tenant);
+      if (!may_begin) continue;
       if (!IsUsableReplica(work, upstream, min_position, context)) continue;
       bool is_connected =
           connected_tenants_.count({item.first, work.call.tenant}) != 0;
@@ -113,9 +156,10 @@
   bool is_replacing = failover_.is_active() && !failover_.is_planned();
   if (is_replacing) return failover_.successor();
   const PooledUpstream* primary = Primary();
-  bool is_usable = primary != nullptr &&
-                   !pool_.IsDrained(*primary, context->now()) &&
-                   work.excluded_upstreams.count(primary_) == 0;
+  bool is_usable =
+      primary != nullptr && !pool_.IsDrained(*primary, context->now()) &&
+      work.excluded_upstreams.count(primary_) == 0 &&
+      (!work.in_transaction() || pool_.MayPin(primary_, work.call.tenant));
   return is_usable ? primary_ : UpstreamId();
 }
 
@@ -157,12 +201,12 @@
   if (primary == nullptr || pool_.IsDrained(*primary, context->now())) {
     return false;
   }
-  return !work.in_transaction() || pool_.MayPin(primary_);
+  return !work.in_transaction() || pool_.MayPin(primary_, work.call.tenant);
 }
 
 bool GroupOwner::DispatchPrimary(ProxyContext* context) {
   if (queue_.IsEmpty(Lane::kPrimary)) return false;
-  if (pool_.carries_tenants()) idle_tenants_ = pool_.IdleTenants();
+  RefreshIdleTenants();
   bool is_blocked = failover_.is_active() && !failover_.is_planned();
   if (is_blocked) return DispatchDuringFailover(context);
   PooledUpstream* primary = Primary();
@@ -192,14 +236,14 @@
                HasConnection(candidate, successor->record.id) &&
                candidate.excluded_upstreams.count(successor->record.id) == 0 &&
                (!candidate.in_transaction() ||
-                pool_.MayPin(successor->record.id));
+                pool_.MayPin(successor->record.id, candidate.call.tenant));
       });
   return work != nullptr && Start(work, successor, context);
 }
 
 bool GroupOwner::DispatchAny(ProxyContext* context) {
   if (queue_.IsEmpty(Lane::kAny)) return false;
-  if (pool_.carries_tenants()) idle_tenants_ = pool_.IdleTenants();
+  RefreshIdleTenants();
   PooledUpstream* chosen = nullptr;
   Work* work =
       queue_.First(Lane::kAny, context->now(), [&](const Work& candidate) {
@@ -265,7 +309,9 @@
     bool has_room = HasConnection(work, item.first) && pool_.HasSlot(upstream);
     if (!has_room) continue;
     if (!IsUsableReplica(work, upstream, min_position, context)) continue;
-    if (work.in_transaction() && !pool_.MayPin(item.first)) continue;
+    bool may_begin =
+        !work.in_transaction() || pool_.MayPin(item.first, work.call.tenant);
+    if (!may_begin) continue;
     // Compares the running statements per slot, cross-multiplied.
     bool is_better =
         best == nullptr || upstream.running * best->record.slots <
@@ -295,6 +341,9 @@
         work->expected_service, context->now());
   }
   queue_.OnStarted(*work);
+  if (pool_.carries_tenants()) {
+    (work->awaited_connection ? started_after_wait_ : started_at_once_)++;
+  }
   work->attempts++;
   work->connection = connection->id;
   work->sent = context->instant();
@@ -341,6 +390,7 @@
   CheckInvariant(connection != nullptr && connection->is_pinned,
                  "continue transaction", spec_.id.value());
   queue_.OnStarted(*work);
+  if (pool_.carries_tenants()) started_at_once_++;
   found->second.running = work->number;
   work->stage = WorkStage::kRunning;
   work->connection = connection->id;
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -108,6 +108,8 @@
   } else if (queue_.size() >= kMaxQueuedStatements) {
     Fail(work, Outcome::kBusy, "queue_full", context);
   } else {
+    demand_[static_cast<size_t>(LaneFor(work->call))].OnArrival(
+        work->call.tenant, work->expected_service, context->now());
     queue_.Add(work);
     context->WakeAtCoarse(work->deadline);
   }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -25,6 +25,7 @@
 #include <utility>
 #include <vector>
 
+#include "fireflycart/core/admission/connection_plan.h"
 #include "fireflycart/core/admission/lag_relief.h"
 #include "fireflycart/core/admission/queue_outlook.h"
 #include "fireflycart/core/admission/service_times.h"
@@ -113,6 +114,11 @@
   void SetFleetReachable(bool is_confirmed, ProxyContext* context);
   UpstreamId primary() const { return primary_; }
   size_t connection_count() const { return pool_.connection_count(); }
+  ConnectionCounts connections() const { return pool_.counts(); }
+  // Statements that found an open connection that could carry them, and that
+  // had to wait for one, if the group has tenants.
+  int64_t started_at_once() const { return started_at_once_; }
+  int64_t started_after_wait() const { return started_after_wait_; }
 
  private:
   void ReturnQueued(ProxyContext* context);
@@ -137,8 +143,9 @@
   // True if a connection that may carry the work is idle, or if the group has
   // no tenants, so that any connection may.
   bool HasConnection(const Work& work, const UpstreamId& upstream) const;
-  // Requests connections for queued work that has none to start on.
-  void RequestConnections(ProxyContext* context);
+  // Opens the connections that queued work lacks, and some ahead.
+  void PlanConnections(ProxyContext* context);
+  void RefreshIdleTenants();
   // The upstream at which a connection for the work is to be opened or awaited;
   // none if the work may not run now.
   UpstreamId ConnectionTarget(const Work& work, ProxyContext* context);
@@ -294,7 +301,13 @@
   WorkQueue queue_;
   std::map<StatementNumber, std::unique_ptr<Work>> work_;
   std::map<TransactionKey, Transaction> transactions_;
-  // Snapshots during a dispatch, if the group carries tenants.
+  // If the group carries tenants; by lane.
+  std::array<TenantDemand, kLanes> demand_;
+  ConnectionPlan connection_plan_;
+  TimePoint next_open_ahead_;
+  int64_t started_at_once_ = 0;
+  int64_t started_after_wait_ = 0;
+  // Snapshots during a dispatch, if many statements are queued.
   std::set<std::pair<UpstreamId, TenantId>> idle_tenants_;
   std::set<std::pair<UpstreamId, TenantId>> connected_tenants_;
   Duration transaction_idle_timeout_;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -247,6 +247,9 @@
         static_cast<int64_t>(owner.open_transactions());
     gauges.upstream_connections +=
         static_cast<int64_t>(owner.connection_count());
+    gauges.connections.Add(owner.connections());
+    gauges.statements_found_connection += owner.started_at_once();
+    gauges.statements_awaited_connection += owner.started_after_wait();
   }
   gauges.vms = static_cast<int64_t>(fleet_.size()) + 1;
   gauges.vms_down = static_cast<int64_t>(fleet_.down_count());
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -55,6 +55,11 @@
   int64_t owner_statements = 0;
   int64_t owner_transactions = 0;
   int64_t upstream_connections = 0;
+  ConnectionCounts connections;  // Those that carry statements.
+  // Statements that found an open connection of their tenant, and that had to
+  // wait for one.
+  int64_t statements_found_connection = 0;
+  int64_t statements_awaited_connection = 0;
   int64_t vms = 0;
   int64_t vms_down = 0;
   uint64_t routes_version = 0;
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -37,6 +37,16 @@
 
 }  // namespace
 
+void ConnectionCounts::Add(const ConnectionCounts& o) {
+  idle += o.idle;
+  busy += o.busy;
+  pinned += o.pinned;
+  opening += o.opening;
+  openings += o.openings;
+  openings_ahead += o.openings_ahead;
+  replaced += o.replaced;
+}
+
 void UpstreamPool::SetRecords(const std::vector<UpstreamRecord>& records,
                               ProxyContext* context) {
   std::set<UpstreamId> registered;
@@ -131,6 +141,7 @@
   } else {
     upstream->connections++;
     upstream->opening++;
+    done_.openings++;
   }
   context->Emit(OpenUpstream{connection.id, upstream->record.address, group_,
                              tenant, upstream->record.id, kOpenTimeout});
@@ -163,28 +174,97 @@
       best = &connection;
     }
   }
-  if (best == nullptr && !carries_tenants_) OpenFor(id, tenant, context);
-  return best;
+  if (best != nullptr || carries_tenants_) return best;
+  PooledUpstream* upstream = FindUpstream(id);
+  bool may_open = upstream != nullptr && upstream->opening == 0 &&
+                  !upstream->is_down && context->now() >= upstream->next_open &&
+                  upstream->connections < MaxDataConnections();
+  if (may_open) Open(upstream, tenant, false, context);
+  return nullptr;
 }
 
-void UpstreamPool::OpenFor(const UpstreamId& id, const TenantId& tenant,
+ConnectionSnapshot UpstreamPool::SnapshotOf(const PooledUpstream& upstream,
+                                            TimePoint now) const {
+  ConnectionSnapshot snapshot;
+  snapshot.now = now;
+  snapshot.slots = upstream.record.slots;
+  snapshot.running = upstream.running;
+  snapshot.connections = upstream.connections;
+  snapshot.max_connections = MaxDataConnections();
+  for (const auto& item : connections_) {
+    const PooledConnection& connection = item.second;
+    bool is_counted =
+        connection.upstream == upstream.record.id && !connection.is_control;
+    if (!is_counted) continue;
+    TenantConnections& own = snapshot.tenants[connection.tenant];
+    if (!connection.is_open) {
+      own.opening++;
+    } else if (connection.is_pinned || connection.is_rolling_back) {
+      own.pinned++;
+    } else {
+      (connection.is_idle() ? own.idle : own.busy)++;
+    }
+    own.last_used = std::max(own.last_used, connection.last_used);
+  }
+  return snapshot;
+}
+
+void UpstreamPool::Perform(const UpstreamId& id, const ConnectionStep& step,
                            ProxyContext* context) {
   PooledUpstream* upstream = FindUpstream(id);
-  bool may_open = upstream != nullptr && upstream->opening == 0 &&
-                  !upstream->is_down && context->now() >= upstream->next_open;
+  bool may_open = upstream != nullptr && !upstream->is_down &&
+                  context->now() >= upstream->next_open;
   if (!may_open) return;
-  if (upstream->connections >= MaxDataConnections()) {
-    ConnectionId idle_of_other;
-    for (const auto& item : connections_) {
-      const PooledConnection& connection = item.second;
-      bool may_close = connection.upstream == id && connection.is_idle() &&
-                       connection.tenant != tenant;
-      if (may_close) idle_of_other = connection.id;
+  PooledConnection* closed =
+      step.closes ? OldestIdleOf(id, step.close) : nullptr;
+  if (closed != nullptr) {
+    done_.replaced++;
+    Close(closed->id, context);
+  }
+  if (upstream->connections >= MaxDataConnections()) return;
+  if (step.is_ahead) done_.openings_ahead++;
+  Open(upstream, step.open, false, context);
+}
+
+PooledConnection* UpstreamPool::OldestIdleOf(const UpstreamId& upstream,
+                                             const TenantId& tenant) {
+  PooledConnection* oldest = nullptr;
+  for (auto& item : connections_) {
+    PooledConnection& connection = item.second;
+    bool is_usable = connection.upstream == upstream && connection.is_idle() &&
+                     connection.tenant == tenant;
+    if (!is_usable) continue;
+    bool is_older =
+        oldest == nullptr || connection.last_used < oldest->last_used;
+    if (is_older) oldest = &connection;
+  }
+  return oldest;
+}
+
+bool UpstreamPool::HasIdle(const UpstreamId& upstream,
+                           const TenantId& tenant) const {
+  return std::any_of(
+      connections_.begin(), connections_.end(), [&](const auto& item) {
+        const PooledConnection& connection = item.second;
+        return connection.upstream == upstream && connection.is_idle() &&
+               connection.tenant == tenant;
+      });
+}
+
+ConnectionCounts UpstreamPool::counts() const {
+  ConnectionCounts counts = done_;
+  for (const auto& item : connections_) {
+    const PooledConnection& connection = item.second;
+    if (connection.is_control) continue;
+    if (!connection.is_open) {
+      counts.opening++;
+    } else if (connection.is_pinned || connection.is_rolling_back) {
+      counts.pinned++;
+    } else {
+      (connection.is_idle() ? counts.idle : counts.busy)++;
     }
-    if (idle_of_other == ConnectionId()) return;
-    Close(idle_of_other, context);
   }
-  Open(upstream, tenant, false, context);
+  return counts;
 }
 
 std::set<std::pair<UpstreamId, TenantId>> UpstreamPool::IdleTenants() const {
@@ -210,13 +290,22 @@
   return tenants;
 }
 
-bool UpstreamPool::MayPin(const UpstreamId& id) const {
+// The bound for one tenant is that of dynamic thresholds (Choudhury, Hahne:
+// Dynamic queue length thresholds for shared-memory packet switches, 1998): it
+// falls as others pin, and some room is always left.
+bool UpstreamPool::MayPin(const UpstreamId& id, const TenantId& tenant) const {
   int pinned = 0;
+  int own = 0;
   for (const auto& item : connections_) {
     const PooledConnection& c = item.second;
-    if (c.upstream == id && (c.is_pinned || c.is_rolling_back)) pinned++;
+    bool is_pinned = c.upstream == id && (c.is_pinned || c.is_rolling_back);
+    if (!is_pinned) continue;
+    pinned++;
+    if (c.tenant == tenant) own++;
   }
-  return pinned < std::max(MaxDataConnections() - kUnpinnedReserve, 1);
+  int limit = std::max(MaxDataConnections() - kUnpinnedReserve, 1);
+  if (!carries_tenants_) return pinned < limit;
+  return pinned < limit && own < std::max(limit - pinned, 1);
 }
 
 std::vector<UpstreamCommand> UpstreamPool::SetUpCommands(
@@ -268,6 +357,7 @@
     connection->sent.push_back(
         SentCommand{command.kind, work, context->instant()});
   }
+  connection->last_used = context->now();
   context->Emit(SendUpstream{connection->id, std::move(commands)});
 }
 
@@ -309,6 +399,7 @@
   PooledUpstream& upstream = upstreams_[connection->upstream];
   if (!connection->is_control && !connection->is_open) upstream.opening--;
   connection->is_open = true;
+  connection->last_used = context->now();
   if (connection->is_control) upstream.control_opened = context->instant();
   upstream.failed_opens = 0;
   upstream.last_answer = context->now();
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -24,6 +24,7 @@
 #include <utility>
 #include <vector>
 
+#include "fireflycart/core/admission/connection_plan.h"
 #include "fireflycart/core/proxy/commit_set.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
@@ -45,6 +46,7 @@
   bool is_open = false;
   bool is_pinned = false;        // Reserved for a transaction.
   bool is_rolling_back = false;  // Until the rollback is answered.
+  TimePoint last_used;           // When it was opened or last sent to.
   std::deque<SentCommand> sent;
   std::map<std::string, std::string> values;
   std::set<PreparedShape> prepared;
@@ -55,6 +57,19 @@
   }
 };
 
+// Data connections by state, and what was done since the start.
+struct ConnectionCounts {
+  int64_t idle = 0;
+  int64_t busy = 0;
+  int64_t pinned = 0;
+  int64_t opening = 0;
+  int64_t openings = 0;
+  int64_t openings_ahead = 0;  // Before any work waited for them.
+  int64_t replaced = 0;        // Closed for one of another tenant.
+
+  void Add(const ConnectionCounts& o);
+};
+
 // The last known state of one upstream.
 struct PooledUpstream {
   UpstreamRecord record;
@@ -193,7 +208,7 @@
   void OpenControls(ProxyContext* context);
 
   // Set once statements of tenants arrive. From then on Take() opens nothing:
-  // the connections to open are requested by OpenFor(), and those under way
+  // ConnectionPlan decides which connections are opened, and those under way
   // count as statements in flight, since each occupies a slot.
   void SetCarriesTenants() { carries_tenants_ = true; }
   bool carries_tenants() const { return carries_tenants_; }
@@ -204,16 +219,20 @@
   PooledConnection* Take(const UpstreamId& upstream, const TenantId& tenant,
                          const std::map<std::string, std::string>& values,
                          ProxyContext* context);
-  // Opens a connection for the tenant if the limit allows, or once an idle
-  // connection of another tenant is closed.
-  void OpenFor(const UpstreamId& upstream, const TenantId& tenant,
+  // The connections to the upstream, for the decision which to open.
+  ConnectionSnapshot SnapshotOf(const PooledUpstream& upstream,
+                                TimePoint now) const;
+  // Performs what was decided for the upstream, if its limit allows.
+  void Perform(const UpstreamId& upstream, const ConnectionStep& step,
                ProxyContext* context);
+  bool HasIdle(const UpstreamId& upstream, const TenantId& tenant) const;
   // The tenants that have an idle connection, by upstream.
   std::set<std::pair<UpstreamId, TenantId>> IdleTenants() const;
   // The tenants that have any data connection, opening ones included.
   std::set<std::pair<UpstreamId, TenantId>> ConnectedTenants() const;
-  // True if a transaction may pin one more connection.
-  bool MayPin(const UpstreamId& upstream) const;
+  // True if a transaction of the tenant may pin one more connection. A tenant
+  // pins at most as many as it leaves for all others to pin.
+  bool MayPin(const UpstreamId& upstream, const TenantId& tenant) const;
 
   // Returns the commands that give the connection exactly the session values of
   // the call and, if it is prepared, its shape; records them in the connection.
@@ -264,6 +283,7 @@
     return upstreams_;
   }
   size_t connection_count() const { return connections_.size(); }
+  ConnectionCounts counts() const;
   std::vector<ConnectionId> ConnectionsOf(const UpstreamId& id) const;
   // True if one more statement may be sent to the upstream now.
   bool HasSlot(const PooledUpstream& upstream) const;
@@ -283,6 +303,9 @@
 
  private:
   int MaxDataConnections() const;
+  // Its idle connection that was used longest ago; null if it has none.
+  PooledConnection* OldestIdleOf(const UpstreamId& upstream,
+                                 const TenantId& tenant);
   void Open(PooledUpstream* upstream, const TenantId& tenant, bool is_control,
             ProxyContext* context);
   void OnOpenFailed(PooledUpstream* upstream, const std::string& reason,
@@ -303,6 +326,7 @@
   Duration drain_limit_ = Duration::Millis(5500);
   std::map<UpstreamId, PooledUpstream> upstreams_;
   std::map<ConnectionId, PooledConnection> connections_;
+  ConnectionCounts done_;  // Only what was done.
 };
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -53,11 +53,12 @@
   TimePoint deadline;
   WorkStage stage = WorkStage::kQueued;
   bool is_late = false;
-  int attempts = 0;           // Times it was sent, refusals included.
-  int connection_losses = 0;  // Connections lost while it was sent.
-  int refusals = 0;           // Consecutive, for lack of a free slot.
-  int failed_runs = 0;        // Runs of a read that an upstream failed.
-  TimePoint not_before;       // Earliest retry after a refusal.
+  bool awaited_connection = false;  // None of its tenant was open and idle.
+  int attempts = 0;                 // Times it was sent, refusals included.
+  int connection_losses = 0;        // Connections lost while it was sent.
+  int refusals = 0;                 // Consecutive, for lack of a free slot.
+  int failed_runs = 0;              // Runs of a read that an upstream failed.
+  TimePoint not_before;             // Earliest retry after a refusal.
   // Refused it as too far behind, or failed it.
   std::set<UpstreamId> excluded_upstreams;
   ConnectionId connection;  // Set while it is sent.
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -14,6 +14,31 @@
        << "fireflycart_" << name << " " << value << "\n";
 }
 
+void Counter(const char* name, int64_t value, std::ostream* out) {
+  *out << "# TYPE fireflycart_" << name << " counter\n"
+       << "fireflycart_" << name << " " << value << "\n";
+}
+
+void RenderConnections(const proxy::ProxyGauges& gauges, std::ostream* out) {
+  const proxy::ConnectionCounts& counts = gauges.connections;
+  *out << "# TYPE fireflycart_data_connections gauge\n";
+  auto state = [out](const char* name, int64_t value) {
+    *out << "fireflycart_data_connections{state=\"" << name << "\"} " << value
+         << "\n";
+  };
+  state("idle", counts.idle);
+  state("busy", counts.busy);
+  state("pinned", counts.pinned);
+  state("opening", counts.opening);
+  Counter("connections_opened_total", counts.openings, out);
+  Counter("connections_opened_ahead_total", counts.openings_ahead, out);
+  Counter("connections_replaced_total", counts.replaced, out);
+  Counter("statements_found_connection_total",
+          gauges.statements_found_connection, out);
+  Counter("statements_awaited_connection_total",
+          gauges.statements_awaited_connection, out);
+}
+
 }  // namespace
 
 void SessionMetrics::Count(const proxy::CountStatement& effect) {
@@ -56,6 +81,7 @@
   Gauge("owner_statements", gauges.owner_statements, &out);
   Gauge("owner_transactions", gauges.owner_transactions, &out);
   Gauge("upstream_connections", gauges.upstream_connections, &out);
+  RenderConnections(gauges, &out);
   Gauge("vms", gauges.vms, &out);
   Gauge("vms_down", gauges.vms_down, &out);
   Gauge("routes_version", gauges.routes_version, &out);
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -43,7 +43,9 @@
   if (caller->vm == nullptr) {
     Connect(caller);
   } else if (caller->is_greeted && caller->pending_statements.empty()) {
-    if (!callers_paused_) BeginOperation(caller);
+    int hot = HotIndexOf(caller->index);
+    bool is_paused = callers_paused_ || (hot >= 0 && hot_.count(hot) == 0);
+    if (!is_paused) BeginOperation(caller);
   } else if (caller->is_greeted) {
     SendNext(caller);
   }
@@ -161,7 +163,9 @@
   caller->is_waiting = false;
   CallerStatement statement = caller->pending_statements.front();
   caller->pending_statements.pop_front();
-  caller->next_action = now_ + options_.statement_pause;
+  caller->next_action =
+      now_ + (HotIndexOf(caller->index) >= 0 ? options_.hot_statement_pause
+                                             : options_.statement_pause);
   if (answer.outcome != Outcome::kDone) {
     EndOperation(caller, answer.outcome);
     return;
--- a/fireflycart/standins/testing/session_tenant_test.cc
+++ b/fireflycart/standins/testing/session_tenant_test.cc
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <iostream>
+#include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "fireflycart/standins/testing/session_world.h"
@@ -20,6 +23,11 @@
 class SessionTenantTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionTenantTest);
   CPPUNIT_TEST(Tenants_MoreThanConnections_AllAreServed);
+  CPPUNIT_TEST(Tenant_SendsSevenTimesItsUsual_OthersAreServed);
+  CPPUNIT_TEST(Tenants_ThreeHotInARow_OthersAreServed);
+  CPPUNIT_TEST(Burst_OfLeastUrgentKindWithHotTenant_OthersAreServed);
+  CPPUNIT_TEST(Owner_Replaced_AllTenantsAreServedAgain);
+  CPPUNIT_TEST(Tenant_RestsInTransactions_OthersAreServed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,7 +43,110 @@
     ExpectInvariantsHold();
   }
 
+  // The tenant of rank 3 has a twentieth of the callers and sends seven times
+  // its usual and more, on the least urgent route. Without it the load fits,
+  // and its fair share is more than its usual, so the others are owed their
+  // targets on all routes.
+  void Tenant_SendsSevenTimesItsUsual_OthersAreServed() {
+    SessionWorldOptions options = MixedLoad();
+    options.hot_tenants = {3};
+    options.hot_callers = 200;
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    world_->SetHot({0});
+    world_->Run(Duration::Seconds(1));
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(10));
+    Print("tenant with seven times its usual");
+    ExpectOthersInTarget({3}, 90);
+    ExpectInvariantsHold();
+  }
+
+  // All work has the same priority.
+  void Tenants_ThreeHotInARow_OthersAreServed() {
+    SessionWorldOptions options = TenantLoad();
+    options.callers = 160;
+    options.hot_tenants = {3, 4, 5};
+    options.hot_callers = 250;
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    world_->ResetCounts();
+    for (int i = 0; i < 3; i++) {
+      world_->SetHot({i});
+      world_->Run(Duration::Seconds(4));
+    }
+    Print("three hot tenants in a row");
+    ExpectOthersInTarget({3, 4, 5}, 90);
+    ExpectInvariantsHold();
+  }
+
+  // Ten tenants send more on the least urgent route, one of them much more.
+  void Burst_OfLeastUrgentKindWithHotTenant_OthersAreServed() {
+    SessionWorldOptions options = MixedLoad();
+    options.hot_tenants = {3, 3, 3, 0, 1, 2, 4, 5, 6, 7, 8, 9};
+    options.hot_callers = 50;
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    world_->SetHot({0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11});
+    world_->Run(Duration::Seconds(1));
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(10));
+    Print("burst of the least urgent kind");
+    const SessionCounts& counts = world_->counts();
+    for (size_t i = 0; i < 2; i++) {
+      int all = counts.in_target[i] + counts.late[i] + counts.not_served[i];
+      CPPUNIT_ASSERT(counts.in_target[i] * 100 >= all * 90);
+    }
+    ExpectOthersInTarget({0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 90);
+    ExpectInvariantsHold();
+  }
+
+  // The new owner has no connections, and all tenants want one at once.
+  void Owner_Replaced_AllTenantsAreServedAgain() {
+    MakeWorld(MixedLoad());
+    world_->Run(kWarmUp);
+    for (int i = 0; i < options_.vms; i++) {
+      bool is_owner = world_->vm(i) != nullptr &&
+                      world_->owner() == VmId("vm-" + std::to_string(i));
+      if (!is_owner) continue;
+      world_->KillVm(i);
+      break;
+    }
+    world_->Run(Duration::Seconds(4));
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(5));
+    Print("owner replaced");
+    ExpectShareInTarget(90);
+    ExpectInvariantsHold();
+  }
+
+  // Its callers rest for longer than idle transactions are allowed to.
+  void Tenant_RestsInTransactions_OthersAreServed() {
+    SessionWorldOptions options = MixedLoad();
+    options.hot_tenants = {3};
+    options.hot_callers = 200;
+    options.hot_statement_pause = Duration::Seconds(5);
+    MakeWorld(options);
+    world_->Run(kWarmUp);
+    world_->SetHot({0});
+    world_->Run(Duration::Seconds(1));
+    world_->ResetCounts();
+    world_->Run(Duration::Seconds(10));
+    Print("tenant rests in transactions");
+    ExpectOthersInTarget({3}, 90);
+    ExpectInvariantsHold();
+  }
+
  private:
+  // About 200 operations a second of all three priorities, 250 statements for
+  // the primary.
+  static SessionWorldOptions MixedLoad() {
+    SessionWorldOptions options = TenantLoad();
+    options.callers = 160;
+    options.mixed_consistencies = true;
+    return options;
+  }
+
   // About 300 operations a second with 0.9 statements for the primary and one
   // that replicas may serve. An upstream runs 400 statements a second: 4 slots,
   // 10 ms each.
@@ -121,6 +232,24 @@
         in_target * 100 >= all * percent);
   }
 
+  void ExpectOthersInTarget(const std::set<int>& hot, int percent) {
+    const SessionCounts& counts = world_->counts();
+    int in_target = 0;
+    int all = 0;
+    for (const auto& item : counts.tenant_operations) {
+      int rank = std::stoi(item.first.value().substr(1));
+      if (hot.count(rank) != 0) continue;
+      all += item.second;
+      auto found = counts.tenant_in_target.find(item.first);
+      if (found != counts.tenant_in_target.end()) in_target += found->second;
+    }
+    std::cout << "others in target " << in_target << " of " << all << "\n";
+    CPPUNIT_ASSERT(all > 0);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(in_target) + " of " + std::to_string(all) + " in target",
+        in_target * 100 >= all * percent);
+  }
+
   void ExpectInvariantsHold() {
     world_->CheckEffects();
     CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -47,12 +47,15 @@
     vms_.push_back(std::move(vm));
   }
   for (int i = 0; i < options.vms; i++) StartVm(i);
-  for (int i = 0; i < options.callers; i++) {
+  int hot_callers =
+      static_cast<int>(options.hot_tenants.size()) * options.hot_callers;
+  for (int i = 0; i < options.callers + hot_callers; i++) {
     auto caller = std::make_unique<Caller>();
     caller->index = i;
     caller->consistency = options.mixed_consistencies
                               ? static_cast<ReadConsistency>(i % 3)
                               : options.consistency;
+    if (i >= options.callers) caller->consistency = options.hot_consistency;
     caller->next_action = now_ + Duration::Millis(1000 + 7 * i);
     callers_.push_back(std::move(caller));
   }
@@ -62,18 +65,25 @@
 
 SessionWorld::~SessionWorld() = default;
 
+int SessionWorld::HotIndexOf(int caller) const {
+  if (caller < options_.callers) return -1;
+  return (caller - options_.callers) / options_.hot_callers;
+}
+
 // The callers are dealt out by a low-discrepancy sequence, so that the shares
 // do not depend on the seed and are the same for callers of each route.
 TenantId SessionWorld::TenantOf(int caller) const {
   if (options_.tenants == 0) return TenantId();
+  int hot = HotIndexOf(caller);
+  if (hot >= 0) {
+    int rank = options_.hot_tenants[static_cast<size_t>(hot)];
+    return TenantId("t" + std::to_string(rank));
+  }
   constexpr double kGoldenRatio = 0.6180339887498949;
   constexpr double kExponent = 1.2;
-  double place = std::fmod((caller + 0.5) * kGoldenRatio, 1.0);
-  double hot = options_.hot_percent / 100.0;
-  if (place < hot) return TenantId("t0");
   double total = 0;
   for (int i = 1; i <= options_.tenants; i++) total += std::pow(i, -kExponent);
-  double left = (place - hot) / (1 - hot) * total;
+  double left = std::fmod((caller + 0.5) * kGoldenRatio, 1.0) * total;
   int tenant = 1;
   while (tenant < options_.tenants && left > std::pow(tenant, -kExponent)) {
     left -= std::pow(tenant, -kExponent);
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -48,8 +48,12 @@
   // Tenants t0, t1 and so on, to which the callers belong in shares that fall
   // with the rank (Zipf, exponent 1.2). 0: the deployment has no tenants.
   int tenants = 0;
-  // Share of the callers that belong to the first tenant besides, in percent.
-  int hot_percent = 0;
+  // Further callers of each of these tenants, by rank, which begin operations
+  // only while SetHot() says so.
+  std::vector<int> hot_tenants;
+  int hot_callers = 0;
+  proxy::ReadConsistency hot_consistency = proxy::ReadConsistency::kOwnWrites;
+  Duration hot_statement_pause;  // Between two statements of an operation.
 };
 
 // Outcomes of the callers' operations.
@@ -127,6 +131,8 @@
   void SetRoutes(uint64_t version, Duration timeout);
   // While paused, callers begin no new operations.
   void PauseCallers(bool is_paused) { callers_paused_ = is_paused; }
+  // Which of the hot tenants send more than usual, by position.
+  void SetHot(std::set<int> hot) { hot_ = std::move(hot); }
   // The load balancer also sends callers to VMs that are not ready.
   void IgnoreReadiness() { ignores_readiness_ = true; }
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
@@ -223,6 +229,8 @@
   void OnCloseRequest(Caller* caller);
   void OnDisconnected(Caller* caller);
   std::string RouteName(proxy::ReadConsistency consistency) const;
+  // The position in hot_tenants of a further caller; -1: it is none.
+  int HotIndexOf(int caller) const;
   // The tenant of a caller; none without tenants.
   TenantId TenantOf(int caller) const;
   // Reports a statement that is sent on a connection of another tenant.
@@ -281,6 +289,7 @@
   bool refuses_promotions_ = false;
   UpstreamId last_successor_;
   bool callers_paused_ = false;
+  std::set<int> hot_;
   uint64_t highest_token_ = 0;
 
   // Answers that callers received, and what their statements must observe.
