--- a/fireflycart/core/proxy/work_queue.cc
+++ b/fireflycart/core/proxy/work_queue.cc
@@ -27,13 +27,13 @@
 // Service that a tenant may catch up, in ms; several statements.
 constexpr int64_t kMaxCredit = 200;
 
-int64_t CostOf(const Work &work) {
+int64_t CostOf(const Work& work) {
   return std::max<int64_t>(work.expected_service.millis(), 1);
 }
 
 }  // namespace
 
-Lane LaneFor(const StatementCall &call) {
+Lane LaneFor(const StatementCall& call) {
   bool reads = call.transaction == TransactionKind::kReadOnly ||
                (call.transaction == TransactionKind::kNone &&
                 call.access == Access::kRead);
@@ -41,36 +41,36 @@
   return may_use_replica ? Lane::kAny : Lane::kPrimary;
 }
 
-WorkQueue::Classes &WorkQueue::LaneOf(const Work &work) {
+WorkQueue::Classes& WorkQueue::LaneOf(const Work& work) {
   return lanes_[static_cast<size_t>(LaneFor(work.call))];
 }
 
-void WorkQueue::Add(Work *work) {
+void WorkQueue::Add(Work* work) {
   AddTo(&LaneOf(*work)[ClassOf(*work)], work);
   sizes_[static_cast<size_t>(LaneFor(work->call))]++;
 }
 
-void WorkQueue::Remove(Work *work) {
-  Classes &classes = LaneOf(*work);
+void WorkQueue::Remove(Work* work) {
+  Classes& classes = LaneOf(*work);
   auto found = classes.find(ClassOf(*work));
   if (found == classes.end()) return;
   if (!RemoveFrom(&found->second, *work)) return;
   sizes_[static_cast<size_t>(LaneFor(work->call))]--;
 }
 
-void WorkQueue::AddTo(FairClass *fair, Work *work) {
-  const TenantId &tenant = work->call.tenant;
-  Flow &flow = fair->flows[tenant];
+void WorkQueue::AddTo(FairClass* fair, Work* work) {
+  const TenantId& tenant = work->call.tenant;
+  Flow& flow = fair->flows[tenant];
   if (flow.empty()) {
-    int64_t &tag = fair->start_tags[tenant];
+    int64_t& tag = fair->start_tags[tenant];
     tag = std::max(tag, fair->virtual_time);
     fair->order.emplace(tag, tenant);
   }
   flow[KeyOf(*work)] = work;
 }
 
-bool WorkQueue::RemoveFrom(FairClass *fair, const Work &work) {
-  const TenantId &tenant = work.call.tenant;
+bool WorkQueue::RemoveFrom(FairClass* fair, const Work& work) {
+  const TenantId& tenant = work.call.tenant;
   auto found = fair->flows.find(tenant);
   if (found == fair->flows.end()) return false;
   if (found->second.erase(KeyOf(work)) == 0) return false;
@@ -84,17 +84,17 @@
 }
 
 // Nobody waits, so nobody is ahead of anybody.
-void WorkQueue::EndBusyPeriod(FairClass *fair) {
-  for (const auto &item : fair->start_tags) {
+void WorkQueue::EndBusyPeriod(FairClass* fair) {
+  for (const auto& item : fair->start_tags) {
     fair->virtual_time = std::max(fair->virtual_time, item.second);
   }
   fair->start_tags.clear();
 }
 
-void WorkQueue::OnStarted(const Work &work) {
-  FairClass &fair = LaneOf(work)[ClassOf(work)];
-  const TenantId &tenant = work.call.tenant;
-  int64_t &tag = fair.start_tags[tenant];
+void WorkQueue::OnStarted(const Work& work) {
+  FairClass& fair = LaneOf(work)[ClassOf(work)];
+  const TenantId& tenant = work.call.tenant;
+  int64_t& tag = fair.start_tags[tenant];
   bool is_queued = fair.order.erase(FlowKey(tag, tenant)) != 0;
   if (!is_queued) tag = std::max(tag, fair.virtual_time);
   tag = std::max(tag, fair.virtual_time - kMaxCredit);
@@ -104,17 +104,17 @@
   if (fair.is_empty()) EndBusyPeriod(&fair);
 }
 
-Work *WorkQueue::First(Lane lane, TimePoint now,
-                       const std::function<bool(const Work &)> &accepts) {
-  Classes &classes = lanes_[static_cast<size_t>(lane)];
-  for (auto &item : classes) {
+Work* WorkQueue::First(Lane lane, TimePoint now,
+                       const std::function<bool(const Work&)>& accepts) {
+  Classes& classes = lanes_[static_cast<size_t>(lane)];
+  for (auto& item : classes) {
     bool is_late = item.first.first;
-    FairClass &fair = item.second;
+    FairClass& fair = item.second;
     for (auto next = fair.order.begin(); next != fair.order.end();) {
       // Moving the last work of a flow removes the flow.
-      Flow &flow = fair.flows.at((next++)->second);
+      Flow& flow = fair.flows.at((next++)->second);
       for (auto it = flow.begin(); it != flow.end();) {
-        Work *work = it->second;
+        Work* work = it->second;
         ++it;
         if (!is_late && now > work->latest_start) {
           bool is_last = flow.size() == 1;
@@ -132,15 +132,15 @@
 }
 
 // As if each work was started in turn.
-void WorkQueue::AppendInOrder(const FairClass &fair, std::vector<Work *> *all) {
+void WorkQueue::AppendInOrder(const FairClass& fair, std::vector<Work*>* all) {
   std::set<FlowKey> order = fair.order;
   std::map<TenantId, Flow::const_iterator> next;
-  for (const auto &item : fair.flows) next[item.first] = item.second.begin();
+  for (const auto& item : fair.flows) next[item.first] = item.second.begin();
   while (!order.empty()) {
     FlowKey first = *order.begin();
     order.erase(order.begin());
-    Flow::const_iterator &it = next[first.second];
-    Work *work = it->second;
+    Flow::const_iterator& it = next[first.second];
+    Work* work = it->second;
     all->push_back(work);
     ++it;
     if (it == fair.flows.at(first.second).end()) continue;
@@ -148,18 +148,18 @@
   }
 }
 
-std::vector<Work *> WorkQueue::AllOf(Lane lane) const {
-  std::vector<Work *> all;
+std::vector<Work*> WorkQueue::AllOf(Lane lane) const {
+  std::vector<Work*> all;
   all.reserve(sizes_[static_cast<size_t>(lane)]);
-  for (const auto &item : lanes_[static_cast<size_t>(lane)]) {
+  for (const auto& item : lanes_[static_cast<size_t>(lane)]) {
     AppendInOrder(item.second, &all);
   }
   return all;
 }
 
-std::vector<Work *> WorkQueue::All() const {
-  std::vector<Work *> all = AllOf(Lane::kPrimary);
-  for (Work *work : AllOf(Lane::kAny)) all.push_back(work);
+std::vector<Work*> WorkQueue::All() const {
+  std::vector<Work*> all = AllOf(Lane::kPrimary);
+  for (Work* work : AllOf(Lane::kAny)) all.push_back(work);
   return all;
 }
 
--- a/fireflycart/core/proxy/work_queue.h
+++ b/fireflycart/core/proxy/work_queue.h
@@ -41,30 +41,30 @@
 
 class WorkQueue {
  public:
-  void Add(Work *work);
-  void Remove(Work *work);
+  void Add(Work* work);
+  void Remove(Work* work);
   // Counts the work, which has been removed, as service of its tenant.
-  void OnStarted(const Work &work);
+  void OnStarted(const Work& work);
 
   // Returns the first work of the lane that the predicate accepts; null if
   // there is none. Moves work that has become late behind the work in time.
-  Work *First(Lane lane, TimePoint now,
-              const std::function<bool(const Work &)> &accepts);
+  Work* First(Lane lane, TimePoint now,
+              const std::function<bool(const Work&)>& accepts);
 
   size_t size() const { return sizes_[0] + sizes_[1]; }
   bool IsEmpty(Lane lane) const {
     return sizes_[static_cast<size_t>(lane)] == 0;
   }
   // Returns all queued work, each lane in the order of service.
-  std::vector<Work *> All() const;
-  std::vector<Work *> AllOf(Lane lane) const;
+  std::vector<Work*> All() const;
+  std::vector<Work*> AllOf(Lane lane) const;
 
  private:
   // Late, priority.
   using ClassKey = std::pair<bool, int>;
   // Target deadline, arrival.
   using WorkKey = std::pair<int64_t, uint64_t>;
-  using Flow = std::map<WorkKey, Work *>;
+  using Flow = std::map<WorkKey, Work*>;
   // Start tag, tenant.
   using FlowKey = std::pair<int64_t, TenantId>;
 
@@ -82,25 +82,25 @@
   };
   using Classes = std::map<ClassKey, FairClass>;
 
-  static ClassKey ClassOf(const Work &work) {
+  static ClassKey ClassOf(const Work& work) {
     return ClassKey(work.is_late, work.call.priority);
   }
-  static WorkKey KeyOf(const Work &work) {
+  static WorkKey KeyOf(const Work& work) {
     return WorkKey(work.target_deadline.millis(), work.arrived.sequence);
   }
-  Classes &LaneOf(const Work &work);
-  static void AddTo(FairClass *fair, Work *work);
+  Classes& LaneOf(const Work& work);
+  static void AddTo(FairClass* fair, Work* work);
   // False if it is not in the class.
-  static bool RemoveFrom(FairClass *fair, const Work &work);
-  static void EndBusyPeriod(FairClass *fair);
-  static void AppendInOrder(const FairClass &fair, std::vector<Work *> *all);
+  static bool RemoveFrom(FairClass* fair, const Work& work);
+  static void EndBusyPeriod(FairClass* fair);
+  static void AppendInOrder(const FairClass& fair, std::vector<Work*>* all);
 
   std::array<Classes, kLanes> lanes_;
   std::array<size_t, kLanes> sizes_ = {};
 };
 
 // The lane that a statement belongs to.
-Lane LaneFor(const StatementCall &call);
+Lane LaneFor(const StatementCall& call);
 
 }  // namespace fireflycart::proxy
 
