Sessions: values and prepared statements are bounded by the machine's memory

Cause: a session may set values and prepare statements without end, each legal; 100 callers with 1.2 MB each took 254 MB and 136 MB. A connection to an upstream kept every prepared shape that was ever run on it.

A connection with prepared shapes of over 256 KiB is reset before its next use outside a transaction. An idle session keeps no statement id of more than 1 KiB.

--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -47,7 +47,7 @@
       options_(options),
       context_(self.vm, self.incarnation, seed),
       fleet_(self, this),
-      session_manager_(this) {}
+      session_manager_(this, options.session_state_limit()) {}
 
 ProxyEffects ProxyReducer::Start(TimePoint now) {
   ProxyEffects effects;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -40,9 +40,15 @@
   Duration drain_time() const { return drain_time_; }
   void set_drain_time(Duration d) { drain_time_ = d; }
 
+  // Bytes that all sessions together may keep as values and prepared
+  // statements; see SessionStateQuota.
+  size_t session_state_limit() const { return session_state_limit_; }
+  void set_session_state_limit(size_t bytes) { session_state_limit_ = bytes; }
+
  private:
   Duration stop_limit_ = Duration::Millis(6000);
   Duration drain_time_ = Duration::Millis(7000);
+  size_t session_state_limit_ = size_t{256} << 20;
 };
 
 // Current sizes of a VM's state.
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -15,6 +15,8 @@
 constexpr char kPart[] = "entry";
 constexpr char kStopping[] = "this VM is stopping";
 constexpr char kNoValidKey[] = "no valid key";
+constexpr char kStateTooLarge[] = "sessions keep too much already";
+constexpr size_t kMaxKeptIdBytes = 1024;
 
 CallerAnswer MakeAnswer(Outcome outcome, const std::string& detail) {
   CallerAnswer answer;
@@ -23,6 +25,11 @@
   return answer;
 }
 
+// What keeping a name with its text takes.
+size_t StateBytes(const std::string& name, const std::string& text) {
+  return name.size() + text.size() + SessionStateQuota::kEntryOverhead;
+}
+
 }  // namespace
 
 SessionKey SessionManager::KeyOf(SessionNumber number,
@@ -110,7 +117,7 @@
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
   context->Emit(GreetCaller{number, outcome, detail});
-  sessions_.erase(number);
+  Erase(number);
 }
 
 void SessionManager::OnRoutes(ProxyContext* context) {
@@ -136,6 +143,10 @@
                             CallerAnswer answer, ProxyContext* context) {
   answer.state = session->state;
   session->idle_since = context->now();
+  // An idle session keeps no large id.
+  if (session->statement.value().size() > kMaxKeptIdBytes) {
+    session->statement = StatementId();
+  }
   context->Emit(AnswerStatement{number, std::move(answer)});
 }
 
@@ -151,12 +162,12 @@
   bool closes = answer.closes_session;
   Answer(number, session, std::move(answer), context);
   if (!closes) return;
-  sessions_.erase(number);
+  Erase(number);
   closing_[number] = context->now();
 }
 
 void SessionManager::Close(SessionNumber number, ProxyContext* context) {
-  sessions_.erase(number);
+  Erase(number);
   closing_[number] = context->now();
   context->Emit(CloseSession{number});
 }
@@ -279,14 +290,21 @@
              context);
       return true;
     case StatementKind::kSetValue:
-      session->values[statement.name] = statement.arguments;
-      break;
+      if (KeepValue(session, statement)) break;
+      Refuse(number, session, Outcome::kBusy, kStateTooLarge, context);
+      return true;
     case StatementKind::kPrepare:
-      session->prepared[statement.name] = statement.prepared;
-      break;
-    case StatementKind::kForget:
-      session->prepared.erase(statement.name);
+      if (KeepPrepared(session, statement)) break;
+      Refuse(number, session, Outcome::kBusy, kStateTooLarge, context);
+      return true;
+    case StatementKind::kForget: {
+      auto found = session->prepared.find(statement.name);
+      if (found == session->prepared.end()) break;
+      quota_.Return(&session->state_bytes,
+                    StateBytes(found->first, found->second.shape));
+      session->prepared.erase(found);
       break;
+    }
     case StatementKind::kExecute:
       if (session->prepared.count(statement.name) != 0) return false;
       if (in_transaction) session->state = TransactionState::kFailed;
@@ -304,6 +322,48 @@
   return true;
 }
 
+bool SessionManager::KeepValue(Session* session,
+                               const CallerStatement& statement) {
+  auto found = session->values.find(statement.name);
+  size_t old_bytes = found == session->values.end()
+                         ? 0
+                         : StateBytes(found->first, found->second);
+  size_t bytes = StateBytes(statement.name, statement.arguments);
+  if (!ChargeChange(session, old_bytes, bytes)) return false;
+  session->values[statement.name] = statement.arguments;
+  return true;
+}
+
+bool SessionManager::KeepPrepared(Session* session,
+                                  const CallerStatement& statement) {
+  auto found = session->prepared.find(statement.name);
+  size_t old_bytes = found == session->prepared.end()
+                         ? 0
+                         : StateBytes(found->first, found->second.shape);
+  size_t bytes = StateBytes(statement.name, statement.prepared.shape);
+  if (!ChargeChange(session, old_bytes, bytes)) return false;
+  session->prepared[statement.name] = statement.prepared;
+  return true;
+}
+
+bool SessionManager::ChargeChange(Session* session, size_t old_bytes,
+                                  size_t bytes) {
+  if (bytes > old_bytes) {
+    return quota_.Charge(&session->state_bytes, bytes - old_bytes,
+                         sessions_.size());
+  }
+  quota_.Return(&session->state_bytes, old_bytes - bytes);
+  return true;
+}
+
+void SessionManager::Erase(SessionNumber number) {
+  auto found = sessions_.find(number);
+  if (found == sessions_.end()) return;
+  Session& session = found->second;
+  quota_.Return(&session.state_bytes, session.state_bytes);
+  sessions_.erase(found);
+}
+
 bool SessionManager::FindRoute(SessionNumber number, Session* session,
                                ProxyContext* context) {
   const RouteTable& table = router_->routes();
@@ -453,7 +513,7 @@
         session.route.group, KeyOf(number, context), session.statement});
   }
   awaiting_routes_.erase(number);
-  sessions_.erase(found);
+  Erase(number);
 }
 
 void SessionManager::StartDraining(ProxyContext* context) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -11,7 +11,8 @@
 //
 // Every statement that was accepted is answered, also by a VM that stops.
 //
-// Limits: one open statement for each session.
+// Limits: one open statement for each session. What sessions keep is bounded by
+// a SessionStateQuota; a statement that would keep more is refused.
 
 #ifndef FIREFLYCART_CORE_PROXY_SESSION_MANAGER_H_
 #define FIREFLYCART_CORE_PROXY_SESSION_MANAGER_H_
@@ -19,6 +20,7 @@
 #include <map>
 #include <string>
 
+#include "fireflycart/core/admission/session_state_quota.h"
 #include "fireflycart/core/proxy/peer_calls.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
@@ -48,7 +50,8 @@
   // A caller that is told of a close leaves within a round trip.
   static constexpr Duration kCloseTimeout = Duration::Millis(1000);
 
-  explicit SessionManager(StatementRouter* router) : router_(router) {}
+  SessionManager(StatementRouter* router, size_t session_state_limit)
+      : router_(router), quota_(session_state_limit) {}
 
   void OnStarted(SessionNumber session, const std::string& database,
                  const KeyDigest& key, ProxyContext* context);
@@ -91,6 +94,7 @@
     TenantId tenant;  // Of the current statement; empty if none is needed.
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedShape> prepared;
+    size_t state_bytes = 0;  // Charged for both.
     TransactionState state = TransactionState::kNone;
     TransactionKind transaction_kind = TransactionKind::kNone;
     uint64_t transaction_number = 0;  // Of the current or last one.
@@ -132,6 +136,11 @@
   void BeginTransaction(SessionNumber number, Session* session,
                         bool is_read_only, ProxyContext* context);
   void RollBack(SessionNumber number, Session* session, ProxyContext* context);
+  // Keeps a value or a prepared statement; false if the quota forbids it.
+  bool KeepValue(Session* session, const CallerStatement& statement);
+  bool KeepPrepared(Session* session, const CallerStatement& statement);
+  bool ChargeChange(Session* session, size_t old_bytes, size_t bytes);
+  void Erase(SessionNumber number);
   bool FindRoute(SessionNumber number, Session* session, ProxyContext* context);
   // True if the caller may use the route now; sets *tenant to whose caller it
   // is, or to none.
@@ -149,6 +158,7 @@
   SessionKey KeyOf(SessionNumber number, ProxyContext* context) const;
 
   StatementRouter* router_;
+  SessionStateQuota quota_;
   std::map<SessionNumber, Session> sessions_;
   std::map<SessionNumber, TimePoint> awaiting_routes_;  // With deadlines.
   // Sessions that were closed and whose callers have not left yet, with the
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -19,6 +19,8 @@
 constexpr int kSoleOwnerShareDenominator = 3;
 // Connections that transactions may not pin, reserved for single statements.
 constexpr int kUnpinnedReserve = 2;
+// A connection with shapes of more than this is reset before its next use.
+constexpr size_t kMaxPreparedBytes = size_t{256} << 10;
 
 bool HasUnansweredResume(const PooledConnection& connection) {
   return std::any_of(connection.sent.begin(), connection.sent.end(),
@@ -192,7 +194,9 @@
 std::vector<UpstreamCommand> UpstreamPool::SetUpCommands(
     PooledConnection* connection, const StatementCall& call) {
   std::vector<UpstreamCommand> commands;
-  bool has_surplus = false;
+  // Nothing is reset within a transaction.
+  bool has_surplus =
+      !connection->is_pinned && connection->prepared_bytes > kMaxPreparedBytes;
   for (const auto& value : connection->values) {
     if (call.values.count(value.first) == 0) has_surplus = true;
   }
@@ -202,6 +206,7 @@
     commands.push_back(reset);
     connection->values.clear();
     connection->prepared.clear();
+    connection->prepared_bytes = 0;
   }
   for (const auto& value : call.values) {
     auto found = connection->values.find(value.first);
@@ -221,6 +226,7 @@
     prepare.name = PreparedStatementName(call.prepared);
     prepare.prepared = call.prepared;
     commands.push_back(prepare);
+    connection->prepared_bytes += call.prepared.shape.size();
   }
   return commands;
 }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -47,6 +47,7 @@
   std::deque<SentCommand> sent;
   std::map<std::string, std::string> values;
   std::set<PreparedShape> prepared;
+  size_t prepared_bytes = 0;  // Of their shapes.
 
   bool is_idle() const {
     return is_open && !is_control && !is_pinned && !is_rolling_back &&
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -16,6 +16,8 @@
 
 constexpr char kLogPart[] = "daemon";
 constexpr char kMetricsPath[] = "/metrics";
+// Share of the machine's memory that sessions may keep: one part in so many.
+constexpr size_t kPartSessionState = 16;
 constexpr int kStatusNotReady = 503;
 constexpr int kStatusNotFound = 404;
 // Time to finish writing the answers of the last step before the daemon exits.
@@ -35,6 +37,8 @@
   proxy::ProxyOptions options;
   options.set_stop_limit(settings.sessions->stop_limit);
   options.set_drain_time(settings.sessions->drain_time);
+  options.set_session_state_limit(settings.sessions->memory_bytes /
+                                  kPartSessionState);
   return options;
 }
 
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -76,6 +76,9 @@
 ABSL_FLAG(int, cores, 1, "Cores to which --cpu_share applies: 1 to 1024.");
 ABSL_FLAG(int, max_descriptors, 4096,
           "File descriptors that this process may open: 256 to 1000000.");
+ABSL_FLAG(int, memory_mb, 0,
+          "Memory that this process may use: 64 to 1000000 MiB, or 0 if it is "
+          "not known.");
 ABSL_FLAG(double, grace_s, 6,
           "Time from the stop signal until the process is killed: 1 to 600 s.");
 
@@ -89,6 +92,10 @@
 // File descriptors that callers cannot use: those of files, upstreams, peers
 // and the platform.
 constexpr int kReservedDescriptors = 600;
+// Taken if the memory is not known. Callers inside the limits do not meet those
+// that follow from it.
+constexpr int kDefaultMemoryMb = 4096;
+constexpr int kLeastMemoryMb = 64;
 constexpr char kSettingsVariable[] = "FIREFLYCART_SETTINGS";
 constexpr char kVersion[] = "fireflycartd 0.1.0\n";
 
@@ -221,6 +228,14 @@
       "max_descriptors", absl::GetFlag(FLAGS_max_descriptors), 256, 1000000);
   settings.max_sessions =
       static_cast<size_t>(std::max(descriptors - kReservedDescriptors, 64));
+  int memory_mb = absl::GetFlag(FLAGS_memory_mb);
+  if (memory_mb != 0 && (memory_mb < kLeastMemoryMb || memory_mb > 1000000)) {
+    check->Add("memory_mb", absl::StrCat(memory_mb),
+               absl::StrCat("0, or a whole number from ", kLeastMemoryMb,
+                            " to 1000000"));
+  }
+  if (memory_mb == 0) memory_mb = kDefaultMemoryMb;
+  settings.memory_bytes = static_cast<size_t>(memory_mb) << 20;
   constexpr double kMillisPerSecond = 1000;
   settings.stop_limit = Duration::Millis(check->Range(
       "grace_s (in milliseconds)",
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -33,6 +33,7 @@
   std::string promotion_address;
   int cpu_permille = 1000;
   size_t max_sessions = 1;
+  size_t memory_bytes = 0;  // Of the machine.
   Duration stop_limit;
   Duration drain_time;
 };
