Callers: reading stops at a share, and a turn of the loop is bounded

Cause: up to 2 MiB of later lines were buffered for each caller, and all of them were processed in one turn of the loop, whatever waited; a large message was received whatever others held; an answer of 4 MiB waited for each caller that didn't read.

Change: a caller's session asks the memory budget. Reading stops while a statement is pending and 4 KiB wait, while more than 64 KiB of answers are unread, and while a message of over 16 KiB waits for its place; what is held is charged, and who holds most goes when it is short. Counters on the metrics page, and the log lines memory.held_most and memory.too_slow.

--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -59,7 +59,9 @@
       wake_up_timer_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       reducer_(MakeVmRecord(settings_), MakeProxyOptions(settings_),
-               settings_.seed) {
+               settings_.seed),
+      memory_(&io_, &clock_, settings_.sessions->memory_bytes,
+              static_cast<MemoryObserver*>(this)) {
   std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -81,7 +83,7 @@
   platform::CallerLimits limits;
   limits.sessions = sessions.max_sessions;
   ports_ = platform::OpenPlatform(&io_, addresses, settings_.identity.vm,
-                                  limits, &clock_, this);
+                                  limits, &memory_, &clock_, this);
   ready_server_ =
       StartHttpServer(MakeServerOptions(sessions.ready_address), this);
   metrics_server_ =
@@ -163,6 +165,23 @@
   });
 }
 
+// Waiting is no fault of a single caller and part of every crowd, so it is
+// only counted.
+void SessionDaemon::OnLimitMet(MemoryLimit limit, const MemoryHolder& holder,
+                               size_t held) {
+  if (limit == MemoryLimit::kWaits) return;
+  proxy::WriteRecord record;
+  record.level = LogLevel::kWarning;
+  record.part = "memory";
+  record.event = MemoryLimitName(limit);
+  const MemoryBudget& budget = memory_.budget();
+  record.fields = {{"who", holder.Describe()},
+                   {"held", std::to_string(held)},
+                   {"held_by_all", std::to_string(budget.held())},
+                   {"limit", std::to_string(budget.holdings_limit())}};
+  PerformOne(record);
+}
+
 void SessionDaemon::LogChangedSettings() {
   proxy::WriteRecord record;
   record.part = kLogPart;
@@ -195,8 +214,9 @@
     return;
   }
   boost::asio::post(io_, [this, responder] {
-    responder->Respond(PlainResponse(200, "text/plain; version=0.0.4",
-                                     metrics_.Render(reducer_.gauges())));
+    responder->Respond(
+        PlainResponse(200, "text/plain; version=0.0.4",
+                      metrics_.Render(reducer_.gauges(), memory_.budget())));
   });
 }
 
--- a/fireflycart/daemon/session_daemon.h
+++ b/fireflycart/daemon/session_daemon.h
@@ -23,6 +23,7 @@
 #include "fireflycart/net/boot_clock.h"
 #include "fireflycart/net/http2_transport.h"
 #include "fireflycart/net/http_server.h"
+#include "fireflycart/net/memory_guard.h"
 #include "fireflycart/net/proxy_ports.h"
 #include "platform/platform_ports.h"
 
@@ -30,7 +31,8 @@
 
 class SessionDaemon : private proxy::EventSink,
                       private PeerHandler,
-                      private HttpHandler {
+                      private HttpHandler,
+                      private MemoryObserver {
  public:
   explicit SessionDaemon(Settings settings);
   ~SessionDaemon() override;
@@ -50,6 +52,10 @@
                      std::shared_ptr<HttpResponder> responder) override;
   void OnHttpClosed(uint64_t connection) override { (void)connection; }
 
+  // MemoryObserver.
+  void OnLimitMet(MemoryLimit limit, const MemoryHolder& holder,
+                  size_t held) override;
+
   void ProcessQueuedEvents();
   void Perform(proxy::ProxyEffects effects);
   void PerformOne(const proxy::GreetCaller& e) { ports_.callers->Greet(e); }
@@ -84,6 +90,7 @@
   boost::asio::signal_set signals_;
   proxy::ProxyReducer reducer_;
   SessionMetrics metrics_;
+  MemoryGuard memory_;
   std::unique_ptr<Http2Transport> peers_;
   platform::PlatformPorts ports_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -31,7 +31,8 @@
           "\""]++;
 }
 
-std::string SessionMetrics::Render(const proxy::ProxyGauges& gauges) const {
+std::string SessionMetrics::Render(const proxy::ProxyGauges& gauges,
+                                   const MemoryBudget& memory) const {
   std::ostringstream out;
   out << "# TYPE fireflycart_statements_total counter\n";
   for (const auto& item : statements_) {
@@ -62,6 +63,14 @@
   Gauge("ready", gauges.is_ready ? 1 : 0, &out);
   Gauge("follows_store", gauges.follows_store ? 1 : 0, &out);
   Gauge("store_age_ms", gauges.store_age.millis(), &out);
+  Gauge("memory_held_bytes", memory.held(), &out);
+  Gauge("memory_held_limit_bytes", memory.holdings_limit(), &out);
+  out << "# TYPE fireflycart_memory_limits_met_total counter\n";
+  for (MemoryLimit limit :
+       {MemoryLimit::kWaits, MemoryLimit::kTooSlow, MemoryLimit::kHeldMost}) {
+    out << "fireflycart_memory_limits_met_total{limit=\""
+        << MemoryLimitName(limit) << "\"} " << memory.count(limit) << "\n";
+  }
   return out.str();
 }
 
--- a/fireflycart/daemon/session_metrics.h
+++ b/fireflycart/daemon/session_metrics.h
@@ -2,7 +2,7 @@
 // Prometheus text format.
 //
 //   metrics.Count(effect);
-//   std::string page = metrics.Render(reducer.gauges());
+//   std::string page = metrics.Render(reducer.gauges(), memory.budget());
 //
 // Limits: not thread-safe. The range of latencies is that of LatencyHistogram.
 
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 
+#include "fireflycart/core/admission/memory_budget.h"
 #include "fireflycart/core/proxy/proxy_reducer.h"
 #include "fireflycart/daemon/latency_histogram.h"
 
@@ -25,7 +26,8 @@
   void CountStoreCall() { store_calls_++; }
   void CountRecord(const proxy::WriteRecord& record);
 
-  std::string Render(const proxy::ProxyGauges& gauges) const;
+  std::string Render(const proxy::ProxyGauges& gauges,
+                     const MemoryBudget& memory) const;
 
  private:
   std::map<std::string, uint64_t> statements_;  // By the rendered labels.
--- a/fireflycart/net/stream_socket.cc
+++ b/fireflycart/net/stream_socket.cc
@@ -6,18 +6,18 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
 namespace fireflycart {
 namespace {
 
-constexpr size_t kReadBufferBytes = 65536;
-
 // Shared by all connections of the thread; OnBytes consumes its content before
 // the next read.
-std::array<char, kReadBufferBytes>& SharedReadBuffer() {
-  static std::array<char, kReadBufferBytes> buffer;
+template <size_t size>
+std::array<char, size>& SharedReadBuffer() {
+  static std::array<char, size> buffer;
   return buffer;
 }
 
@@ -39,7 +39,14 @@
     Fail(error.message());
     return;
   }
-  WaitForReadable();
+  has_started_ = true;
+  if (!is_paused_) WaitForReadable();
+}
+
+void StreamSocket::ResumeReading() {
+  if (!is_paused_) return;
+  is_paused_ = false;
+  if (!closed_ && has_started_ && !is_waiting_for_readable_) WaitForReadable();
 }
 
 void StreamSocket::ResetOnClose() {
@@ -51,22 +58,26 @@
 }
 
 void StreamSocket::WaitForReadable() {
+  is_waiting_for_readable_ = true;
   auto self = shared_from_this();
   socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
                      [this, self](boost::system::error_code error) {
+                       is_waiting_for_readable_ = false;
                        if (closed_) return;
                        if (error) {
                          Fail(error.message());
                          return;
                        }
-                       ReadAvailable();
+                       if (!is_paused_) ReadAvailable();
                      });
 }
 
 void StreamSocket::ReadAvailable() {
-  std::array<char, kReadBufferBytes>& buffer = SharedReadBuffer();
+  std::array<char, kMaxReadBytes>& buffer = SharedReadBuffer<kMaxReadBytes>();
   boost::system::error_code error;
-  size_t size = socket_.read_some(boost::asio::buffer(buffer), error);
+  size_t wanted = std::min(buffer.size(), MaxReadBytes());
+  size_t size =
+      socket_.read_some(boost::asio::buffer(buffer.data(), wanted), error);
   if (error == boost::asio::error::would_block) {
     WaitForReadable();
     return;
@@ -76,7 +87,8 @@
     return;
   }
   OnBytes(buffer.data(), size);
-  if (!closed_) WaitForReadable();
+  // OnBytes may have paused and resumed reading, which waits already.
+  if (!closed_ && !is_paused_ && !is_waiting_for_readable_) WaitForReadable();
 }
 
 void StreamSocket::Write(const std::string& bytes) {
@@ -117,6 +129,7 @@
                          return;
                        }
                        WriteSome();
+                       if (!closed_) OnWritten();
                      });
 }
 
@@ -134,6 +147,9 @@
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
   }
   socket_.close(ignored);
+  // A handler may keep the object for a moment.
+  std::string().swap(unsent_);
+  OnReleased();
 }
 
 void StreamSocket::Fail(const std::string& reason) {
--- a/fireflycart/net/stream_socket.h
+++ b/fireflycart/net/stream_socket.h
@@ -6,7 +6,9 @@
 //   session->Write(bytes);
 //
 // Limits: one thread. If more than kMaxUnsentBytes bytes are queued for
-// sending, the connection is closed, since its peer does not read.
+// sending, the connection is closed, since its peer does not read. While
+// reading is paused, the kernel holds what arrives, and a close by the peer is
+// not seen unless something is written.
 
 #ifndef FIREFLYCART_NET_STREAM_SOCKET_H_
 #define FIREFLYCART_NET_STREAM_SOCKET_H_
@@ -43,10 +45,24 @@
   void Close();
   bool closed() const { return closed_; }
 
+  // Leaves what arrives with the kernel, until ResumeReading().
+  void PauseReading() { is_paused_ = true; }
+  void ResumeReading();
+  // Bytes that the kernel has not accepted yet.
+  size_t unsent_size() const { return unsent_.size(); }
+
  protected:
   virtual void OnBytes(const char* data, size_t size) = 0;
   // The peer closed the connection, or it failed.
   virtual void OnClosed(const std::string& reason) = 0;
+  // The kernel accepted some bytes that had to wait.
+  virtual void OnWritten() {}
+  // The socket was closed, by whomever, and the unsent bytes are gone.
+  virtual void OnReleased() {}
+  // How much OnBytes may be given at a time.
+  virtual size_t MaxReadBytes() const { return kMaxReadBytes; }
+
+  static constexpr size_t kMaxReadBytes = 65536;
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
 
@@ -59,6 +75,9 @@
 
   boost::asio::ip::tcp::socket socket_;
   std::string unsent_;
+  bool has_started_ = false;
+  bool is_paused_ = false;
+  bool is_waiting_for_readable_ = false;
   bool is_waiting_for_writable_ = false;
   bool closes_after_writes_ = false;
   bool resets_on_close_ = false;
