Peers: a request's body waits for its place, connections and headers are bounded

Connections without a request stayed for good, and without free descriptors the listener for peers accepted in a busy loop. The header of a probe had no limit of its own.

Change: a server of a daemon that serves sessions opens a stream's window to 64 KiB, and further only once the request has its place in the budget; the window of the connection stays open, so streams that wait hold up no other. What streams hold is charged to their connection. At most 400 connections of peers; one that sends no request in 5 s is closed. Ready and metrics ports: headers of 64 fields of 4 KiB, and 10 s for a request.

--- a/fireflycart/daemon/daemon.cc
+++ b/fireflycart/daemon/daemon.cc
@@ -37,7 +37,7 @@
 
 void Daemon::Start() {
   peers_ = std::make_unique<Http2Transport>(&traffic_io_, settings_.identity.vm,
-                                            this);
+                                            this, nullptr);
   upstreams_ = MakeHttpUpstreamAdapter(&traffic_io_, this);
   platform_ =
       MakeHttpPlatformAdapter(&traffic_io_, settings_.platform_address, this);
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -18,6 +18,10 @@
 constexpr char kMetricsPath[] = "/metrics";
 // Share of the machine's memory that sessions may keep: one part in so many.
 constexpr size_t kPartSessionState = 16;
+// A connection of the readiness probe or of the metrics page that sends no
+// request for this time is closed.
+constexpr Duration kProbeIdleTime = Duration::Seconds(10);
+constexpr size_t kMaxProbeHeaderBytes = 4096;
 constexpr int kStatusNotReady = 503;
 constexpr int kStatusNotFound = 404;
 // Time to finish writing the answers of the last step before the daemon exits.
@@ -48,6 +52,8 @@
   options.port = address.port;
   options.max_body = 0;
   options.max_connections = 64;
+  options.idle_timeout = kProbeIdleTime;
+  options.max_header_bytes = kMaxProbeHeaderBytes;
   return options;
 }
 
@@ -73,8 +79,8 @@
 void SessionDaemon::Run() {
   const SessionSettings& sessions = *settings_.sessions;
   PeerHandler* handler = this;
-  peers_ =
-      std::make_unique<Http2Transport>(&io_, settings_.identity.vm, handler);
+  peers_ = std::make_unique<Http2Transport>(&io_, settings_.identity.vm,
+                                            handler, &memory_);
   peers_->Listen(settings_.peer_listen_address.ip,
                  settings_.peer_listen_address.port);
   platform::PlatformAddresses addresses{sessions.session_address,
--- a/fireflycart/net/http2_connection.h
+++ b/fireflycart/net/http2_connection.h
@@ -6,7 +6,10 @@
 //   connection->SubmitResponse(stream, body);
 //
 // Limits: one thread. A stream's body is at most kMaxPeerMessageBytes bytes; at
-// most kMaxConcurrentStreams streams are open at a time.
+// most kMaxConcurrentStreams streams are open at a time. A server that is given
+// a MemoryGuard receives kStreamWindowBytes of each stream, and more only once
+// the stream has a reservation; the connection is closed if it holds most while
+// the memory is short.
 
 #ifndef FIREFLYCART_NET_HTTP2_CONNECTION_H_
 #define FIREFLYCART_NET_HTTP2_CONNECTION_H_
@@ -22,21 +25,33 @@
 #include <string>
 #include <vector>
 
+#include "fireflycart/net/memory_guard.h"
+
 namespace fireflycart {
 
 constexpr uint32_t kMaxConcurrentStreams = 4096;
+// What a guarded server receives of a stream at once.
+constexpr int32_t kStreamWindowBytes = 64 << 10;
 
 struct Http2Header {
   std::string name;
   std::string value;
 };
 
-class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
+class Http2Connection : public std::enable_shared_from_this<Http2Connection>,
+                        public MemoryHolder {
  public:
   enum class Side { kClient, kServer };
 
-  Http2Connection(boost::asio::ip::tcp::socket socket, Side side);
-  virtual ~Http2Connection();
+  // `memory` is null for a client, and for a server without an account.
+  Http2Connection(boost::asio::ip::tcp::socket socket, Side side,
+                  MemoryGuard* memory);
+  ~Http2Connection() override;
+
+  // MemoryHolder, for all streams without a reservation.
+  void OnMayReceive() override {}
+  void OnMustGo() override;
+  std::string Describe() const override;
 
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
@@ -66,6 +81,13 @@
     std::string body;
     size_t sent = 0;
   };
+  class StreamTurn;
+  // What a guarded server holds for a stream, until it is closed.
+  struct StreamAccount {
+    size_t bytes = 0;
+    size_t withheld = 0;  // Received, and not given back to the window.
+    std::shared_ptr<StreamTurn> turn;  // Once it is more than small.
+  };
 
   static Http2Connection* Self(void* user_data);
   static ssize_t ReadBody(nghttp2_session* session, int32_t stream,
@@ -84,6 +106,13 @@
   static int StreamClosed(nghttp2_session* session, int32_t stream,
                           uint32_t error, void* user_data);
 
+  // Sets what is held for a stream.
+  void HoldStream(int32_t stream, size_t bytes);
+  // Accounts for a part of a body, and asks for more of it if there is room.
+  void ReceiveStream(int32_t stream, size_t body, size_t length);
+  void ContinueStream(int32_t stream);
+  void ForgetStream(int32_t stream);
+  void ForgetAllStreams();
   void ReadSome();
   void Flush();
   nghttp2_data_provider Provider(int32_t stream);
@@ -91,6 +120,9 @@
   static constexpr size_t kReadBufferBytes = 65536;
 
   boost::asio::ip::tcp::socket socket_;
+  MemoryGuard* memory_;
+  std::map<int32_t, StreamAccount> accounts_;
+  size_t held_bytes_ = 0;  // Sum of the accounts without a reservation.
   nghttp2_session* session_ = nullptr;
   std::array<uint8_t, kReadBufferBytes> read_buffer_;
   std::string write_buffer_;
--- a/fireflycart/net/http2_transport.cc
+++ b/fireflycart/net/http2_transport.cc
@@ -23,6 +23,8 @@
 
 constexpr char kFromHeader[] = "x-from";
 constexpr char kPath[] = "/peer";
+constexpr size_t kMaxNameBytes = 256;
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
 }  // namespace
 
@@ -46,7 +48,7 @@
  public:
   ClientConnection(Tcp::socket socket, std::string address,
                    Http2Transport* transport)
-      : Http2Connection(std::move(socket), Side::kClient),
+      : Http2Connection(std::move(socket), Side::kClient, nullptr),
         address_(std::move(address)),
         transport_(transport) {}
 
@@ -73,31 +75,43 @@
 class Http2Transport::ServerConnection : public Http2Connection {
  public:
   ServerConnection(Tcp::socket socket, Http2Transport* transport)
-      : Http2Connection(std::move(socket), Side::kServer),
+      : Http2Connection(std::move(socket), Side::kServer, transport->memory_),
         transport_(transport) {}
 
+  bool has_requested() const { return has_requested_; }
+
  protected:
   void OnHeader(int32_t stream, const std::string& name,
                 const std::string& value) override {
-    if (name == kFromHeader) from_[stream] = VmId(value);
+    if (name != kFromHeader || value.size() > kMaxNameBytes) return;
+    from_[stream] = VmId(value);
   }
   void OnMessage(int32_t stream, std::string body) override {
+    has_requested_ = true;
     VmId from = from_[stream];
     from_.erase(stream);
     auto self = std::static_pointer_cast<ServerConnection>(shared_from_this());
     transport_->OnRequest(self, stream, from, body);
   }
   void OnStreamClosed(int32_t stream) override { from_.erase(stream); }
-  void OnClosed() override { from_.clear(); }
+  void OnClosed() override {
+    from_.clear();
+    transport_->connections_--;
+  }
 
  private:
   Http2Transport* transport_;
   std::map<int32_t, VmId> from_;
+  bool has_requested_ = false;
 };
 
 Http2Transport::Http2Transport(boost::asio::io_context* io, VmId self,
-                               PeerHandler* handler)
-    : io_(io), self_(std::move(self)), handler_(handler) {}
+                               PeerHandler* handler, MemoryGuard* memory)
+    : io_(io),
+      self_(std::move(self)),
+      handler_(handler),
+      memory_(memory),
+      accept_retry_timer_(*io) {}
 
 Http2Transport::~Http2Transport() {
   for (auto& item : channels_) {
@@ -136,13 +150,35 @@
   acceptor_->async_accept(
       [this](boost::system::error_code error, Tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) return;
-        if (!error) {
-          std::make_shared<ServerConnection>(std::move(socket), this)->Start();
+        if (error) {
+          // Most likely the process is out of file descriptors; some may be
+          // free later.
+          accept_retry_timer_.expires_after(kAcceptRetryDelay);
+          accept_retry_timer_.async_wait([this](boost::system::error_code e) {
+            if (!e) Accept();
+          });
+          return;
         }
+        AddConnection(std::move(socket));
         Accept();
       });
 }
 
+void Http2Transport::AddConnection(Tcp::socket socket) {
+  // At the limit, the destructor of the socket closes the connection.
+  if (connections_ >= kMaxPeerConnections) return;
+  connections_++;
+  auto connection = std::make_shared<ServerConnection>(std::move(socket), this);
+  connection->Start();
+  auto timer = std::make_shared<boost::asio::steady_timer>(*io_);
+  timer->expires_after(std::chrono::milliseconds(kFirstRequestTime.millis()));
+  std::weak_ptr<ServerConnection> weak = connection;
+  timer->async_wait([timer, weak](boost::system::error_code) {
+    auto locked = weak.lock();
+    if (locked && !locked->has_requested()) locked->Close();
+  });
+}
+
 void Http2Transport::StartCall(const CallPeer& call) {
   auto pending = std::make_shared<PendingCall>();
   pending->call = call;
--- a/fireflycart/net/http2_transport.h
+++ b/fireflycart/net/http2_transport.h
@@ -5,7 +5,8 @@
 //
 // Limits: everything runs on the one thread of the io_context. For each peer,
 // at most kMaxQueuedCalls calls are queued for a connection; further calls end
-// as not sent.
+// as not sent. At most kMaxPeerConnections connections are accepted at a time;
+// one that has sent no request within kFirstRequestTime is closed.
 
 #ifndef FIREFLYCART_NET_HTTP2_TRANSPORT_H_
 #define FIREFLYCART_NET_HTTP2_TRANSPORT_H_
@@ -26,10 +27,16 @@
 namespace fireflycart {
 
 constexpr size_t kMaxQueuedCalls = 10000;
+// More than the other VMs of the largest fleet, and within the descriptors that
+// callers cannot use.
+constexpr size_t kMaxPeerConnections = 400;
+constexpr Duration kFirstRequestTime = Duration::Seconds(5);
 
 class Http2Transport : public PeerTransport {
  public:
-  Http2Transport(boost::asio::io_context* io, VmId self, PeerHandler* handler);
+  // What requests hold is accounted for with `memory`, unless it is null.
+  Http2Transport(boost::asio::io_context* io, VmId self, PeerHandler* handler,
+                 MemoryGuard* memory);
   ~Http2Transport() override;
 
   // Throws Error(kUnavailable) if the address cannot be listened on.
@@ -50,6 +57,7 @@
   };
 
   void Accept();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
   void StartCall(const CallPeer& call);
   void Connect(const std::string& address, Channel* channel);
   void SubmitQueued(Channel* channel);
@@ -66,6 +74,9 @@
   boost::asio::io_context* io_;
   VmId self_;
   PeerHandler* handler_;
+  MemoryGuard* memory_;
+  boost::asio::steady_timer accept_retry_timer_;
+  size_t connections_ = 0;  // Accepted and not closed.
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::map<std::string, std::unique_ptr<Channel>> channels_;
   std::map<HandleId, PendingRequest> pending_requests_;
--- a/fireflycart/net/http_server.cc
+++ b/fireflycart/net/http_server.cc
@@ -146,8 +146,12 @@
           socket_options.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
         })
         .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t().max_body_size(
-                options.max_body));
+            restinio::incoming_http_msg_limits_t()
+                .max_url_size(options.max_header_bytes)
+                .max_field_name_size(options.max_header_bytes)
+                .max_field_value_size(options.max_header_bytes)
+                .max_field_count(kMaxHeaderFields)
+                .max_body_size(options.max_body));
     try {
       server_ = restinio::run_async<ServerTraits>(
           restinio::own_io_context(), std::move(settings), options.threads);
--- a/fireflycart/net/http_server.h
+++ b/fireflycart/net/http_server.h
@@ -5,7 +5,8 @@
 //   auto server = StartHttpServer(options, &handler);
 //   responder->Respond(HttpResponse{200, "application/json", body});
 //
-// Limits: the body of a request is at most max_body bytes, and at most
+// Limits: the body of a request is at most max_body bytes, its header
+// kMaxHeaderFields fields of max_header_bytes bytes, and at most
 // max_connections connections are served. Handler methods are called from the
 // server's threads, several at a time.
 
@@ -62,6 +63,8 @@
   virtual void OnHttpClosed(uint64_t connection) = 0;
 };
 
+constexpr size_t kMaxHeaderFields = 64;
+
 struct HttpServerOptions {
   std::string ip;
   uint16_t port = 0;
@@ -69,6 +72,8 @@
   size_t max_body = size_t{1} << 20;
   size_t max_connections = 20000;
   Duration idle_timeout = Duration::Seconds(600);
+  // Of the path, and of each of at most kMaxHeaderFields header fields.
+  size_t max_header_bytes = size_t{64} << 10;
 };
 
 class HttpServer {
