--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -48,7 +48,7 @@
       context_(self.vm, self.incarnation, seed),
       follower_(options.key_age_limit()),
       fleet_(self, this),
-      session_manager_(this) {}
+      session_manager_(this, options.session_state_limit()) {}
 
 ProxyEffects ProxyReducer::Start(TimePoint now) {
   ProxyEffects effects;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -46,11 +46,16 @@
   // taken away; zero if there is no such limit.
   Duration key_age_limit() const { return key_age_limit_; }
   void set_key_age_limit(Duration d) { key_age_limit_ = d; }
+  // Bytes that all sessions together may keep as values and prepared
+  // statements; see SessionStateQuota.
+  size_t session_state_limit() const { return session_state_limit_; }
+  void set_session_state_limit(size_t bytes) { session_state_limit_ = bytes; }
 
  private:
   Duration stop_limit_ = Duration::Millis(6000);
   Duration drain_time_ = Duration::Millis(7000);
   Duration key_age_limit_;
+  size_t session_state_limit_ = size_t{256} << 20;
 };
 
 // Current sizes of a VM's state.
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -16,6 +16,12 @@
 
 constexpr char kLogPart[] = "daemon";
 constexpr char kMetricsPath[] = "/metrics";
+// Share of the machine's memory that sessions may keep: one part in so many.
+constexpr size_t kPartSessionState = 16;
+// A connection of the readiness probe or of the metrics page that sends no
+// request for this time is closed.
+constexpr Duration kProbeIdleTime = Duration::Seconds(10);
+constexpr size_t kMaxProbeHeaderBytes = 4096;
 constexpr int kStatusNotReady = 503;
 constexpr int kStatusNotFound = 404;
 // Time to finish writing the answers of the last step before the daemon exits.
@@ -36,6 +42,8 @@
   options.set_stop_limit(settings.sessions->stop_limit);
   options.set_drain_time(settings.sessions->drain_time);
   options.set_key_age_limit(settings.sessions->key_age_limit);
+  options.set_session_state_limit(settings.sessions->memory_bytes /
+                                  kPartSessionState);
   return options;
 }
 
@@ -45,6 +53,8 @@
   options.port = address.port;
   options.max_body = 0;
   options.max_connections = 64;
+  options.idle_timeout = kProbeIdleTime;
+  options.max_header_bytes = kMaxProbeHeaderBytes;
   return options;
 }
 
@@ -56,7 +66,9 @@
       wake_up_timer_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       reducer_(MakeVmRecord(settings_), MakeProxyOptions(settings_),
-               settings_.seed) {
+               settings_.seed),
+      memory_(&io_, &clock_, settings_.sessions->memory_bytes,
+              static_cast<MemoryObserver*>(this)) {
   std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -68,8 +80,8 @@
 void SessionDaemon::Run() {
   const SessionSettings& sessions = *settings_.sessions;
   PeerHandler* handler = this;
-  peers_ =
-      std::make_unique<Http2Transport>(&io_, settings_.identity.vm, handler);
+  peers_ = std::make_unique<Http2Transport>(&io_, settings_.identity.vm,
+                                            handler, &memory_);
   peers_->Listen(settings_.peer_listen_address.ip,
                  settings_.peer_listen_address.port);
   platform::PlatformAddresses addresses{sessions.session_address,
@@ -78,7 +90,7 @@
   platform::CallerLimits limits;
   limits.sessions = sessions.max_sessions;
   ports_ = platform::OpenPlatform(&io_, addresses, settings_.identity.vm,
-                                  limits, &clock_, this);
+                                  limits, &memory_, &clock_, this);
   ready_server_ =
       StartHttpServer(MakeServerOptions(sessions.ready_address), this);
   metrics_server_ =
@@ -160,6 +172,23 @@
   });
 }
 
+// Waiting is no fault of a single caller and part of every crowd, so it is
+// only counted.
+void SessionDaemon::OnLimitMet(MemoryLimit limit, const MemoryHolder& holder,
+                               size_t held) {
+  if (limit == MemoryLimit::kWaits) return;
+  proxy::WriteRecord record;
+  record.level = LogLevel::kWarning;
+  record.part = "memory";
+  record.event = MemoryLimitName(limit);
+  const MemoryBudget& budget = memory_.budget();
+  record.fields = {{"who", holder.Describe()},
+                   {"held", std::to_string(held)},
+                   {"held_by_all", std::to_string(budget.held())},
+                   {"limit", std::to_string(budget.holdings_limit())}};
+  PerformOne(record);
+}
+
 void SessionDaemon::LogChangedSettings() {
   proxy::WriteRecord record;
   record.part = kLogPart;
@@ -192,8 +221,9 @@
     return;
   }
   boost::asio::post(io_, [this, responder] {
-    responder->Respond(PlainResponse(200, "text/plain; version=0.0.4",
-                                     metrics_.Render(reducer_.gauges())));
+    responder->Respond(
+        PlainResponse(200, "text/plain; version=0.0.4",
+                      metrics_.Render(reducer_.gauges(), memory_.budget())));
   });
 }
 
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -56,7 +56,8 @@
           "\""]++;
 }
 
-std::string SessionMetrics::Render(const proxy::ProxyGauges& gauges) const {
+std::string SessionMetrics::Render(const proxy::ProxyGauges& gauges,
+                                   const MemoryBudget& memory) const {
   std::ostringstream out;
   out << "# TYPE fireflycart_statements_total counter\n";
   for (const auto& item : statements_) {
@@ -90,6 +91,14 @@
   Gauge("store_age_ms", gauges.store_age.millis(), &out);
   Gauge("key_age_ms", gauges.key_age.millis(), &out);
   Gauge("keys_current", gauges.has_current_keys ? 1 : 0, &out);
+  Gauge("memory_held_bytes", memory.held(), &out);
+  Gauge("memory_held_limit_bytes", memory.holdings_limit(), &out);
+  out << "# TYPE fireflycart_memory_limits_met_total counter\n";
+  for (MemoryLimit limit :
+       {MemoryLimit::kWaits, MemoryLimit::kTooSlow, MemoryLimit::kHeldMost}) {
+    out << "fireflycart_memory_limits_met_total{limit=\""
+        << MemoryLimitName(limit) << "\"} " << memory.count(limit) << "\n";
+  }
   return out.str();
 }
 
