Peers: at the limit of connections, the one without a request for longest goes

Cause: connections that have failed silently stay at the server. With a fixed limit they would keep out the peers' new ones.

Change: a further connection takes the place of the least used one; those that never sent a request go first.

--- a/fireflycart/net/http2_transport.cc
+++ b/fireflycart/net/http2_transport.cc
@@ -76,9 +76,15 @@
  public:
   ServerConnection(Tcp::socket socket, Http2Transport* transport)
       : Http2Connection(std::move(socket), Side::kServer, transport->memory_),
-        transport_(transport) {}
+        transport_(transport),
+        last_use_(++transport->last_use_) {}
 
   bool has_requested() const { return has_requested_; }
+  // True if it is rather to be closed than the other one.
+  bool IsLessUsedThan(const ServerConnection& o) const {
+    return std::make_pair(has_requested_, last_use_) <
+           std::make_pair(o.has_requested_, o.last_use_);
+  }
 
  protected:
   void OnHeader(int32_t stream, const std::string& name,
@@ -88,6 +94,7 @@
   }
   void OnMessage(int32_t stream, std::string body) override {
     has_requested_ = true;
+    last_use_ = ++transport_->last_use_;
     VmId from = from_[stream];
     from_.erase(stream);
     auto self = std::static_pointer_cast<ServerConnection>(shared_from_this());
@@ -96,13 +103,14 @@
   void OnStreamClosed(int32_t stream) override { from_.erase(stream); }
   void OnClosed() override {
     from_.clear();
-    transport_->connections_--;
+    transport_->connections_.erase(this);
   }
 
  private:
   Http2Transport* transport_;
   std::map<int32_t, VmId> from_;
   bool has_requested_ = false;
+  uint64_t last_use_;  // Order of the last request, or of its opening.
 };
 
 Http2Transport::Http2Transport(boost::asio::io_context* io, VmId self,
@@ -164,11 +172,20 @@
       });
 }
 
+void Http2Transport::CloseLeastUsed() {
+  std::shared_ptr<ServerConnection> least;
+  for (const auto& item : connections_) {
+    std::shared_ptr<ServerConnection> connection = item.second.lock();
+    if (!connection) continue;
+    if (!least || connection->IsLessUsedThan(*least)) least = connection;
+  }
+  if (least) least->Close();
+}
+
 void Http2Transport::AddConnection(Tcp::socket socket) {
-  // At the limit, the destructor of the socket closes the connection.
-  if (connections_ >= kMaxPeerConnections) return;
-  connections_++;
+  if (connections_.size() >= kMaxPeerConnections) CloseLeastUsed();
   auto connection = std::make_shared<ServerConnection>(std::move(socket), this);
+  connections_[connection.get()] = connection;
   connection->Start();
   auto timer = std::make_shared<boost::asio::steady_timer>(*io_);
   timer->expires_after(std::chrono::milliseconds(kFirstRequestTime.millis()));
--- a/fireflycart/net/http2_transport.h
+++ b/fireflycart/net/http2_transport.h
@@ -5,8 +5,10 @@
 //
 // Limits: everything runs on the one thread of the io_context. For each peer,
 // at most kMaxQueuedCalls calls are queued for a connection; further calls end
-// as not sent. At most kMaxPeerConnections connections are accepted at a time;
-// one that has sent no request within kFirstRequestTime is closed.
+// as not sent. At most kMaxPeerConnections connections of peers are open; a
+// further one takes the place of the one that has been without a request for
+// longest, since it may have failed silently. One that has sent no request
+// within kFirstRequestTime is closed.
 
 #ifndef FIREFLYCART_NET_HTTP2_TRANSPORT_H_
 #define FIREFLYCART_NET_HTTP2_TRANSPORT_H_
@@ -57,6 +59,7 @@
   };
 
   void Accept();
+  void CloseLeastUsed();
   void AddConnection(boost::asio::ip::tcp::socket socket);
   void StartCall(const CallPeer& call);
   void Connect(const std::string& address, Channel* channel);
@@ -76,7 +79,9 @@
   PeerHandler* handler_;
   MemoryGuard* memory_;
   boost::asio::steady_timer accept_retry_timer_;
-  size_t connections_ = 0;  // Accepted and not closed.
+  // Accepted and not closed.
+  std::map<ServerConnection*, std::weak_ptr<ServerConnection>> connections_;
+  uint64_t last_use_ = 0;  // Counts connections and requests.
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::map<std::string, std::unique_ptr<Channel>> channels_;
   std::map<HandleId, PendingRequest> pending_requests_;
--- a/fireflycart/net/testing/http2_transport_test.cc
+++ b/fireflycart/net/testing/http2_transport_test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(Calls_LargeOnes_AreAnsweredOneAfterAnother);
   CPPUNIT_TEST(Calls_LargeOneUnanswered_SmallOneIsAnswered);
   CPPUNIT_TEST(Connection_WithoutRequest_IsClosed);
+  CPPUNIT_TEST(Connections_MoreThanLimit_PeerIsStillServed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -137,6 +138,22 @@
     CPPUNIT_ASSERT(is_closed);
   }
 
+  // The silent ones make room for each other; the peer keeps its connection.
+  void Connections_MoreThanLimit_PeerIsStillServed() {
+    Call("READ a");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountAnswered(1));
+    std::vector<std::unique_ptr<Tcp::socket>> silent;
+    for (size_t i = 0; i < kMaxPeerConnections + 10; i++) {
+      silent.push_back(std::make_unique<Tcp::socket>(*io_));
+      silent.back()->connect(
+          Tcp::endpoint(boost::asio::ip::make_address(kIp), port_));
+      io_->run_for(std::chrono::milliseconds(1));
+      io_->restart();
+    }
+    Call("READ a");
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, CountAnswered(2));
+  }
+
  private:
   void Call(const std::string& text) {
     proxy::StatementCall statement;
