--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -165,14 +165,14 @@
                  ConfigFetchCall, ConfigAnnounceCall, SpareOrdinalCall,
                  HandoverCall, HandoverRequestCall, proxy::StatementCall,
                  proxy::EndTransactionCall, proxy::CancelQueuedCall,
-                 proxy::HeartbeatCall, proxy::SnapshotCall>;
+                 proxy::HeartbeatCall, proxy::SnapshotCall, proxy::EvidenceCall>;
 
 using PeerReplyBody =
     std::variant<PingReply, IndirectPingReply, ForwardReply, CancelReply,
                  ConfigFetchReply, ConfigAnnounceReply, SpareOrdinalReply,
                  HandoverReply, HandoverRequestReply, proxy::StatementReply,
                  proxy::EndTransactionReply, proxy::CancelQueuedReply,
-                 proxy::HeartbeatReply, proxy::SnapshotReply>;
+                 proxy::HeartbeatReply, proxy::SnapshotReply, proxy::EvidenceReply>;
 
 enum class PeerCallError {
   kNone,
--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -64,10 +64,32 @@
     if (item.second.can_own) able_to_own.push_back(item.second.record);
   }
   owners_ = PlaceGroups(groups_, able_to_own);
+  RecomputeReaders(able_to_own);
   contacts_ = ContactsOf(self_.vm, usable);
   RecomputeStoreReaders();
 }
 
+void Fleet::RecomputeReaders(const std::vector<VmRecord>& able_to_own) {
+  readers_.clear();
+  data_centres_.clear();
+  std::vector<VmRecord> nearby;
+  std::map<VmId, DataCentreId> homes;
+  for (const VmRecord& vm : able_to_own) {
+    homes[vm.vm] = vm.data_centre;
+    if (vm.data_centre == DataCentreId()) continue;
+    data_centres_.insert(vm.data_centre);
+    if (vm.data_centre == self_.data_centre) nearby.push_back(vm);
+  }
+  if (data_centres_.size() < 2) {
+    data_centres_.clear();
+    return;
+  }
+  readers_ = PlaceGroups(groups_, nearby);
+  for (const auto& item : owners_) {
+    if (homes[item.second] == self_.data_centre) readers_.erase(item.first);
+  }
+}
+
 void Fleet::RecomputeStoreReaders() {
   std::vector<VmId> with_store;
   size_t without_store = 0;
@@ -88,11 +110,23 @@
   return found == owners_.end() ? self_.vm : found->second;
 }
 
+VmId Fleet::ReaderOf(const GroupId& group) const {
+  auto found = readers_.find(group);
+  return found == readers_.end() ? VmId() : found->second;
+}
+
 std::string Fleet::AddressOf(const VmId& vm) const {
   auto found = vms_.find(vm);
   return found == vms_.end() ? "" : found->second.record.address;
 }
 
+DataCentreId Fleet::DataCentreOf(const VmId& vm) const {
+  if (vm == self_.vm) return self_.data_centre;
+  auto found = vms_.find(vm);
+  return found == vms_.end() ? DataCentreId()
+                             : found->second.record.data_centre;
+}
+
 bool Fleet::IsUsable(const VmId& vm) const {
   if (vm == self_.vm) return true;
   auto found = vms_.find(vm);
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -77,7 +77,14 @@
 
   // The VM that should own the group; this one if no other can.
   VmId OwnerOf(const GroupId& group) const;
+  // The VM in this VM's data centre that should read from the group's replicas
+  // there; empty if the owner is in this data centre.
+  VmId ReaderOf(const GroupId& group) const;
+  // The data centres of the VMs that can own groups; empty if all are in one.
+  const std::set<DataCentreId>& data_centres() const { return data_centres_; }
   std::string AddressOf(const VmId& vm) const;
+  // Empty if the VM is not known.
+  DataCentreId DataCentreOf(const VmId& vm) const;
   bool IsUsable(const VmId& vm) const;
   std::vector<VmRecord> Records() const;
   // The VMs that follow the store, from the view of this one.
@@ -138,6 +145,7 @@
   void SetDown(Vm* vm, bool is_down, const char* cause, ProxyContext* context);
   void AddVm(const VmRecord& record, ProxyContext* context);
   void Recompute();
+  void RecomputeReaders(const std::vector<VmRecord>& able_to_own);
   void RecomputeStoreReaders();
   void ProbeWatchedReader(ProxyContext* context);
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
@@ -153,6 +161,8 @@
   std::map<CallId, VmId> probes_;
   std::vector<GroupId> groups_;
   std::map<GroupId, VmId> owners_;
+  std::map<GroupId, VmId> readers_;
+  std::set<DataCentreId> data_centres_;
   StoreReaders store_readers_;
   uint64_t version_ = 1;
   TimePoint next_probe_;
--- a/fireflycart/core/proxy/forwarder.cc
+++ b/fireflycart/core/proxy/forwarder.cc
@@ -2,6 +2,7 @@
 
 #include "fireflycart/core/proxy/forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fireflycart::proxy {
@@ -9,12 +10,21 @@
 
 constexpr char kPart[] = "forward";
 
+// The call as it is sent to the owner next.
+StatementCall WithoutSpentTime(StatementCall call, Duration spent) {
+  call.time_left = call.time_left - spent;
+  call.target_left = call.target_left - spent;
+  call.at_reader = false;
+  return call;
+}
+
 }  // namespace
 
 void Forwarder::Send(SessionNumber session, StatementCall call, const VmId& vm,
                      const std::string& address, ProxyContext* context) {
   CallId id = context->NextCall();
   Duration limit = call.time_left + kCallTimeoutMargin;
+  if (call.at_reader) limit = std::min(limit, kReaderTimeout);
   context->Emit(CallPeer{id, vm, address, limit, call});
   open_calls_[id] = OpenCall{session, vm, std::move(call), context->now()};
 }
@@ -49,6 +59,14 @@
   result.is_own_call = true;
   result.session = open_call.session;
   result.vm = open_call.vm;
+  if (body->is_for_owner) {
+    // The reader is well; the retries are for VMs that are lost.
+    result.action = Action::kRetry;
+    result.call = WithoutSpentTime(std::move(open_call.call),
+                                   context->now() - open_call.sent);
+    result.reply = *body;
+    return result;
+  }
   if (!body->is_misdirected) {
     attempts_.erase(open_call.session);
     result.action = Action::kAnswer;
@@ -78,10 +96,8 @@
   bool has_time = spent < call.time_left;
   int attempts = ++attempts_[open_call.session];
   if (can_reroute && is_safe_to_retry && has_time && attempts < kMaxAttempts) {
-    call.time_left = call.time_left - spent;
-    call.target_left = call.target_left - spent;
     result.action = Action::kRetry;
-    result.call = std::move(call);
+    result.call = WithoutSpentTime(std::move(call), spent);
     return result;
   }
   result.action = Action::kAnswer;
--- a/fireflycart/core/proxy/forwarder.h
+++ b/fireflycart/core/proxy/forwarder.h
@@ -28,6 +28,9 @@
   // Added to the time left for the statement, so that the owner's answer
   // arrives before the call times out.
   static constexpr Duration kCallTimeoutMargin = Duration::Millis(100);
+  // A reader answers or returns a statement within less time, unless it is
+  // lost.
+  static constexpr Duration kReaderTimeout = Duration::Millis(1300);
 
   enum class Action {
     kNothing,  // The call was not sent by this class.
--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "fireflycart/core/proxy/group_owner.h"
+#include "fireflycart/core/proxy/group_reader.h"
 
 namespace fireflycart::proxy {
 namespace {
@@ -80,6 +81,10 @@
   if (ok) {
     service_times_.OnServed(ServiceKindOf(work->call),
                             context->now() - work->sent.time, context->now());
+    if (GroupReader::IsServable(work->call)) {
+      read_times_.OnServed(ServiceKind(), context->now() - work->sent.time,
+                           context->now());
+    }
   }
   if (!work->in_transaction()) {
     if (!ok) {
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -1,7 +1,11 @@
 // Work that needs the primary is dispatched first. A read that may run on a
-// replica goes to the least loaded replica that is known to have the log
-// position that the read requires, and to the primary only if it has a free
-// slot that no other work is queued for.
+// replica goes to a replica that is known to have the log position that the
+// read requires: to one in this VM's data centre while it has a free slot, and
+// otherwise to the least loaded one. It goes to the primary only if that has a
+// free slot that no other work is queued for, and if no replica can take it or
+// the primary alone is in this data centre and half idle. So work leaves the
+// data centre slot by slot as the nearby upstreams fill up; nothing is
+// remembered that could swing.
 //
 // A read that must contain all commits up to a given time requires the replica
 // to have a position that the primary had at such a time. LeadershipTracker
@@ -148,7 +152,10 @@
       queue_.First(Lane::kAny, context->now(), [&](const Work& candidate) {
         if (context->now() < candidate.not_before) return false;
         chosen = ReplicaFor(candidate, context);
-        if (chosen != nullptr) return true;
+        if (chosen != nullptr) {
+          if (IsPrimaryNearer(candidate, *chosen, context)) chosen = Primary();
+          return true;
+        }
         PooledUpstream* primary = Primary();
         bool has_free_slot = primary != nullptr &&
                              primary->running < primary->record.slots &&
@@ -185,6 +192,25 @@
   return now - lag < leadership_.ReachedAt(min_position);
 }
 
+bool GroupOwner::HasRoomNearby(const PooledUpstream& upstream) const {
+  return data_centre_ != DataCentreId() &&
+         upstream.record.data_centre == data_centre_ &&
+         upstream.running < upstream.record.slots;
+}
+
+bool GroupOwner::IsPrimaryNearer(const Work& work,
+                                 const PooledUpstream& replica,
+                                 ProxyContext* context) {
+  const PooledUpstream* primary = Primary();
+  bool has_room = primary != nullptr && HasRoomNearby(*primary) &&
+                  2 * primary->running < primary->record.slots &&
+                  work.excluded_upstreams.count(primary_) == 0;
+  // The lane of the primary's own work was served first, so what is left in it
+  // waits for something else than a slot.
+  return has_room && !HasRoomNearby(replica) &&
+         MayStartAtPrimary(work, context);
+}
+
 PooledUpstream* GroupOwner::ReplicaFor(const Work& work,
                                        ProxyContext* context) {
   LogPosition min_position = MinPositionFor(work);
@@ -201,10 +227,13 @@
     if (!is_usable) continue;
     if (IsBehind(upstream, min_position, context->now())) continue;
     if (work.in_transaction() && !pool_.MayPin(item.first)) continue;
+    bool is_nearby = HasRoomNearby(upstream);
+    bool is_best_nearby = best != nullptr && HasRoomNearby(*best);
     // Compares the running statements per slot, cross-multiplied.
-    bool is_better =
+    bool is_less_loaded =
         best == nullptr || upstream.running * best->record.slots <
                                best->running * upstream.record.slots;
+    bool is_better = is_nearby == is_best_nearby ? is_less_loaded : is_nearby;
     if (is_better) best = &upstream;
   }
   if (best == nullptr) context->WakeAt(context->now() + kReplicaRecheckDelay);
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "fireflycart/core/proxy/group_reader.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -33,6 +35,34 @@
   pool_.SetMaxConnections(spec.max_connections);
 }
 
+void GroupOwner::SetReaderDataCentres(
+    const std::set<DataCentreId>& data_centres) {
+  if (data_centres == reader_data_centres_) return;
+  reader_data_centres_ = data_centres;
+  ShareConnections();
+}
+
+void GroupOwner::ShareConnections() {
+  for (auto& item : pool_.upstreams()) {
+    const UpstreamRecord& record = item.second.record;
+    bool has_reader = record.data_centre != data_centre_ &&
+                      reader_data_centres_.count(record.data_centre) != 0 &&
+                      GroupReader::IsUsable(record, record.data_centre);
+    item.second.connection_share = has_reader ? GroupReader::kOwnerShare : 100;
+  }
+}
+
+EvidenceReply GroupOwner::Evidence(TimePoint now) const {
+  EvidenceReply reply;
+  TimePoint time;
+  reply.position = leadership_.NewestPosition(&time);
+  reply.is_known = reply.position.known();
+  if (reply.is_known) reply.age = now - time;
+  reply.read_wait = read_wait_;
+  reply.read_service = read_times_.Expected(ServiceKind(), now);
+  return reply;
+}
+
 void GroupOwner::SetUpstreams(const std::vector<UpstreamRecord>& records,
                               ProxyContext* context) {
   std::set<UpstreamId> restarted;
@@ -44,6 +74,7 @@
     if (is_restarted) restarted.insert(record.id);
   }
   pool_.SetRecords(records, context);
+  ShareConnections();
   // State observed before the restart does not apply to the new process.
   for (const UpstreamId& id : restarted) {
     for (ConnectionId connection : pool_.ConnectionsOf(id)) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -58,12 +58,19 @@
   GroupOwner(GroupSpec spec, StatementReplyHandler* reply_handler);
 
   void SetSpec(const GroupSpec& spec);
+  // Sets the data centres that have readers of the group. The owner leaves them
+  // a share of the connections of the replicas there.
+  void SetReaderDataCentres(const std::set<DataCentreId>& data_centres);
   // Time after which an idle transaction is rolled back; zero: never.
   void SetTransactionIdleTimeout(Duration limit) {
     transaction_idle_timeout_ = limit;
   }
   // Time after which a leaving upstream is sent no new statements.
   void SetDrainLimit(Duration limit) { pool_.SetDrainLimit(limit); }
+  // Data centre of this VM; empty: none is preferred for reads.
+  void SetDataCentre(const DataCentreId& data_centre) {
+    data_centre_ = data_centre;
+  }
   // The upstreams that were set include the changes up to about this time.
   void SetListTime(TimePoint list_time) { pool_.SetListTime(list_time); }
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
@@ -111,9 +118,12 @@
   // Sets whether the other VMs have answered recently.
   void SetFleetReachable(bool is_confirmed, ProxyContext* context);
   UpstreamId primary() const { return primary_; }
+  // For a reader of the group in another data centre.
+  EvidenceReply Evidence(TimePoint now) const;
   size_t connection_count() const { return pool_.connection_count(); }
 
  private:
+  void ShareConnections();
   void ReturnQueued(ProxyContext* context);
 
   struct Transaction {
@@ -142,6 +152,12 @@
   // connection may mean that another process runs there, which knows nothing.
   PooledUpstream* Primary();
   PooledUpstream* ReplicaFor(const Work& work, ProxyContext* context);
+  // True if the upstream is in this VM's data centre and has a free slot.
+  bool HasRoomNearby(const PooledUpstream& upstream) const;
+  // True if the primary should take this read although a replica could, which
+  // is in another data centre.
+  bool IsPrimaryNearer(const Work& work, const PooledUpstream& replica,
+                       ProxyContext* context);
   bool IsBehind(const PooledUpstream& replica, LogPosition min_position,
                 TimePoint now) const;
   LogPosition MinPositionFor(const Work& work) const;
@@ -274,6 +290,8 @@
   void Reevaluate(ProxyContext* context);
 
   GroupSpec spec_;
+  DataCentreId data_centre_;
+  std::set<DataCentreId> reader_data_centres_;
   StatementReplyHandler* reply_handler_;
   UpstreamPool pool_;
   LeadershipTracker leadership_;
@@ -307,6 +325,7 @@
   TimePoint last_unconfirmed_at_;
   TimePoint evidence_requested_at_;
   ServiceTimes service_times_;
+  ServiceTimes read_times_;  // Of all reads that a replica may serve.
   std::array<ArrivalLoad, kLanes> arrivals_;
   std::array<ArrivalLoad, kLanes> late_starts_;
   QueueOutlook queue_outlook_;
--- a/fireflycart/core/proxy/leadership_tracker.cc
+++ b/fireflycart/core/proxy/leadership_tracker.cc
@@ -91,4 +91,14 @@
   return LogPosition();
 }
 
+LogPosition LeadershipTracker::NewestPosition(TimePoint* time) const {
+  if (!is_confirmed_) return LogPosition();
+  for (auto it = samples_.rbegin(); it != samples_.rend(); ++it) {
+    if (it->sent.sequence > confirmed_.sequence) continue;
+    *time = it->sent.time;
+    return it->position;
+  }
+  return LogPosition();
+}
+
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/leadership_tracker.h
+++ b/fireflycart/core/proxy/leadership_tracker.h
@@ -74,6 +74,10 @@
   // before that time; unknown if there is none.
   LogPosition MinPositionFor(TimePoint time) const;
 
+  // Returns the newest position that is known to cover every commit
+  // acknowledged before its time, and sets that time; unknown if there is none.
+  LogPosition NewestPosition(TimePoint* time) const;
+
   // Returns the replication lag of an upstream that had exactly this position
   // at that time. It is a lower bound: the actual lag may be longer.
   Duration LagOf(LogPosition applied, TimePoint at) const;
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -55,6 +55,9 @@
   int priority = 0;
   Duration target_left;  // Until the operation misses its target.
   Duration time_left;    // Until the statement times out.
+  // For the receiver's reader of the group, not for the group's owner. Earlier
+  // versions treat the receiver as the owner, as any VM may be.
+  bool at_reader = false;
 };
 
 struct StatementReply {
@@ -68,6 +71,22 @@
   bool is_misdirected = false;
   // The owner is about to stop; later statements must go to another VM.
   bool is_leaving = false;
+  // The reader did not serve the statement; it has to go to the owner.
+  bool is_for_owner = false;
+};
+
+// Asks the owner of a group for a position of the primary that was confirmed.
+struct EvidenceCall {
+  GroupId group;
+};
+struct EvidenceReply {
+  bool is_known = false;
+  LogPosition position;  // Covers what was acknowledged until `age` ago.
+  Duration age;
+  // Expected wait at the owner of a read that may run on a replica, and how
+  // long such reads have run; zero if there were none.
+  Duration read_wait;
+  Duration read_service;
 };
 
 // Ends a transaction whose caller rolled back or disconnected, or that the VM
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -32,6 +32,7 @@
 // their probes.
 constexpr size_t kMaxStopNotices = 100;
 constexpr Duration kNoticeTimeout = Duration::Millis(500);
+constexpr Duration kEvidenceTimeout = Duration::Millis(500);
 // Shortest time between two updates of the fleet from the list of VMs.
 constexpr Duration kFleetUpdateInterval = Duration::Millis(200);
 constexpr Duration kSnapshotTimeout = Duration::Millis(1000);
@@ -47,7 +48,8 @@
       options_(options),
       context_(self.vm, self.incarnation, seed),
       fleet_(self, this),
-      session_manager_(this) {}
+      session_manager_(this),
+      traffic_(self_.data_centre) {}
 
 ProxyEffects ProxyReducer::Start(TimePoint now) {
   ProxyEffects effects;
@@ -72,6 +74,9 @@
   for (auto& item : owners_) {
     item.second->SetListTime(follower_.upstreams_confirmed_at());
   }
+  for (auto& item : readers_) {
+    item.second->SetListTime(follower_.upstreams_confirmed_at());
+  }
   if (is_due) OnWake();
   ApplyChanges();
   TrackConnections(&effects);
@@ -80,10 +85,32 @@
 
 void ProxyReducer::TrackConnections(ProxyEffects* effects) {
   for (const ProxyEffect& effect : *effects) {
+    CountTraffic(effect);
     if (const auto* open = std::get_if<OpenUpstream>(&effect)) {
-      connection_groups_[open->connection.value()] = open->group;
+      ConnectionPlace place;
+      place.group = open->group;
+      auto record = follower_.upstreams().records.find(open->upstream);
+      if (record != follower_.upstreams().records.end()) {
+        place.data_centre = record->second.data_centre;
+      }
+      connections_[open->connection.value()] = place;
     } else if (const auto* close = std::get_if<CloseUpstream>(&effect)) {
-      connection_groups_.erase(close->connection.value());
+      connections_.erase(close->connection.value());
+    }
+  }
+}
+
+void ProxyReducer::CountTraffic(const ProxyEffect& effect) {
+  if (const auto* call = std::get_if<CallPeer>(&effect)) {
+    const auto* statement = std::get_if<StatementCall>(&call->body);
+    if (statement == nullptr) return;
+    traffic_.OnSent(fleet_.DataCentreOf(call->to), statement->text.size());
+  } else if (const auto* send = std::get_if<SendUpstream>(&effect)) {
+    auto found = connections_.find(send->connection.value());
+    if (found == connections_.end()) return;
+    for (const UpstreamCommand& command : send->commands) {
+      if (command.id == StatementId()) continue;
+      traffic_.OnSent(found->second.data_centre, command.text.size());
     }
   }
 }
@@ -93,6 +120,7 @@
   fleet_.OnWake(&context_);
   session_manager_.OnWake(&context_);
   for (auto& item : owners_) item.second->OnWake(&context_);
+  for (auto& item : readers_) item.second->OnWake(&context_);
   AdvanceStop();
 }
 
@@ -146,8 +174,17 @@
   for (const auto& item : table.groups) groups.push_back(item.first);
   fleet_.SetGroups(groups);
   std::map<GroupId, std::vector<UpstreamRecord>> by_group;
+  nearby_groups_.clear();
   for (const auto& item : follower_.upstreams().records) {
     by_group[item.second.group].push_back(WithTimes(item.second));
+    if (GroupReader::IsUsable(item.second, self_.data_centre)) {
+      nearby_groups_.insert(item.second.group);
+    }
+  }
+  for (auto& item : readers_) {
+    auto spec = table.groups.find(item.first);
+    if (spec != table.groups.end()) item.second->SetSpec(spec->second);
+    item.second->SetUpstreams(by_group[item.first], &context_);
   }
   for (auto& item : owners_) {
     auto spec = table.groups.find(item.first);
@@ -166,7 +203,11 @@
     bool is_assigned = !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
     bool exists = owners_.count(item.first) != 0;
     if (!is_assigned && !exists) continue;
-    OwnerFor(item.first)->SetAssigned(is_assigned, &context_);
+    GroupOwner* owner = OwnerFor(item.first);
+    if (options_.reads_nearby()) {
+      owner->SetReaderDataCentres(fleet_.data_centres());
+    }
+    owner->SetAssigned(is_assigned, &context_);
   }
 }
 
@@ -204,9 +245,13 @@
   auto owner = std::make_unique<GroupOwner>(spec->second, reply_handler);
   owner->SetTransactionIdleTimeout(table.transaction_idle_timeout);
   owner->SetDrainLimit(options_.drain_time() - kDrainMargin);
+  if (options_.reads_nearby()) owner->SetDataCentre(self_.data_centre);
   if (follower_.restored_at() != TimePoint()) {
     owner->OnStoreRestored(follower_.era(), follower_.restored_at());
   }
+  if (options_.reads_nearby()) {
+    owner->SetReaderDataCentres(fleet_.data_centres());
+  }
   owner->SetListTime(follower_.upstreams_confirmed_at());
   owner->SetUpstreams(records, &context_);
   GroupOwner* created = owner.get();
@@ -215,9 +260,9 @@
 }
 
 GroupOwner* ProxyReducer::OwnerOfConnection(ConnectionId connection) {
-  auto found = connection_groups_.find(connection.value());
-  if (found == connection_groups_.end()) return nullptr;
-  auto owner = owners_.find(found->second);
+  auto found = connections_.find(connection.value());
+  if (found == connections_.end()) return nullptr;
+  auto owner = owners_.find(found->second.group);
   return owner == owners_.end() ? nullptr : owner->second.get();
 }
 
@@ -248,6 +293,13 @@
     gauges.upstream_connections +=
         static_cast<int64_t>(owner.connection_count());
   }
+  for (const auto& item : readers_) {
+    gauges.reader_statements += static_cast<int64_t>(item.second->work_count());
+    gauges.upstream_connections +=
+        static_cast<int64_t>(item.second->connection_count());
+  }
+  gauges.inside_data_centre = traffic_.inside();
+  gauges.leaving_data_centre = traffic_.leaving();
   gauges.vms = static_cast<int64_t>(fleet_.size()) + 1;
   gauges.vms_down = static_cast<int64_t>(fleet_.down_count());
   gauges.routes_version = follower_.routes().version;
@@ -274,17 +326,34 @@
 }
 
 void ProxyReducer::Handle(const UpstreamOpened& event) {
+  if (GroupReader* reader = ReaderOfConnection(event.connection)) {
+    reader->OnOpened(event, &context_);
+    return;
+  }
   GroupOwner* owner = OwnerOfConnection(event.connection);
   if (owner != nullptr) owner->OnOpened(event, &context_);
 }
 
 void ProxyReducer::Handle(const UpstreamClosed& event) {
+  GroupReader* reader = ReaderOfConnection(event.connection);
   GroupOwner* owner = OwnerOfConnection(event.connection);
-  connection_groups_.erase(event.connection.value());
+  connections_.erase(event.connection.value());
+  if (reader != nullptr) {
+    reader->OnClosed(event, &context_);
+    return;
+  }
   if (owner != nullptr) owner->OnClosed(event, &context_);
 }
 
 void ProxyReducer::Handle(const UpstreamAnswered& event) {
+  auto place = connections_.find(event.connection.value());
+  if (place != connections_.end()) {
+    traffic_.OnRows(place->second.data_centre, event.answer.rows);
+  }
+  if (GroupReader* reader = ReaderOfConnection(event.connection)) {
+    reader->OnAnswered(event, &context_);
+    return;
+  }
   GroupOwner* owner = OwnerOfConnection(event.connection);
   if (owner != nullptr) owner->OnAnswered(event, &context_);
 }
@@ -297,6 +366,7 @@
 
 void ProxyReducer::Handle(const PeerReplied& event) {
   if (fleet_.OnReply(event, &context_)) return;
+  if (OnEvidenceReply(event)) return;
   if (snapshot_call_ != CallId() && event.call == snapshot_call_) {
     snapshot_call_ = CallId();
     const auto* body = std::get_if<SnapshotReply>(&event.body);
@@ -306,6 +376,7 @@
   }
   Forwarder::Result result = forwarder_.OnReply(event, &context_);
   if (!result.is_own_call) return;
+  traffic_.OnRows(fleet_.DataCentreOf(result.vm), result.reply.rows);
   if (result.has_call_failed) {
     fleet_.OnCallFailed(result.vm, &context_);
   } else if (result.is_misdirected) {
@@ -315,7 +386,7 @@
     if (result.reply.is_leaving) fleet_.OnLeaving(result.vm, &context_);
   }
   if (result.action == Forwarder::Action::kRetry) {
-    Route(result.session, std::move(result.call));
+    RouteToOwner(result.session, std::move(result.call));
   } else {
     session_manager_.OnReply(result.session, std::move(result.reply),
                              &context_);
@@ -375,6 +446,7 @@
     // again.
     returns_queued_ = true;
     for (auto& item : owners_) item.second->EndForStop(&context_);
+    for (auto& item : readers_) item.second->ReturnQueued(&context_);
     session_manager_.CancelQueued(&context_);
   }
   std::string busy_groups;
@@ -408,6 +480,10 @@
                     owner.is_replacing_primary();
     if (has_work) *busy_groups += item.first.value() + " ";
   }
+  for (const auto& item : readers_) {
+    if (item.second->work_count() != 0)
+      *busy_groups += item.first.value() + " ";
+  }
   return !busy_groups->empty() || session_manager_.size() != 0 ||
          session_manager_.IsAwaitingClose(context_.now());
 }
@@ -421,7 +497,118 @@
   return vm;
 }
 
+VmId ProxyReducer::ReaderVm(const StatementCall& call) const {
+  bool may_use_reader = options_.reads_nearby() &&
+                        GroupReader::IsServable(call) &&
+                        nearby_groups_.count(call.group) != 0;
+  return may_use_reader ? fleet_.ReaderOf(call.group) : VmId();
+}
+
 void ProxyReducer::Route(SessionNumber session, StatementCall call) {
+  VmId reader = ReaderVm(call);
+  if (reader == VmId()) {
+    RouteToOwner(session, std::move(call));
+    return;
+  }
+  call.at_reader = true;
+  if (reader == self_.vm) {
+    WorkOrigin origin;
+    origin.session = session;
+    SubmitToReader(std::move(call), origin);
+    return;
+  }
+  fleet_.OnCallSent(reader, &context_);
+  forwarder_.Send(session, std::move(call), reader, fleet_.AddressOf(reader),
+                  &context_);
+}
+
+void ProxyReducer::SubmitToReader(StatementCall call,
+                                  const WorkOrigin& origin) {
+  GroupReader* reader = is_stopping_ ? nullptr : ReaderFor(call.group);
+  if (reader == nullptr) {
+    call.at_reader = false;
+    OnReadReturned(origin, std::move(call));
+    return;
+  }
+  reader->Submit(std::move(call), origin, &context_);
+}
+
+GroupReader* ProxyReducer::FindReader(const GroupId& group) {
+  auto found = readers_.find(group);
+  return found == readers_.end() ? nullptr : found->second.get();
+}
+
+GroupReader* ProxyReducer::ReaderOfConnection(ConnectionId connection) {
+  auto found = connections_.find(connection.value());
+  if (found == connections_.end()) return nullptr;
+  GroupReader* reader = FindReader(found->second.group);
+  bool has = reader != nullptr && reader->HasConnection(connection);
+  return has ? reader : nullptr;
+}
+
+GroupReader* ProxyReducer::ReaderFor(const GroupId& group) {
+  GroupReader* found = FindReader(group);
+  if (found != nullptr) return found;
+  const RouteTable& table = follower_.routes();
+  auto spec = table.groups.find(group);
+  if (spec == table.groups.end() || !follower_.has_upstreams()) return nullptr;
+  std::vector<UpstreamRecord> records;
+  for (const auto& item : follower_.upstreams().records) {
+    if (item.second.group == group) records.push_back(WithTimes(item.second));
+  }
+  ReadHandler* handler = this;
+  auto reader = std::make_unique<GroupReader>(spec->second, self_.data_centre,
+                                              options_.zone_balance(), handler);
+  reader->SetListTime(follower_.upstreams_confirmed_at());
+  reader->SetUpstreams(records, &context_);
+  GroupReader* created = reader.get();
+  readers_[group] = std::move(reader);
+  return created;
+}
+
+// Where limits of tenants count what the owners do not see.
+void ProxyReducer::OnReadAdmitted(const StatementCall& call) { (void)call; }
+
+void ProxyReducer::OnReadDone(const WorkOrigin& origin, StatementReply reply) {
+  OnStatementDone(origin, std::move(reply));
+}
+
+void ProxyReducer::OnReadReturned(const WorkOrigin& origin,
+                                  StatementCall call) {
+  if (origin.is_local) {
+    RouteToOwner(origin.session, std::move(call));
+    return;
+  }
+  StatementReply reply;
+  reply.is_for_owner = true;
+  reply.is_leaving = is_stopping_;
+  context_.Emit(AnswerPeer{origin.handle, std::move(reply)});
+}
+
+void ProxyReducer::RequestEvidence(const GroupId& group) {
+  VmId owner = fleet_.OwnerOf(group);
+  if (owner == self_.vm || owner == VmId()) return;
+  CallId call = context_.NextCall();
+  evidence_requests_[call] = EvidenceRequest{group, context_.now()};
+  context_.Emit(CallPeer{call, owner, fleet_.AddressOf(owner), kEvidenceTimeout,
+                         EvidenceCall{group}});
+}
+
+bool ProxyReducer::OnEvidenceReply(const PeerReplied& event) {
+  auto found = evidence_requests_.find(event.call);
+  if (found == evidence_requests_.end()) return false;
+  EvidenceRequest request = found->second;
+  evidence_requests_.erase(found);
+  const auto* reply = std::get_if<EvidenceReply>(&event.body);
+  bool is_answered = event.error == PeerCallError::kNone && reply != nullptr;
+  GroupReader* reader = FindReader(request.group);
+  if (is_answered && reader != nullptr) {
+    reader->OnEvidence(request.sent, *reply, &context_);
+  }
+  return true;
+}
+
+void ProxyReducer::RouteToOwner(SessionNumber session, StatementCall call) {
   VmId vm = TargetVm(session, call);
   if (vm == self_.vm || vm == VmId()) {
     WorkOrigin origin;
@@ -459,6 +646,10 @@
   // The VM that has the statement may own the group no longer.
   VmId vm = forwarder_.OpenCallVm(call.session.session);
   if (vm == VmId()) {
+    GroupReader* reader = FindReader(call.group);
+    bool is_cancelled = reader != nullptr &&
+                        reader->CancelQueued(call.session, call.id, &context_);
+    if (is_cancelled) return;
     GroupOwner* owner = OwnerFor(call.group);
     if (owner != nullptr) owner->CancelQueued(call.session, call.id, &context_);
     return;
@@ -525,6 +716,10 @@
   WorkOrigin origin;
   origin.is_local = false;
   origin.handle = handle;
+  if (call.at_reader) {
+    SubmitToReader(call, origin);
+    return;
+  }
   GroupOwner* owner = OwnerFor(call.group);
   bool continues =
       call.transaction != TransactionKind::kNone && !call.opens_transaction;
@@ -552,7 +747,10 @@
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const CancelQueuedCall& call) {
   (void)from;
-  GroupOwner* owner = OwnerFor(call.group);
+  GroupReader* reader = FindReader(call.group);
+  bool is_cancelled = reader != nullptr &&
+                      reader->CancelQueued(call.session, call.id, &context_);
+  GroupOwner* owner = is_cancelled ? nullptr : OwnerFor(call.group);
   if (owner != nullptr) owner->CancelQueued(call.session, call.id, &context_);
   context_.Emit(AnswerPeer{handle, CancelQueuedReply()});
 }
@@ -579,6 +777,17 @@
   context_.Emit(AnswerPeer{handle, std::move(reply)});
 }
 
+void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
+                              const EvidenceCall& call) {
+  (void)from;
+  EvidenceReply reply;
+  auto found = owners_.find(call.group);
+  if (found != owners_.end()) {
+    reply = found->second->Evidence(context_.now());
+  }
+  context_.Emit(AnswerPeer{handle, reply});
+}
+
 template <typename T>
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const T& call) {
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -17,14 +17,17 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
 #include "fireflycart/core/proxy/fleet.h"
 #include "fireflycart/core/proxy/forwarder.h"
 #include "fireflycart/core/proxy/group_owner.h"
+#include "fireflycart/core/proxy/group_reader.h"
 #include "fireflycart/core/proxy/session_manager.h"
 #include "fireflycart/core/proxy/store_follower.h"
+#include "fireflycart/core/proxy/zone_traffic.h"
 
 namespace fireflycart::proxy {
 
@@ -40,9 +43,21 @@
   Duration drain_time() const { return drain_time_; }
   void set_drain_time(Duration d) { drain_time_ = d; }
 
+  // True if reads may run at replicas in the data centre of their caller's VM
+  // without passing through the owner of the group.
+  bool reads_nearby() const { return reads_nearby_; }
+  void set_reads_nearby(bool is_on) { reads_nearby_ = is_on; }
+
+  const ZoneBalanceOptions& zone_balance() const { return zone_balance_; }
+  void set_zone_balance(const ZoneBalanceOptions& options) {
+    zone_balance_ = options;
+  }
+
  private:
   Duration stop_limit_ = Duration::Millis(6000);
   Duration drain_time_ = Duration::Millis(7000);
+  bool reads_nearby_ = true;
+  ZoneBalanceOptions zone_balance_;
 };
 
 // Current sizes of a VM's state.
@@ -54,7 +69,10 @@
   int64_t groups_awaiting_upstream = 0;
   int64_t owner_statements = 0;
   int64_t owner_transactions = 0;
+  int64_t reader_statements = 0;
   int64_t upstream_connections = 0;
+  ZoneTraffic::Counts inside_data_centre;
+  ZoneTraffic::Counts leaving_data_centre;
   int64_t vms = 0;
   int64_t vms_down = 0;
   uint64_t routes_version = 0;
@@ -65,6 +83,7 @@
 
 class ProxyReducer : private StatementRouter,
                      private StatementReplyHandler,
+                     private ReadHandler,
                      private HeartbeatHandler {
  public:
   ProxyReducer(VmRecord self, const ProxyOptions& options, uint64_t seed);
@@ -104,6 +123,7 @@
                   const CancelQueuedCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const HeartbeatCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const SnapshotCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const EvidenceCall& call);
   template <typename T>
   void OnPeerCall(HandleId handle, const VmId& from, const T& call);
 
@@ -116,6 +136,12 @@
   // StatementReplyHandler.
   void OnStatementDone(const WorkOrigin& origin, StatementReply reply) override;
 
+  // ReadHandler.
+  void OnReadAdmitted(const StatementCall& call) override;
+  void OnReadDone(const WorkOrigin& origin, StatementReply reply) override;
+  void OnReadReturned(const WorkOrigin& origin, StatementCall call) override;
+  void RequestEvidence(const GroupId& group) override;
+
   // HeartbeatHandler.
   Heartbeat MakeHeartbeat() const override;
   void OnPeerHeartbeat(const VmId& vm, const Heartbeat& heartbeat) override;
@@ -125,6 +151,15 @@
   UpstreamRecord WithTimes(UpstreamRecord record) const;
   GroupOwner* OwnerFor(const GroupId& group);
   GroupOwner* OwnerOfConnection(ConnectionId connection);
+  GroupReader* ReaderFor(const GroupId& group);
+  GroupReader* FindReader(const GroupId& group);
+  // The reader that has the connection; null if an owner has it.
+  GroupReader* ReaderOfConnection(ConnectionId connection);
+  // The VM whose reader should serve the statement; empty if the owner should.
+  VmId ReaderVm(const StatementCall& call) const;
+  void SubmitToReader(StatementCall call, const WorkOrigin& origin);
+  void RouteToOwner(SessionNumber session, StatementCall call);
+  bool OnEvidenceReply(const PeerReplied& event);
   // Selects the VM for a statement, and pins it if a transaction begins.
   VmId TargetVm(SessionNumber session, const StatementCall& call);
   void RequestSnapshot();
@@ -140,6 +175,7 @@
   // this VM. Appends the names of such groups.
   bool IsBusyWhileStopping(std::string* busy_groups) const;
   void TrackConnections(ProxyEffects* effects);
+  void CountTraffic(const ProxyEffect& effect);
 
   VmRecord self_;
   ProxyOptions options_;
@@ -149,7 +185,20 @@
   SessionManager session_manager_;
   Forwarder forwarder_;
   std::map<GroupId, std::unique_ptr<GroupOwner>> owners_;
-  std::unordered_map<uint64_t, GroupId> connection_groups_;
+  std::map<GroupId, std::unique_ptr<GroupReader>> readers_;
+  // Groups with an upstream in this data centre that a reader may use.
+  std::set<GroupId> nearby_groups_;
+  struct EvidenceRequest {
+    GroupId group;
+    TimePoint sent;
+  };
+  std::map<CallId, EvidenceRequest> evidence_requests_;
+  ZoneTraffic traffic_;
+  struct ConnectionPlace {
+    GroupId group;
+    DataCentreId data_centre;
+  };
+  std::unordered_map<uint64_t, ConnectionPlace> connections_;
   CallId snapshot_call_;
   VmId newer_peer_;  // Has newer data; receives the next snapshot request.
   std::string newer_peer_address_;
--- a/fireflycart/core/proxy/testing/fleet_test.cc
+++ b/fireflycart/core/proxy/testing/fleet_test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(Peer_SendsNoTables_OwnsNothingAndIsNotDown);
   CPPUNIT_TEST(Peer_LacksTablesAndIsSilent_IsAskedUntilItHasThem);
   CPPUNIT_TEST(Vm_KnowsNoOtherVm_FollowsTheStore);
+  CPPUNIT_TEST(ReaderOf_TwoDataCentres_NearbyVmUnlessOwnerIsNearby);
+  CPPUNIT_TEST(ReaderOf_OneDataCentre_None);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +76,29 @@
     CPPUNIT_ASSERT(fleet_->IsUsable(peer_));
   }
 
+  void ReaderOf_TwoDataCentres_NearbyVmUnlessOwnerIsNearby() {
+    SetDataCentres(2);
+    int readers = 0;
+    for (const GroupId& group : groups_) {
+      VmId reader = fleet_->ReaderOf(group);
+      bool is_owner_nearby =
+          fleet_->DataCentreOf(fleet_->OwnerOf(group)) == DataCentreId("dc-0");
+      CPPUNIT_ASSERT_EQUAL(is_owner_nearby, reader == VmId());
+      if (reader == VmId()) continue;
+      readers++;
+      CPPUNIT_ASSERT(fleet_->DataCentreOf(reader) == DataCentreId("dc-0"));
+    }
+    CPPUNIT_ASSERT(readers > 0);
+  }
+
+  void ReaderOf_OneDataCentre_None() {
+    SetDataCentres(1);
+    for (const GroupId& group : groups_) {
+      CPPUNIT_ASSERT_EQUAL(VmId(), fleet_->ReaderOf(group));
+    }
+    CPPUNIT_ASSERT(fleet_->data_centres().empty());
+  }
+
   // Else this VM would keep the peer's groups for itself while the others send
   // their statements to the peer.
   void Peer_LacksTablesAndIsSilent_IsAskedUntilItHasThem() {
@@ -95,6 +120,23 @@
   }
 
  private:
+  // VM i is in number i % count.
+  void SetDataCentres(int count) {
+    VmList list;
+    list.version.number = 2;
+    for (int i = 0; i < kVms; i++) {
+      VmRecord vm;
+      vm.vm = VmId("vm-" + std::to_string(i));
+      vm.data_centre = DataCentreId("dc-" + std::to_string(i % count));
+      vm.cpu_permille = 250;
+      vm.incarnation = 2;
+      list.records[vm.vm] = vm;
+    }
+    fleet_ = std::make_unique<Fleet>(list.records[kSelf], &handler_);
+    fleet_->SetVms(list, &context_);
+    fleet_->SetGroups(groups_);
+  }
+
   void Advance(Duration time) {
     now_ = now_ + time;
     context_.Begin(now_, &effects_);
--- a/fireflycart/core/proxy/testing/forwarder_test.cc
+++ b/fireflycart/core/proxy/testing/forwarder_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST_SUITE(ForwarderTest);
   CPPUNIT_TEST(Reply_Misdirected_IsRetriedAndVmIsNotLost);
   CPPUNIT_TEST(Reply_CallOfWriteBroken_OutcomeIsUnknownAndVmIsLost);
+  CPPUNIT_TEST(Reply_OfReaderThatDidNotServe_IsSentToOwner);
+  CPPUNIT_TEST(Reply_CallOfReaderBroken_IsSentToOwner);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,7 +48,40 @@
     CPPUNIT_ASSERT(result.has_call_failed);
   }
 
+  void Reply_OfReaderThatDidNotServe_IsSentToOwner() {
+    SendToReader();
+    context_.Begin(TimePoint::FromMillis(1030), &effects_);
+    StatementReply reply;
+    reply.is_for_owner = true;
+    Forwarder::Result result = forwarder_.OnReply(
+        PeerReplied{call_, PeerCallError::kNone, reply}, &context_);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
+    CPPUNIT_ASSERT(!result.has_call_failed);
+    CPPUNIT_ASSERT(!result.is_misdirected);
+    CPPUNIT_ASSERT(!result.call.at_reader);
+    CPPUNIT_ASSERT(result.call.time_left == Duration::Millis(770));
+    CPPUNIT_ASSERT_EQUAL(kOwner, result.vm);
+  }
+
+  void Reply_CallOfReaderBroken_IsSentToOwner() {
+    SendToReader();
+    Forwarder::Result result = forwarder_.OnReply(
+        PeerReplied{call_, PeerCallError::kBroken, PeerReplyBody()}, &context_);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
+    CPPUNIT_ASSERT(result.has_call_failed);
+    CPPUNIT_ASSERT(!result.call.at_reader);
+  }
+
  private:
+  void SendToReader() {
+    StatementCall call;
+    call.access = Access::kRead;
+    call.time_left = Duration::Millis(800);
+    call.at_reader = true;
+    forwarder_.Send(kSession, call, kOwner, "address", &context_);
+    call_ = std::get<CallPeer>(effects_.back()).call;
+  }
+
   ProxyContext context_{VmId("vm-0"), 1, 1};
   ProxyEffects effects_;
   Forwarder forwarder_;
--- a/fireflycart/core/proxy/testing/leadership_tracker_test.cc
+++ b/fireflycart/core/proxy/testing/leadership_tracker_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(Reset_PrimaryChanged_NothingConfirmed);
   CPPUNIT_TEST(LagOf_Replica_TimeSincePrimaryHadMore);
   CPPUNIT_TEST(ReachedAt_OutsideSamples_ZeroOrLastSample);
+  CPPUNIT_TEST(NewestPosition_LaterOneNotConfirmed_EarlierIsTaken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,19 @@
         !leadership_.MinPositionFor(TimePoint::FromMillis(301)).known());
   }
 
+  void NewestPosition_LaterOneNotConfirmed_EarlierIsTaken() {
+    TimePoint time;
+    leadership_.OnPrimaryPosition(At(100, 1), LogPosition{1, 5});
+    CPPUNIT_ASSERT(!leadership_.NewestPosition(&time).known());
+    leadership_.OnPrimaryPosition(At(200, 2), LogPosition{1, 8});
+    leadership_.OnConfirmed(At(210, 3));
+    leadership_.OnPrimaryPosition(At(300, 4), LogPosition{1, 9});
+    CPPUNIT_ASSERT(leadership_.NewestPosition(&time) == (LogPosition{1, 8}));
+    CPPUNIT_ASSERT(time == TimePoint::FromMillis(200));
+    leadership_.Reset();
+    CPPUNIT_ASSERT(!leadership_.NewestPosition(&time).known());
+  }
+
   void OnConfirmed_OlderConfirmation_KeepsNewer() {
     leadership_.OnConfirmed(At(200, 9));
     leadership_.OnConfirmed(At(100, 4));
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -106,10 +106,13 @@
   upstreams_.erase(found);
 }
 
-int UpstreamPool::MaxDataConnections() const {
-  int shared_limit = (max_connections_ - 1) / 2;
+int UpstreamPool::MaxDataConnections(const UpstreamId& id) const {
+  const PooledUpstream* upstream = FindUpstream(id);
+  int share = upstream == nullptr ? 100 : upstream->connection_share;
+  int max_connections = max_connections_ * share / 100;
+  int shared_limit = (max_connections - 1) / 2;
   int sole_owner_limit =
-      max_connections_ * kSoleOwnerShareNumerator / kSoleOwnerShareDenominator;
+      max_connections * kSoleOwnerShareNumerator / kSoleOwnerShareDenominator;
   // One of them is the control connection.
   return std::max((is_sole_owner_ ? sole_owner_limit : shared_limit) - 1, 1);
 }
@@ -172,7 +175,7 @@
   bool may_open = upstream != nullptr && !is_opening && !upstream->is_down &&
                   context->now() >= upstream->next_open;
   if (!may_open) return nullptr;
-  if (upstream->connections >= MaxDataConnections()) {
+  if (upstream->connections >= MaxDataConnections(id)) {
     if (idle_of_other == ConnectionId()) return nullptr;
     Close(idle_of_other, context);
   }
@@ -186,7 +189,7 @@
     const PooledConnection& c = item.second;
     if (c.upstream == id && (c.is_pinned || c.is_rolling_back)) pinned++;
   }
-  return pinned < std::max(MaxDataConnections() - kUnpinnedReserve, 1);
+  return pinned < std::max(MaxDataConnections(id) - kUnpinnedReserve, 1);
 }
 
 std::vector<UpstreamCommand> UpstreamPool::SetUpCommands(
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -80,6 +80,8 @@
   TimePoint resume_may_arrive_until;
   LogPosition applied;  // Position in the last answer.
   TimePoint applied_at;
+  // Percentage of its connections that this pool may use.
+  int connection_share = 100;
 
   // True if the status came on the present control connection. A restart of the
   // upstream, which ends a hold, breaks that connection.
@@ -266,7 +268,7 @@
   void SetDrainLimit(Duration limit) { drain_limit_ = limit; }
 
  private:
-  int MaxDataConnections() const;
+  int MaxDataConnections(const UpstreamId& upstream) const;
   void Open(PooledUpstream* upstream, const TenantId& tenant, bool is_control,
             ProxyContext* context);
   void OnOpenFailed(PooledUpstream* upstream, const std::string& reason,
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -35,6 +35,10 @@
   proxy::ProxyOptions options;
   options.set_stop_limit(settings.sessions->stop_limit);
   options.set_drain_time(settings.sessions->drain_time);
+  options.set_reads_nearby(settings.sessions->reads_nearby);
+  proxy::ZoneBalanceOptions zone_balance;
+  zone_balance.leave_cost = settings.sessions->leave_cost;
+  options.set_zone_balance(zone_balance);
   return options;
 }
 
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -14,6 +14,15 @@
        << "fireflycart_" << name << " " << value << "\n";
 }
 
+// A counter of what stays in this VM's data centre and what leaves it.
+void Direction(const char* name, uint64_t inside, uint64_t leaving,
+               std::ostream* out) {
+  *out << "# TYPE fireflycart_" << name << " counter\n"
+       << "fireflycart_" << name << "{direction=\"inside\"} " << inside << "\n"
+       << "fireflycart_" << name << "{direction=\"leaving\"} " << leaving
+       << "\n";
+}
+
 }  // namespace
 
 void SessionMetrics::Count(const proxy::CountStatement& effect) {
@@ -49,12 +58,17 @@
   for (const auto& item : latency_) {
     item.second.Render("fireflycart_statement_ms", item.first, &out);
   }
+  Direction("statements_sent_total", gauges.inside_data_centre.statements,
+            gauges.leaving_data_centre.statements, &out);
+  Direction("statement_bytes_total", gauges.inside_data_centre.bytes,
+            gauges.leaving_data_centre.bytes, &out);
   Gauge("sessions", gauges.sessions, &out);
   Gauge("open_statements", gauges.open_statements, &out);
   Gauge("owned_groups", gauges.owned_groups, &out);
   Gauge("groups_awaiting_upstream", gauges.groups_awaiting_upstream, &out);
   Gauge("owner_statements", gauges.owner_statements, &out);
   Gauge("owner_transactions", gauges.owner_transactions, &out);
+  Gauge("reader_statements", gauges.reader_statements, &out);
   Gauge("upstream_connections", gauges.upstream_connections, &out);
   Gauge("vms", gauges.vms, &out);
   Gauge("vms_down", gauges.vms_down, &out);
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -79,6 +79,12 @@
 ABSL_FLAG(double, grace_s, 6,
           "Time from the stop signal until the process is killed: 1 to 600 s.");
 
+ABSL_FLAG(bool, reads_nearby, true,
+          "Whether reads may run at replicas in the data centre of the VM that "
+          "has the session, without passing through the owner of the group.");
+ABSL_FLAG(int, leave_cost_ms, 40,
+          "Price of the traffic between data centres, as the time that a read "
+          "may take longer rather than leave its own: 0 to 10000 ms.");
 ABSL_FLAG(int, drain_ms, 7000,
           "Time after which a leaving upstream must receive no new work items: "
           "2000 to 600000 ms.");
@@ -228,6 +234,9 @@
       600000));
   settings.drain_time = Duration::Millis(
       check->Range("drain_ms", absl::GetFlag(FLAGS_drain_ms), 2000, 600000));
+  settings.reads_nearby = absl::GetFlag(FLAGS_reads_nearby);
+  settings.leave_cost = Duration::Millis(check->Range(
+      "leave_cost_ms", absl::GetFlag(FLAGS_leave_cost_ms), 0, 10000));
   return settings;
 }
 
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -35,6 +35,8 @@
   size_t max_sessions = 1;
   Duration stop_limit;
   Duration drain_time;
+  bool reads_nearby = true;
+  Duration leave_cost;
 };
 
 struct Settings {
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -281,13 +281,26 @@
 }  // namespace
 
 Json ToJson(const StatementCall& c) {
-  return Json::array(
-      {c.group.value(), ToJson(c.session), EnumNumber(c.transaction),
-       c.transaction_number, c.opens_transaction, EnumNumber(c.access),
-       c.id.value(), c.text, c.is_prepared, c.prepared.writes, c.prepared.shape,
-       c.values, EnumNumber(c.consistency), c.max_age.millis(),
-       ToJson(c.own_position), c.priority, c.target_left.millis(),
-       c.time_left.millis(), c.tenant.value()});
+  return Json::array({c.group.value(),
+                      ToJson(c.session),
+                      EnumNumber(c.transaction),
+                      c.transaction_number,
+                      c.opens_transaction,
+                      EnumNumber(c.access),
+                      c.id.value(),
+                      c.text,
+                      c.is_prepared,
+                      c.prepared.writes,
+                      c.prepared.shape,
+                      c.values,
+                      EnumNumber(c.consistency),
+                      c.max_age.millis(),
+                      ToJson(c.own_position),
+                      c.priority,
+                      c.target_left.millis(),
+                      c.time_left.millis(),
+                      c.tenant.value(),
+                      c.at_reader});
 }
 
 void FromJson(const Json& json, StatementCall* c) {
@@ -308,12 +321,13 @@
       .Take(&c->max_age);
   FromJson(fields.Next(), &c->own_position);
   fields.Take(&c->priority).Take(&c->target_left).Take(&c->time_left);
-  fields.TakeOptional(&c->tenant);
+  fields.TakeOptional(&c->tenant).TakeOptional(&c->at_reader);
 }
 
 Json ToJson(const StatementReply& r) {
   return Json::array({EnumNumber(r.outcome), r.rows, r.signature, r.detail,
-                      ToJson(r.position), r.is_misdirected, r.is_leaving});
+                      ToJson(r.position), r.is_misdirected, r.is_leaving,
+                      r.is_for_owner});
 }
 
 void FromJson(const Json& json, StatementReply* r) {
@@ -324,6 +338,7 @@
       .Take(&r->detail);
   FromJson(fields.Next(), &r->position);
   fields.Take(&r->is_misdirected).Take(&r->is_leaving);
+  fields.TakeOptional(&r->is_for_owner);
 }
 
 Json ToJson(const EndTransactionCall& c) {
@@ -370,6 +385,22 @@
   FromJson(fields.Next(), &r->vms);
 }
 
+Json ToJson(const EvidenceCall& c) { return Json::array({c.group.value()}); }
+void FromJson(const Json& json, EvidenceCall* c) {
+  Unpacker(json).Take(&c->group);
+}
+
+Json ToJson(const EvidenceReply& r) {
+  return Json::array({r.is_known, ToJson(r.position), r.age.millis(),
+                      r.read_wait.millis(), r.read_service.millis()});
+}
+void FromJson(const Json& json, EvidenceReply* r) {
+  Unpacker fields(json);
+  fields.Take(&r->is_known);
+  FromJson(fields.Next(), &r->position);
+  fields.Take(&r->age).Take(&r->read_wait).Take(&r->read_service);
+}
+
 // Messages without fields.
 Json ToJson(const EndTransactionReply&) { return Json::array(); }
 void FromJson(const Json&, EndTransactionReply*) {}
--- a/fireflycart/net/proxy_codec.h
+++ b/fireflycart/net/proxy_codec.h
@@ -35,6 +35,10 @@
 void FromJson(const Json& json, SnapshotCall* call);
 Json ToJson(const SnapshotReply& reply);
 void FromJson(const Json& json, SnapshotReply* reply);
+Json ToJson(const EvidenceCall& call);
+void FromJson(const Json& json, EvidenceCall* call);
+Json ToJson(const EvidenceReply& reply);
+void FromJson(const Json& json, EvidenceReply* reply);
 
 }  // namespace fireflycart::proxy
 
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -30,6 +30,10 @@
   CPPUNIT_TEST(Snapshot_Decoded_HasEras);
   CPPUNIT_TEST(Snapshot_OfEarlierVersion_HasEraZero);
   CPPUNIT_TEST(Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces);
+  CPPUNIT_TEST(Statement_ForReader_IsDecoded);
+  CPPUNIT_TEST(Statement_OfEarlierVersion_IsForOwner);
+  CPPUNIT_TEST(Reply_OfReader_IsDecoded);
+  CPPUNIT_TEST(Evidence_Decoded_HasAllFields);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +109,58 @@
                          vm[kEarlierVmFields - 1].get<uint64_t>());
   }
 
+  void Statement_ForReader_IsDecoded() {
+    StatementCall sent;
+    sent.at_reader = true;
+    sent.tenant = TenantId("t");
+    StatementCall call;
+    FromJson(ToJson(sent), &call);
+    CPPUNIT_ASSERT(call.at_reader);
+    CPPUNIT_ASSERT_EQUAL(std::string("t"), call.tenant.value());
+  }
+
+  void Statement_OfEarlierVersion_IsForOwner() {
+    StatementCall sent;
+    sent.at_reader = true;
+    Json json = ToJson(sent);
+    Shorten(&json, json.size() - 1);
+    StatementCall call;
+    FromJson(json, &call);
+    CPPUNIT_ASSERT(!call.at_reader);
+  }
+
+  void Reply_OfReader_IsDecoded() {
+    StatementReply sent;
+    sent.is_for_owner = true;
+    Json json = ToJson(sent);
+    StatementReply reply;
+    FromJson(json, &reply);
+    CPPUNIT_ASSERT(reply.is_for_owner);
+    Shorten(&json, json.size() - 1);
+    StatementReply earlier;
+    FromJson(json, &earlier);
+    CPPUNIT_ASSERT(!earlier.is_for_owner);
+  }
+
+  void Evidence_Decoded_HasAllFields() {
+    EvidenceCall call;
+    FromJson(ToJson(EvidenceCall{GroupId("ledger")}), &call);
+    CPPUNIT_ASSERT_EQUAL(std::string("ledger"), call.group.value());
+    EvidenceReply sent;
+    sent.is_known = true;
+    sent.position = LogPosition{3, 40};
+    sent.age = Duration::Millis(12);
+    sent.read_wait = Duration::Millis(7);
+    sent.read_service = Duration::Millis(31);
+    EvidenceReply reply;
+    FromJson(ToJson(sent), &reply);
+    CPPUNIT_ASSERT(reply.is_known);
+    CPPUNIT_ASSERT(reply.position == sent.position);
+    CPPUNIT_ASSERT(reply.age == sent.age);
+    CPPUNIT_ASSERT(reply.read_wait == sent.read_wait);
+    CPPUNIT_ASSERT(reply.read_service == sent.read_service);
+  }
+
  private:
   static HeartbeatCall MakeHeartbeat() {
     HeartbeatCall call;
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -91,7 +91,9 @@
     caller->pending_statements.back().name = "v" + std::to_string(Random(2));
     caller->pending_statements.back().arguments = std::to_string(Random(4));
   }
-  switch (options_.only_writes ? Random(2) : Random(5)) {
+  uint64_t operation = options_.only_writes ? Random(2) : Random(5);
+  if (options_.only_reads) operation = Random(10) == 0 ? 0 : 4;
+  switch (operation) {
     case 0:
       add(StatementKind::kWrite, write_text());
       break;
@@ -237,6 +239,7 @@
 void SessionWorld::OnRead(const proxy::StatementId& id,
                           const UpstreamId& upstream,
                           const std::vector<LogEntry>& log, size_t applied) {
+  reads_at_[upstream]++;
   auto found = expectations_.find(id.value());
   if (found == expectations_.end()) {
     Report("a read ran that no caller sent: " + id.value());
--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -31,6 +31,8 @@
           "Also let connections go silent, entries of upstreams go missing, "
           "replacements be disturbed, and links hold up what was sent; runs "
           "three times as long. The other faults of a seed stay the same.");
+ABSL_FLAG(int, data_centres, 0,
+          "Data centres of the VMs and upstreams; 0: none is named.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
 
 namespace fireflycart::standins {
@@ -82,6 +84,9 @@
     std::cout << " done " << counts.done << " refused " << counts.refused
               << " unknown " << counts.unknown << " promotions "
               << world_.promotions();
+    if (absl::GetFlag(FLAGS_data_centres) == 0) return;
+    std::cout << " sent " << world_.statements_sent() << " crossing "
+              << world_.statements_crossing();
   }
 
   void PrintLog() {
@@ -94,6 +99,7 @@
     SessionWorldOptions options;
     options.vms = 4;
     options.callers = 16;
+    options.data_centres = absl::GetFlag(FLAGS_data_centres);
     options.database.promote_time =
         Duration::Millis(300 + static_cast<int64_t>(Random(800)));
     options.database.apply_lag =
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -36,6 +36,7 @@
     record.address = id.value();
     record.slots = kSlots;
     record.is_primary = id == ids.front();
+    record.data_centre = DataCentre(records_.size());
     records_[id] = record;
     PutUpstream(id);
   }
@@ -62,6 +63,27 @@
 
 SessionWorld::~SessionWorld() = default;
 
+DataCentreId SessionWorld::DataCentre(size_t number) const {
+  if (options_.data_centres == 0) return DataCentreId();
+  return DataCentreId(
+      "dc-" +
+      std::to_string(number % static_cast<size_t>(options_.data_centres)));
+}
+
+DataCentreId SessionWorld::DataCentreOf(const std::string& name) const {
+  auto record = records_.find(UpstreamId(name));
+  if (record != records_.end()) return record->second.data_centre;
+  for (size_t i = 0; i < vms_.size(); i++) {
+    if (vms_[i]->name == name) return DataCentre(i);
+  }
+  return DataCentreId();
+}
+
+void SessionWorld::CountSent(const std::string& from, const std::string& to) {
+  statements_sent_++;
+  if (DataCentreOf(from) != DataCentreOf(to)) statements_crossing_++;
+}
+
 std::string SessionWorld::RouteName(ReadConsistency consistency) const {
   return "db-" + std::to_string(static_cast<int>(consistency));
 }
@@ -380,11 +402,12 @@
   vm->incarnation = static_cast<uint64_t>(now_.millis()) + ++last_number_;
   record.incarnation = vm->incarnation;
   record.cpu_permille = 250;
+  record.data_centre = DataCentre(static_cast<size_t>(index));
   vm->has_exited = false;
   vm->is_listening = true;
   vm->deferred_events.clear();
-  vm->reducer = std::make_unique<proxy::ProxyReducer>(
-      record, proxy::ProxyOptions(), random_());
+  vm->reducer =
+      std::make_unique<proxy::ProxyReducer>(record, options_.proxy, random_());
   Perform(vm, vm->reducer->Start(now_));
 }
 
@@ -591,6 +614,9 @@
   if (found == connection_numbers_.end()) return;
   uint64_t number = found->second;
   for (const proxy::UpstreamCommand& command : e.commands) {
+    bool is_statement = command.kind == proxy::CommandKind::kVerbatim ||
+                        command.kind == proxy::CommandKind::kExecute;
+    if (is_statement) CountSent(vm->name, upstream_of_[number].value());
     Send(vm->name, upstream_of_[number].value(), [this, number, command] {
       if (reset_connections_.count(number) != 0) return;
       if (IsMute(number)) return;
@@ -623,6 +649,9 @@
   uint64_t incarnation = vm->incarnation;
   CallId call = e.call;
   Vm* to = FindVm(e.to);
+  if (std::get_if<proxy::StatementCall>(&e.body) != nullptr) {
+    CountSent(vm->name, to->name);
+  }
   auto end = [this, vm, incarnation, call](PeerCallError error,
                                            PeerReplyBody body) {
     Deliver(vm, incarnation, PeerReplied{call, error, std::move(body)});
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -33,12 +33,17 @@
 struct SessionWorldOptions {
   int vms = 3;
   int callers = 12;
+  // VM i and the upstream of number i are in number i % data_centres; 0: none
+  // is named.
+  int data_centres = 0;
+  proxy::ProxyOptions proxy;
   Duration pause = Duration::Millis(20);  // Between two operations of a caller.
   Duration statement_pause;  // Between two statements of an operation.
   Duration caller_latency;   // One way, between a caller and its VM.
   DatabaseOptions database;
   proxy::ReadConsistency consistency = proxy::ReadConsistency::kStrong;
   bool only_writes = false;
+  bool only_reads = false;  // Single ones, but for one write in ten.
   // A third of the callers uses each consistency.
   bool mixed_consistencies = true;
   Duration max_age = Duration::Millis(1000);
@@ -149,6 +154,15 @@
   void CheckEffects();
   std::vector<std::string> TakeLog();
   const std::vector<std::string>& log() const { return log_; }
+  // Statements that VMs sent to other VMs or to upstreams, and how many of them
+  // went to another data centre.
+  int statements_sent() const { return statements_sent_; }
+  int statements_crossing() const { return statements_crossing_; }
+  // Reads that ran at the upstream.
+  int reads_at(const UpstreamId& upstream) const {
+    auto found = reads_at_.find(upstream);
+    return found == reads_at_.end() ? 0 : found->second;
+  }
 
  private:
   struct Vm;
@@ -172,6 +186,9 @@
     return mute_connections_.count(connection) != 0;
   }
   void Report(const std::string& problem);
+  DataCentreId DataCentre(size_t number) const;
+  DataCentreId DataCentreOf(const std::string& name) const;
+  void CountSent(const std::string& from, const std::string& to);
 
   void Reduce(Vm* vm, proxy::ProxyEventBody body);
   void Perform(Vm* vm, const proxy::ProxyEffects& effects);
@@ -289,6 +306,9 @@
   std::string problem_;
   int promotions_ = 0;
   std::vector<std::string> log_;
+  int statements_sent_ = 0;
+  int statements_crossing_ = 0;
+  std::map<UpstreamId, int> reads_at_;
 };
 
 }  // namespace fireflycart::standins
