--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -160,19 +160,17 @@
   VmId coordinator;  // Coordinator recorded at the replying VM.
 };
 
-using PeerCallBody =
-    std::variant<PingCall, IndirectPingCall, ForwardCall, CancelCall,
-                 ConfigFetchCall, ConfigAnnounceCall, SpareOrdinalCall,
-                 HandoverCall, HandoverRequestCall, proxy::StatementCall,
-                 proxy::EndTransactionCall, proxy::CancelQueuedCall,
-                 proxy::HeartbeatCall, proxy::SnapshotCall, proxy::EvidenceCall>;
-
-using PeerReplyBody =
-    std::variant<PingReply, IndirectPingReply, ForwardReply, CancelReply,
-                 ConfigFetchReply, ConfigAnnounceReply, SpareOrdinalReply,
-                 HandoverReply, HandoverRequestReply, proxy::StatementReply,
-                 proxy::EndTransactionReply, proxy::CancelQueuedReply,
-                 proxy::HeartbeatReply, proxy::SnapshotReply, proxy::EvidenceReply>;
+using PeerCallBody = std::variant<
+    PingCall, IndirectPingCall, ForwardCall, CancelCall, ConfigFetchCall,
+    ConfigAnnounceCall, SpareOrdinalCall, HandoverCall, HandoverRequestCall,
+    proxy::StatementCall, proxy::EndTransactionCall, proxy::CancelQueuedCall,
+    proxy::HeartbeatCall, proxy::SnapshotCall, proxy::EvidenceCall>;
+
+using PeerReplyBody = std::variant<
+    PingReply, IndirectPingReply, ForwardReply, CancelReply, ConfigFetchReply,
+    ConfigAnnounceReply, SpareOrdinalReply, HandoverReply, HandoverRequestReply,
+    proxy::StatementReply, proxy::EndTransactionReply, proxy::CancelQueuedReply,
+    proxy::HeartbeatReply, proxy::SnapshotReply, proxy::EvidenceReply>;
 
 enum class PeerCallError {
   kNone,
