--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -118,10 +118,13 @@
   upstreams_.erase(found);
 }
 
-int UpstreamPool::MaxDataConnections() const {
-  int shared_limit = (max_connections_ - 1) / 2;
+int UpstreamPool::MaxDataConnections(const UpstreamId& id) const {
+  const PooledUpstream* upstream = FindUpstream(id);
+  int share = upstream == nullptr ? 100 : upstream->connection_share;
+  int max_connections = max_connections_ * share / 100;
+  int shared_limit = (max_connections - 1) / 2;
   int sole_owner_limit =
-      max_connections_ * kSoleOwnerShareNumerator / kSoleOwnerShareDenominator;
+      max_connections * kSoleOwnerShareNumerator / kSoleOwnerShareDenominator;
   // One of them is the control connection.
   return std::max((is_sole_owner_ ? sole_owner_limit : shared_limit) - 1, 1);
 }
@@ -180,7 +183,7 @@
   PooledUpstream* upstream = FindUpstream(id);
   bool may_open = upstream != nullptr && upstream->opening == 0 &&
                   !upstream->is_down && context->now() >= upstream->next_open &&
-                  upstream->connections < MaxDataConnections();
+                  upstream->connections < MaxDataConnections(id);
   if (may_open) Open(upstream, tenant, false, context);
   return nullptr;
 }
@@ -192,7 +195,7 @@
   snapshot.slots = upstream.record.slots;
   snapshot.running = upstream.running;
   snapshot.connections = upstream.connections;
-  snapshot.max_connections = MaxDataConnections();
+  snapshot.max_connections = MaxDataConnections(upstream.record.id);
   for (const auto& item : connections_) {
     const PooledConnection& connection = item.second;
     bool is_counted =
@@ -223,7 +226,7 @@
     done_.replaced++;
     Close(closed->id, context);
   }
-  if (upstream->connections >= MaxDataConnections()) return;
+  if (upstream->connections >= MaxDataConnections(id)) return;
   if (step.is_ahead) done_.openings_ahead++;
   Open(upstream, step.open, false, context);
 }
@@ -305,7 +308,7 @@
     pinned++;
     if (c.tenant == tenant) own++;
   }
-  int limit = std::max(MaxDataConnections() - kUnpinnedReserve, 1);
+  int limit = std::max(MaxDataConnections(id) - kUnpinnedReserve, 1);
   if (!carries_tenants_) return pinned < limit;
   return pinned < limit && own < std::max(limit - pinned, 1);
 }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -98,6 +98,8 @@
   TimePoint resume_may_arrive_until;
   LogPosition applied;  // Position in the last answer.
   TimePoint applied_at;
+  // Percentage of its connections that this pool may use.
+  int connection_share = 100;
 
   // True if the status came on the present control connection. A restart of the
   // upstream, which ends a hold, breaks that connection.
@@ -303,7 +305,7 @@
   void SetDrainLimit(Duration limit) { drain_limit_ = limit; }
 
  private:
-  int MaxDataConnections() const;
+  int MaxDataConnections(const UpstreamId& upstream) const;
   // Its idle connection that was used longest ago; null if it has none.
   PooledConnection* OldestIdleOf(const UpstreamId& upstream,
                                  const TenantId& tenant);
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -44,6 +44,10 @@
   options.set_key_age_limit(settings.sessions->key_age_limit);
   options.set_session_state_limit(settings.sessions->memory_bytes /
                                   kPartSessionState);
+  options.set_reads_nearby(settings.sessions->reads_nearby);
+  proxy::ZoneBalanceOptions zone_balance;
+  zone_balance.leave_cost = settings.sessions->leave_cost;
+  options.set_zone_balance(zone_balance);
   return options;
 }
 
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -37,6 +37,8 @@
   Duration stop_limit;
   Duration drain_time;
   Duration key_age_limit;  // Zero if there is none.
+  bool reads_nearby = true;
+  Duration leave_cost;
 };
 
 struct Settings {
--- a/fireflycart/net/proxy_codec.h
+++ b/fireflycart/net/proxy_codec.h
@@ -39,6 +39,10 @@
 void FromJson(const Json& json, RoutesAgeCall* call);
 Json ToJson(const RoutesAgeReply& reply);
 void FromJson(const Json& json, RoutesAgeReply* reply);
+Json ToJson(const EvidenceCall& call);
+void FromJson(const Json& json, EvidenceCall* call);
+Json ToJson(const EvidenceReply& reply);
+void FromJson(const Json& json, EvidenceReply* reply);
 
 }  // namespace fireflycart::proxy
 
