Callers: a partly read answer holds only what is left of it

Cause: the buffer of unsent bytes kept its memory while the caller read a part, and only the bytes that were left were charged; encoding an answer took twice its size while it grew; the allocator left holes after large messages.

--- a/fireflycart/daemon/main.cc
+++ b/fireflycart/daemon/main.cc
@@ -1,5 +1,7 @@
 // The daemon of fireflycart; one runs on each entry VM.
 
+#include <malloc.h>
+
 #include <iostream>
 #include <thread>
 
@@ -13,8 +15,12 @@
 namespace {
 
 constexpr int kExitFailure = 1;
+// Blocks of this size go back to the system when they are freed. By default,
+// the allocator raises the size with use, and large messages leave holes.
+constexpr int kLargeBlockBytes = 256 << 10;
 
 int ServeSessions(const fireflycart::Settings& settings) {
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
   fireflycart::StartStructuredLogging(settings.log_level, settings.identity.vm);
   try {
     fireflycart::SessionDaemon(settings).Run();
--- a/fireflycart/net/stream_socket.cc
+++ b/fireflycart/net/stream_socket.cc
@@ -13,6 +13,9 @@
 namespace fireflycart {
 namespace {
 
+// Memory beyond the unsent bytes that a connection may keep.
+constexpr size_t kMaxSlackBytes = size_t{64} << 10;
+
 // Shared by all connections of the thread; OnBytes consumes its content before
 // the next read.
 template <size_t size>
@@ -110,6 +113,10 @@
   }
   unsent_.erase(0, size);
   if (!unsent_.empty()) {
+    // A peer that reads slowly holds no more than what it has left to read.
+    if (unsent_.capacity() - unsent_.size() > kMaxSlackBytes) {
+      unsent_.shrink_to_fit();
+    }
     WaitForWritable();
   } else {
     unsent_.shrink_to_fit();
