Readers: the larger share of a replica's connections

Cause: a connection carries one tenant. The reader had 15 of 62 connections for most of a replica's reads, the owner up to 24 for the few that come to it.

Change: 60% for the reader and 40% for the owner, of which either uses two thirds, and half in its first five seconds.

--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -51,8 +51,6 @@
       pool_(spec_.id),
       balance_(options) {
   pool_.SetMaxConnections(spec_.max_connections);
-  // The share leaves room for the connections of a reader that has failed.
-  pool_.SetSoleOwner(true);
 }
 
 void GroupReader::SetSpec(const GroupSpec& spec) {
@@ -117,7 +115,9 @@
 
 void GroupReader::Submit(StatementCall call, const WorkOrigin& origin,
                          ProxyContext* context) {
+  if (context->now() - last_used_ >= kIdleTimeout) used_since_ = context->now();
   last_used_ = context->now();
+  pool_.SetSoleOwner(last_used_ - used_since_ >= kSoleReaderTime);
   context->WakeAtCoarse(last_used_ + kIdleTimeout);
   RequestEvidenceIfDue(context);
   auto owned = std::make_unique<Work>();
--- a/fireflycart/core/proxy/group_reader.h
+++ b/fireflycart/core/proxy/group_reader.h
@@ -54,10 +54,13 @@
   // After this time without a read the reader closes its connections.
   static constexpr Duration kIdleTimeout = Duration::Seconds(3);
   // Share of an upstream's connections that its reader and the group's owner
-  // may use, in percent. Either uses two thirds of its share at most, so that
-  // there is room for the next one.
-  static constexpr int kReaderShare = 40;
-  static constexpr int kOwnerShare = 60;
+  // may use, in percent. Most reads there are the reader's. Either uses two
+  // thirds of its share at most, and half as long as an earlier one may have
+  // connections open.
+  static constexpr int kReaderShare = 60;
+  static constexpr int kOwnerShare = 40;
+  // An upstream has dropped the connections of an earlier reader by then.
+  static constexpr Duration kSoleReaderTime = Duration::Seconds(5);
 
   GroupReader(GroupSpec spec, DataCentreId data_centre,
               const ZoneBalanceOptions& options, ReadHandler* handler);
@@ -135,6 +138,7 @@
   std::map<UpstreamId, Avoidance> avoidances_;
   // Connections on which a returned read still runs, and until when they may.
   std::map<ConnectionId, TimePoint> given_up_;
+  TimePoint used_since_;
   TimePoint last_used_;
   TimePoint next_evidence_;
 };
