--- a/fireflycart/core/admission/connection_plan.cc
+++ b/fireflycart/core/admission/connection_plan.cc
@@ -77,9 +77,10 @@
     if (Total(own) > slots_) return;
     // The first of the busy connections is free after half a service time on
     // average, the next ones follow in equal distances.
-    int64_t half_services = 2 * (ahead - own.opening) + 1;
-    Duration wait = Duration::Millis(work.service.millis() * half_services /
-                                     (2 * own.busy));
+    int64_t half_services = 2 * (int64_t{ahead} - own.opening) + 1;
+    int64_t busy = own.busy;
+    Duration wait =
+        Duration::Millis(work.service.millis() * half_services / (2 * busy));
     // With all slots in use the work would wait on another connection, too.
     bool is_urgent = wait > work.slack && !is_saturated_;
     if (!is_urgent && wait <= ConnectionPlan::kOpenTime) return;
