Sessions: one that ends while its VM stops is erased once

Cause: a caller that leaves cancels its queued statement; an owner on the same VM answers at once, and a stopping VM closes and erases the session with that answer. OnEnded then erased it again by its old iterator. Found by reading, not seen in a run. Change: OnEnded erases by the number, and forgets the close, since the caller has left.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -452,9 +452,11 @@
 }
 
 void SessionManager::OnEnded(SessionNumber number, ProxyContext* context) {
-  closing_.erase(number);
   auto found = sessions_.find(number);
-  if (found == sessions_.end()) return;
+  if (found == sessions_.end()) {
+    closing_.erase(number);
+    return;
+  }
   Session& session = found->second;
   bool has_transaction =
       session.state == TransactionState::kOpen && session.is_begun;
@@ -467,7 +469,10 @@
         session.route.group, KeyOf(number, context), session.statement});
   }
   awaiting_routes_.erase(number);
-  sessions_.erase(found);
+  // The owner may have answered at once, and a stopping VM closes the session
+  // with the answer.
+  sessions_.erase(number);
+  closing_.erase(number);
 }
 
 void SessionManager::StartDraining(ProxyContext* context) {
