Limits of tenants over all VMs: one lender of short-lived tokens

Cause: no part of the product counted the operations of a tenant. Change: an operation counts at the owner of its group, when its first statement gets there, and needs a token. One VM, placed as the owner of a group is, lends tokens that are valid for 250 ms (TokenLender); each owner keeps a stock, returns what it does not use, and has a small allowance of its own (TokenStock); the LimitKeeper lets operations run, wait a few milliseconds or be refused as busy with the time to come again. Without a lender, owners go on at the rate that it last told them, until a new one lends. Refusals are counted by tenant.

--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -17,6 +17,7 @@
 #include "fireflycart/core/ids.h"
 #include "fireflycart/core/proxy/peer_calls.h"
 #include "fireflycart/core/request.h"
+#include "fireflycart/core/tenants/token_messages.h"
 
 namespace fireflycart {
 
@@ -160,17 +161,21 @@
   VmId coordinator;  // Coordinator recorded at the replying VM.
 };
 
-using PeerCallBody = std::variant<
-    PingCall, IndirectPingCall, ForwardCall, CancelCall, ConfigFetchCall,
-    ConfigAnnounceCall, SpareOrdinalCall, HandoverCall, HandoverRequestCall,
-    proxy::StatementCall, proxy::EndTransactionCall, proxy::CancelQueuedCall,
-    proxy::HeartbeatCall, proxy::SnapshotCall, proxy::RoutesAgeCall>;
-
-using PeerReplyBody = std::variant<
-    PingReply, IndirectPingReply, ForwardReply, CancelReply, ConfigFetchReply,
-    ConfigAnnounceReply, SpareOrdinalReply, HandoverReply, HandoverRequestReply,
-    proxy::StatementReply, proxy::EndTransactionReply, proxy::CancelQueuedReply,
-    proxy::HeartbeatReply, proxy::SnapshotReply, proxy::RoutesAgeReply>;
+using PeerCallBody =
+    std::variant<PingCall, IndirectPingCall, ForwardCall, CancelCall,
+                 ConfigFetchCall, ConfigAnnounceCall, SpareOrdinalCall,
+                 HandoverCall, HandoverRequestCall, proxy::StatementCall,
+                 proxy::EndTransactionCall, proxy::CancelQueuedCall,
+                 proxy::HeartbeatCall, proxy::SnapshotCall,
+                 proxy::RoutesAgeCall, TokensCall>;
+
+using PeerReplyBody =
+    std::variant<PingReply, IndirectPingReply, ForwardReply, CancelReply,
+                 ConfigFetchReply, ConfigAnnounceReply, SpareOrdinalReply,
+                 HandoverReply, HandoverRequestReply, proxy::StatementReply,
+                 proxy::EndTransactionReply, proxy::CancelQueuedReply,
+                 proxy::HeartbeatReply, proxy::SnapshotReply,
+                 proxy::RoutesAgeReply, TokensReply>;
 
 enum class PeerCallError {
   kNone,
--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr char kPart[] = "fleet";
+// Places the lender of limits as if it were the owner of a group of this name.
+constexpr char kLimitsName[] = "tenant limits";
 // VMs of a data centre that ask the readers of the store for the age of the
 // keys, so that one may fail, and one more for so many VMs.
 constexpr size_t kMinKeyRelays = 2;
@@ -68,6 +70,8 @@
     if (item.second.can_own) able_to_own.push_back(item.second.record);
   }
   owners_ = PlaceGroups(groups_, able_to_own);
+  const GroupId limits(kLimitsName);
+  limits_lender_ = PlaceGroups({limits}, able_to_own)[limits];
   contacts_ = ContactsOf(self_.vm, usable);
   RecomputeStoreReaders();
 }
@@ -114,6 +118,10 @@
   }
 }
 
+bool Fleet::IsInTouch(TimePoint now) const {
+  return vms_.empty() || now - probe_answered_at_ <= kInTouchAge;
+}
+
 void Fleet::Check(const VmId& vm, ProxyContext* context) {
   auto found = vms_.find(vm);
   if (found != vms_.end()) Probe(&found->second, context);
@@ -342,6 +350,7 @@
   }
   vm.unanswered_since = context->now();
   vm.last_answer_at = context->now();
+  probe_answered_at_ = context->now();
   SetDown(&vm, false, "probe_answered", context);
   OnHeartbeat(id, body->heartbeat, context);
   heartbeat_handler_->OnProbeAnswered(body->heartbeat, sent);
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -86,6 +86,11 @@
   // centre the first few VMs by rank ask the readers of the store, and the
   // others ask them.
   const std::vector<VmId>& key_sources() const { return key_sources_; }
+  // The VM that lends out the limits of tenants; see token_lender.h.
+  const VmId& limits_lender() const { return limits_lender_; }
+  // False if no other VM has answered a probe for kInTouchAge.
+  static constexpr Duration kInTouchAge = Duration::Millis(1500);
+  bool IsInTouch(TimePoint now) const;
   // Probes a VM that left a call unanswered.
   void Check(const VmId& vm, ProxyContext* context);
   // Sends a heartbeat, which says whether this VM reaches the store, to the VMs
@@ -165,6 +170,8 @@
   std::map<GroupId, VmId> owners_;
   StoreReaders store_readers_;
   std::vector<VmId> key_sources_;
+  VmId limits_lender_;
+  TimePoint probe_answered_at_;
   uint64_t version_ = 1;
   TimePoint next_probe_;
   TimePoint doubted_until_;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -68,12 +68,14 @@
   ProxyEffects effects;
   bool is_due = context_.Begin(event.now, &effects);
   std::visit([this](const auto& body) { Handle(body); }, event.body);
+  SubmitDecided();
   ApplyChanges();
   // After the changes: an owner must not take its old records for confirmed.
   for (auto& item : owners_) {
     item.second->SetListTime(follower_.upstreams_confirmed_at());
   }
   if (is_due) OnWake();
+  SubmitDecided();
   ApplyChanges();
   TrackConnections(&effects);
   return effects;
@@ -100,6 +102,8 @@
     key_age_inquiry_.OnWake(follower_.key_age(), fleet_, &context_);
   }
   CheckKeys();
+  UpdateLimits();
+  limit_keeper_.OnWake(&context_);
   session_manager_.OnWake(&context_);
   for (auto& item : owners_) item.second->OnWake(&context_);
   AdvanceStop();
@@ -170,6 +174,7 @@
 void ProxyReducer::ApplyPlacement() {
   applied_fleet_version_ = fleet_.version();
   follower_.SetReaders(fleet_.store_readers(), &context_);
+  UpdateLimits();
   if (!follower_.has_upstreams() || !follower_.has_vms()) return;
   for (const auto& item : follower_.routes().groups) {
     bool is_assigned = !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
@@ -179,6 +184,31 @@
   }
 }
 
+void ProxyReducer::UpdateLimits() {
+  const RouteTable& table = follower_.routes();
+  if (limits_version_ != table.version) {
+    limits_version_ = table.version;
+    limit_keeper_.SetTenants(table.tenants.tenants(), &context_);
+  }
+  if (!table.has_tenants) return;
+  LimitKeeper::View view;
+  view.lender = fleet_.limits_lender();
+  view.lender_address = fleet_.AddressOf(view.lender);
+  view.groups = table.groups.size();
+  // Without the list, a VM would take itself for the only one.
+  bool knows_fleet = follower_.has_upstreams() && follower_.has_vms();
+  for (const auto& item : table.groups) {
+    bool is_own =
+        knows_fleet && !is_stopping_ && fleet_.OwnerOf(item.first) == self_.vm;
+    if (is_own) view.owned.insert(item.first);
+  }
+  bool hears_store = follower_.store_reader() == self_.vm &&
+                     follower_.store_age(context_.now()) <= Fleet::kInTouchAge;
+  view.is_in_touch =
+      knows_fleet && (hears_store || fleet_.IsInTouch(context_.now()));
+  limit_keeper_.SetView(view, &context_);
+}
+
 // An owner that replaces a primary needs confirmation that no other VM is doing
 // the same, and one whose list of upstreams is old that no other VM has a newer
 // one.
@@ -289,6 +319,7 @@
   gauges.store_age = follower_.store_age(context_.now());
   gauges.key_age = RoutesAge().value_or(Duration());
   gauges.has_current_keys = HasCurrentKeys();
+  gauges.refused_by_limit = limit_keeper_.refused();
   return gauges;
 }
 
@@ -345,6 +376,11 @@
     OnRoutesAgeAnswered();
     return;
   }
+  if (limit_keeper_.OnReply(event, &context_)) {
+    const VmId& silent = limit_keeper_.silent_lender();
+    if (silent != VmId()) fleet_.Check(silent, &context_);
+    return;
+  }
   Forwarder::Result result = forwarder_.OnReply(event, &context_);
   if (!result.is_own_call) return;
   if (result.has_call_failed) {
@@ -481,15 +517,7 @@
   if (vm == self_.vm || vm == VmId()) {
     WorkOrigin origin;
     origin.session = session;
-    GroupOwner* owner = OwnerFor(call.group);
-    if (owner != nullptr) {
-      owner->Submit(std::move(call), origin, &context_);
-      return;
-    }
-    StatementReply refused;
-    refused.outcome = Outcome::kBusy;
-    refused.detail = "group is not known here";
-    session_manager_.OnReply(session, std::move(refused), &context_);
+    Submit(std::move(call), origin);
     return;
   }
   fleet_.OnCallSent(vm, &context_);
@@ -497,9 +525,69 @@
                   &context_);
 }
 
+void ProxyReducer::Submit(StatementCall call, const WorkOrigin& origin) {
+  Duration retry_after;
+  switch (limit_keeper_.Admit(&call, origin, &retry_after, &context_)) {
+    case LimitKeeper::Verdict::kRun:
+      SubmitAllowed(std::move(call), origin);
+      break;
+    case LimitKeeper::Verdict::kRefused:
+      RefuseForLimit(origin, retry_after);
+      break;
+    case LimitKeeper::Verdict::kWaits:
+      break;
+  }
+}
+
+void ProxyReducer::SubmitAllowed(StatementCall call, const WorkOrigin& origin) {
+  GroupOwner* owner = OwnerFor(call.group);
+  if (owner != nullptr) {
+    owner->Submit(std::move(call), origin, &context_);
+    return;
+  }
+  StatementReply refused;
+  refused.outcome = Outcome::kBusy;
+  refused.detail = "group is not known here";
+  OnStatementDone(origin, std::move(refused));
+}
+
+void ProxyReducer::RefuseForLimit(const WorkOrigin& origin,
+                                  Duration retry_after) {
+  StatementReply refused;
+  refused.outcome = Outcome::kBusy;
+  refused.detail = "limit of the tenant, retry in " +
+                   std::to_string(retry_after.millis()) + " ms";
+  OnStatementDone(origin, std::move(refused));
+}
+
+void ProxyReducer::SubmitDecided() {
+  for (LimitKeeper::Decided& item : limit_keeper_.TakeDecided()) {
+    LimitKeeper::Waiting& waiting = item.waiting;
+    if (!item.may_run) {
+      RefuseForLimit(waiting.origin, item.retry_after);
+      continue;
+    }
+    Duration waited = context_.now() - waiting.since;
+    StatementCall& call = waiting.call;
+    call.time_left = std::max(call.time_left - waited, Duration());
+    call.target_left = std::max(call.target_left - waited, Duration());
+    SubmitAllowed(std::move(call), waiting.origin);
+  }
+}
+
+void ProxyReducer::CancelWaiting(const SessionKey& session) {
+  LimitKeeper::Waiting cancelled;
+  if (!limit_keeper_.Cancel(session, &cancelled)) return;
+  StatementReply reply;
+  reply.outcome = Outcome::kAborted;
+  reply.detail = "caller left";
+  OnStatementDone(cancelled.origin, std::move(reply));
+}
+
 void ProxyReducer::RouteEndTransaction(const EndTransactionCall& call) {
   VmId vm = forwarder_.PinnedVm(call.session.session);
   if (vm == self_.vm || vm == VmId()) {
+    CancelWaiting(call.session);
     GroupOwner* owner = OwnerFor(call.group);
     if (owner == nullptr) return;
     owner->EndTransaction(TransactionKey{call.session, call.transaction_number},
@@ -514,6 +602,7 @@
   // The VM that has the statement may own the group no longer.
   VmId vm = forwarder_.OpenCallVm(call.session.session);
   if (vm == VmId()) {
+    CancelWaiting(call.session);
     GroupOwner* owner = OwnerFor(call.group);
     if (owner != nullptr) owner->CancelQueued(call.session, call.id, &context_);
     return;
@@ -593,12 +682,13 @@
     context_.Emit(AnswerPeer{handle, misdirected});
     return;
   }
-  owner->Submit(call, origin, &context_);
+  Submit(call, origin);
 }
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const EndTransactionCall& call) {
   (void)from;
+  CancelWaiting(call.session);
   GroupOwner* owner = OwnerFor(call.group);
   if (owner != nullptr) {
     owner->EndTransaction(TransactionKey{call.session, call.transaction_number},
@@ -610,6 +700,7 @@
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const CancelQueuedCall& call) {
   (void)from;
+  CancelWaiting(call.session);
   GroupOwner* owner = OwnerFor(call.group);
   if (owner != nullptr) owner->CancelQueued(call.session, call.id, &context_);
   context_.Emit(AnswerPeer{handle, CancelQueuedReply()});
@@ -646,6 +737,16 @@
       handle, RoutesAgeReply{follower_.routes().version, RoutesAge()}});
 }
 
+void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
+                              const TokensCall& call) {
+  TokensReply reply = limit_keeper_.OnCall(from, call, &context_);
+  // The caller may know that the lender is down.
+  const VmId& lender = fleet_.limits_lender();
+  bool is_other = reply.state == LenderState::kNone && lender != self_.vm;
+  if (is_other) fleet_.Check(lender, &context_);
+  context_.Emit(AnswerPeer{handle, std::move(reply)});
+}
+
 template <typename T>
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const T& call) {
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -25,6 +25,7 @@
 #include "fireflycart/core/proxy/forwarder.h"
 #include "fireflycart/core/proxy/group_owner.h"
 #include "fireflycart/core/proxy/key_age_inquiry.h"
+#include "fireflycart/core/proxy/limit_keeper.h"
 #include "fireflycart/core/proxy/session_manager.h"
 #include "fireflycart/core/proxy/store_follower.h"
 
@@ -72,6 +73,8 @@
   // Of its knowledge of the tenants' keys; zero if that has no limit.
   Duration key_age;
   bool has_current_keys = true;  // Serves callers with keys.
+  // Operations that this VM refused for the limits of their tenants.
+  std::map<TenantId, uint64_t> refused_by_limit;
 };
 
 class ProxyReducer : private StatementRouter,
@@ -116,6 +119,7 @@
   void OnPeerCall(HandleId handle, const VmId& from, const HeartbeatCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const SnapshotCall& call);
   void OnPeerCall(HandleId handle, const VmId& from, const RoutesAgeCall& call);
+  void OnPeerCall(HandleId handle, const VmId& from, const TokensCall& call);
   template <typename T>
   void OnPeerCall(HandleId handle, const VmId& from, const T& call);
 
@@ -140,6 +144,14 @@
   GroupOwner* OwnerOfConnection(ConnectionId connection);
   // Selects the VM for a statement, and pins it if a transaction begins.
   VmId TargetVm(SessionNumber session, const StatementCall& call);
+  // Gives the statement to the owner on this VM, if the tenant's limit allows.
+  void Submit(StatementCall call, const WorkOrigin& origin);
+  void SubmitAllowed(StatementCall call, const WorkOrigin& origin);
+  void RefuseForLimit(const WorkOrigin& origin, Duration retry_after);
+  void SubmitDecided();
+  // Ends the statement of a session that left, if it waits for its limit.
+  void CancelWaiting(const SessionKey& session);
+  void UpdateLimits();
   std::optional<Duration> RoutesAge() const;
   void OnRoutesAgeAnswered();
   void CheckKeys();
@@ -165,6 +177,8 @@
   SessionManager session_manager_;
   Forwarder forwarder_;
   KeyAgeInquiry key_age_inquiry_;
+  LimitKeeper limit_keeper_;
+  uint64_t limits_version_ = 0;  // Of the routes.
   bool had_current_keys_ = true;
   std::map<GroupId, std::unique_ptr<GroupOwner>> owners_;
   std::unordered_map<uint64_t, GroupId> connection_groups_;
--- a/fireflycart/core/tenants/tenant_directory.h
+++ b/fireflycart/core/tenants/tenant_directory.h
@@ -38,6 +38,8 @@
   }
 };
 
+using TenantSpecs = std::map<TenantId, TenantSpec>;
+
 class TenantDirectory {
  public:
   static constexpr size_t kMaxTenants = 10'000;
@@ -53,14 +55,14 @@
   const TenantSpec* FindByKey(const KeyDigest& key) const;
   const TenantSpec* Find(const TenantId& id) const;
 
-  const std::map<TenantId, TenantSpec>& tenants() const { return tenants_; }
+  const TenantSpecs& tenants() const { return tenants_; }
   // The keys of each tenant, for messages to peers.
   const std::unordered_map<KeyDigest, TenantId, KeyDigest::Hash>& keys() const {
     return keys_;
   }
 
  private:
-  std::map<TenantId, TenantSpec> tenants_;
+  TenantSpecs tenants_;
   std::unordered_map<KeyDigest, TenantId, KeyDigest::Hash> keys_;
 };
 
--- /dev/null
+++ b/fireflycart/core/tenants/token_messages.h
@@ -0,0 +1,54 @@
+// Messages between the spenders of tenants' limits and the lender.
+
+#ifndef FIREFLYCART_CORE_TENANTS_TOKEN_MESSAGES_H_
+#define FIREFLYCART_CORE_TENANTS_TOKEN_MESSAGES_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "fireflycart/core/clock.h"
+#include "fireflycart/core/ids.h"
+
+namespace fireflycart {
+
+// A token is valid for so long, counted by the spender from before it asked.
+constexpr Duration kTokenLife = Duration::Millis(250);
+// A spender that hears of no lender goes on at its remembered rate until so
+// long after it asked for the last time.
+constexpr Duration kRememberedRateLife = Duration::Millis(2000);
+
+enum class LenderState {
+  kNone,      // The VM is not the lender, or does not know enough spenders.
+  kStarting,  // It will lend soon; remembered rates remain valid.
+  kLending,
+};
+constexpr int kLenderStates = 3;
+
+struct TokenWish {
+  TenantId tenant;
+  int64_t wanted = 0;
+  int64_t returned = 0;  // Of the lender's tokens, unused.
+};
+
+struct TokensCall {
+  std::vector<GroupId> groups;  // That the sender owns.
+  std::vector<TokenWish> wishes;
+};
+
+struct TokenGrant {
+  TenantId tenant;
+  int64_t tokens = 0;
+  // Until there is a token again, if fewer were granted than wanted.
+  Duration retry_after;
+  // The rate, in 0.001/s, at which the spender may go on without a lender.
+  int64_t remembered_rate = 0;
+};
+
+struct TokensReply {
+  LenderState state = LenderState::kNone;
+  std::vector<TokenGrant> grants;
+};
+
+}  // namespace fireflycart
+
+#endif  // FIREFLYCART_CORE_TENANTS_TOKEN_MESSAGES_H_
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -14,6 +14,16 @@
        << "fireflycart_" << name << " " << value << "\n";
 }
 
+// The name of a tenant may contain quotes.
+std::string EscapeLabel(const std::string& text) {
+  std::string escaped;
+  for (char c : text) {
+    if (c == '"' || c == '\\') escaped += '\\';
+    escaped += c;
+  }
+  return escaped;
+}
+
 }  // namespace
 
 void SessionMetrics::Count(const proxy::CountStatement& effect) {
@@ -64,6 +74,11 @@
   Gauge("store_age_ms", gauges.store_age.millis(), &out);
   Gauge("key_age_ms", gauges.key_age.millis(), &out);
   Gauge("keys_current", gauges.has_current_keys ? 1 : 0, &out);
+  out << "# TYPE fireflycart_refused_by_limit_total counter\n";
+  for (const auto& item : gauges.refused_by_limit) {
+    out << "fireflycart_refused_by_limit_total{tenant=\""
+        << EscapeLabel(item.first.value()) << "\"} " << item.second << "\n";
+  }
   return out.str();
 }
 
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -396,3 +396,53 @@
 void FromJson(const Json&, RoutesAgeCall*) {}
 
 }  // namespace fireflycart::proxy
+
+namespace fireflycart {
+
+Json ToJson(const TokensCall& c) {
+  Json groups = Json::array();
+  for (const GroupId& group : c.groups) groups.push_back(group);
+  Json wishes = Json::array();
+  for (const TokenWish& wish : c.wishes) {
+    wishes.push_back(proxy::Pack(wish.tenant, wish.wanted, wish.returned));
+  }
+  return Json::array({std::move(groups), std::move(wishes)});
+}
+void FromJson(const Json& json, TokensCall* c) {
+  proxy::Unpacker fields(json);
+  for (const Json& group : fields.Next()) {
+    c->groups.push_back(group.get<GroupId>());
+  }
+  for (const Json& item : fields.Next()) {
+    TokenWish wish;
+    proxy::Unpacker(item)
+        .Take(&wish.tenant)
+        .Take(&wish.wanted)
+        .Take(&wish.returned);
+    c->wishes.push_back(wish);
+  }
+}
+
+Json ToJson(const TokensReply& r) {
+  Json grants = Json::array();
+  for (const TokenGrant& grant : r.grants) {
+    grants.push_back(proxy::Pack(grant.tenant, grant.tokens, grant.retry_after,
+                                 grant.remembered_rate));
+  }
+  return Json::array({EnumNumber(r.state), std::move(grants)});
+}
+void FromJson(const Json& json, TokensReply* r) {
+  proxy::Unpacker fields(json);
+  fields.TakeEnum(kLenderStates, &r->state);
+  for (const Json& item : fields.Next()) {
+    TokenGrant grant;
+    proxy::Unpacker(item)
+        .Take(&grant.tenant)
+        .Take(&grant.tokens)
+        .Take(&grant.retry_after)
+        .Take(&grant.remembered_rate);
+    r->grants.push_back(grant);
+  }
+}
+
+}  // namespace fireflycart
--- a/fireflycart/net/proxy_codec.h
+++ b/fireflycart/net/proxy_codec.h
@@ -10,8 +10,18 @@
 #define FIREFLYCART_NET_PROXY_CODEC_H_
 
 #include "fireflycart/core/proxy/peer_calls.h"
+#include "fireflycart/core/tenants/token_messages.h"
 #include "fireflycart/net/json_types.h"
 
+namespace fireflycart {
+
+Json ToJson(const TokensCall& call);
+void FromJson(const Json& json, TokensCall* call);
+Json ToJson(const TokensReply& reply);
+void FromJson(const Json& json, TokensReply* reply);
+
+}  // namespace fireflycart
+
 namespace fireflycart::proxy {
 
 // Each FromJson throws Json::exception or Error if the message is malformed.
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(Snapshot_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST(Snapshot_OddTenants_Refused);
   CPPUNIT_TEST(RoutesAge_InAnyMessage_DecodedOrMissing);
+  CPPUNIT_TEST(Tokens_CallAndReply_DecodedEqual);
+  CPPUNIT_TEST(Tokens_OddLenderState_Refused);
   CPPUNIT_TEST(Statement_OfTenant_DecodedWithTenant);
   CPPUNIT_TEST(Statement_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST_SUITE_END();
@@ -182,6 +184,39 @@
     }
   }
 
+  void Tokens_CallAndReply_DecodedEqual() {
+    TokensCall call;
+    call.groups = {GroupId("a"), GroupId("b")};
+    call.wishes = {TokenWish{TenantId("acme"), 3, 2}};
+    TokensCall decoded;
+    FromJson(ToJson(call), &decoded);
+    CPPUNIT_ASSERT(decoded.groups == call.groups);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, decoded.wishes.size());
+    CPPUNIT_ASSERT_EQUAL(TenantId("acme"), decoded.wishes[0].tenant);
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, decoded.wishes[0].wanted);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, decoded.wishes[0].returned);
+    TokensReply reply;
+    reply.state = LenderState::kLending;
+    reply.grants = {
+        TokenGrant{TenantId("acme"), 4, Duration::Millis(50), 1500}};
+    TokensReply decoded_reply;
+    FromJson(ToJson(reply), &decoded_reply);
+    CPPUNIT_ASSERT(decoded_reply.state == LenderState::kLending);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, decoded_reply.grants.size());
+    const TokenGrant& grant = decoded_reply.grants[0];
+    CPPUNIT_ASSERT_EQUAL(TenantId("acme"), grant.tenant);
+    CPPUNIT_ASSERT_EQUAL(int64_t{4}, grant.tokens);
+    CPPUNIT_ASSERT(grant.retry_after == Duration::Millis(50));
+    CPPUNIT_ASSERT_EQUAL(int64_t{1500}, grant.remembered_rate);
+  }
+
+  void Tokens_OddLenderState_Refused() {
+    Json json = ToJson(TokensReply());
+    json[0] = kLenderStates;
+    TokensReply reply;
+    CPPUNIT_ASSERT_THROW(FromJson(json, &reply), Error);
+  }
+
   void Statement_OfTenant_DecodedWithTenant() {
     StatementCall call;
     call.tenant = TenantId("acme");
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -65,7 +65,8 @@
   caller->acknowledged_values.clear();
   vm->sessions[caller->session.value()] = caller;
   SendFromCaller(caller, proxy::SessionStarted{caller->session,
-                                               RouteName(caller->consistency)});
+                                               RouteName(caller->consistency),
+                                               KeyDigest::Of(kCallersKey)});
 }
 
 void SessionWorld::BeginOperation(Caller* caller) {
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -86,6 +86,16 @@
     route.priority = rule;
     routes_.routes[route.database] = route;
   }
+  if (options_.tenant_rate > 0) {
+    TenantSpec tenant;
+    tenant.id = TenantId("acme");
+    tenant.has_limit = true;
+    tenant.rate_per_s = options_.tenant_rate;
+    tenant.burst = options_.tenant_burst;
+    std::string problem;
+    routes_.has_tenants = true;
+    routes_.tenants.Add(tenant, {KeyDigest::Of(kCallersKey)}, &problem);
+  }
   PutRoutes();
 }
 
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -44,6 +44,10 @@
   Duration max_age = Duration::Millis(1000);
   Duration target = Duration::Millis(200);
   Duration timeout = Duration::Millis(1000);  // Of one statement.
+  // Limit of the tenant that all callers belong to, by second; zero: there are
+  // no tenants.
+  double tenant_rate = 0;
+  double tenant_burst = 0;
 };
 
 // Outcomes of the callers' operations.
--- a/fireflycart/standins/testing/session_world_parts.h
+++ b/fireflycart/standins/testing/session_world_parts.h
@@ -14,6 +14,8 @@
 
 namespace fireflycart::standins {
 
+constexpr char kCallersKey[] = "key-of-all-callers";
+
 struct SessionWorld::Vm {
   VmId id;
   std::string name;
