--- a/fireflycart/core/peer_message.h
+++ b/fireflycart/core/peer_message.h
@@ -17,6 +17,7 @@
 #include "fireflycart/core/ids.h"
 #include "fireflycart/core/proxy/peer_calls.h"
 #include "fireflycart/core/request.h"
+#include "fireflycart/core/tenants/token_messages.h"
 
 namespace fireflycart {
 
@@ -166,7 +167,7 @@
                  HandoverCall, HandoverRequestCall, proxy::StatementCall,
                  proxy::EndTransactionCall, proxy::CancelQueuedCall,
                  proxy::HeartbeatCall, proxy::SnapshotCall,
-                 proxy::RoutesAgeCall, proxy::EvidenceCall>;
+                 proxy::RoutesAgeCall, proxy::EvidenceCall, TokensCall>;
 
 using PeerReplyBody =
     std::variant<PingReply, IndirectPingReply, ForwardReply, CancelReply,
@@ -174,7 +175,7 @@
                  HandoverReply, HandoverRequestReply, proxy::StatementReply,
                  proxy::EndTransactionReply, proxy::CancelQueuedReply,
                  proxy::HeartbeatReply, proxy::SnapshotReply,
-                 proxy::RoutesAgeReply, proxy::EvidenceReply>;
+                 proxy::RoutesAgeReply, proxy::EvidenceReply, TokensReply>;
 
 enum class PeerCallError {
   kNone,
--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -114,13 +114,22 @@
   }
 }
 
-void GroupReader::Submit(StatementCall call, const WorkOrigin& origin,
-                         ProxyContext* context) {
+bool GroupReader::MayServe(const StatementCall& call, ProxyContext* context) {
   if (context->now() - last_used_ >= kIdleTimeout) used_since_ = context->now();
   last_used_ = context->now();
   pool_.SetSoleOwner(last_used_ - used_since_ >= kSoleReaderTime);
   context->WakeAtCoarse(last_used_ + kIdleTimeout);
   RequestEvidenceIfDue(context);
+  return IsFresh(call, context->now()) && MayStay(call, context);
+}
+
+bool GroupReader::IsFresh(const StatementCall& call, TimePoint now) const {
+  return IsServable(call) && MinPositionFor(call, now).known() &&
+         pool_.IsListCurrent(now);
+}
+
+void GroupReader::Submit(StatementCall call, const WorkOrigin& origin,
+                         ProxyContext* context) {
   auto owned = std::make_unique<Work>();
   Work* work = owned.get();
   work->number = StatementNumber(context->NextNumber());
@@ -133,19 +142,12 @@
   work->latest_start = work->target_deadline - work->expected_service;
   work->deadline = context->now() + work->call.time_left;
   work_[work->number] = std::move(owned);
-  bool is_fresh = IsServable(work->call) && MinPositionFor(*work).known() &&
-                  pool_.IsListCurrent(context->now());
-  if (!is_fresh) {
+  // The evidence may have aged while the read waited for its tenant's limit.
+  if (!IsFresh(work->call, context->now())) {
     work->stage = WorkStage::kConfirming;  // Not queued.
     Return(work, "no_evidence", context);
     return;
   }
-  if (!MayStay(*work, context)) {
-    work->stage = WorkStage::kConfirming;
-    Return(work, "leaves", context);
-    return;
-  }
-  handler_->OnReadAdmitted(work->call);
   if (work->call.tenant != TenantId()) pool_.SetCarriesTenants();
   demand_.OnArrival(work->call.tenant, work->expected_service, context->now());
   queue_.Add(work);
@@ -155,13 +157,14 @@
 
 // As at the owner. The read's first byte came before it arrived here, so the
 // limit counted from its arrival is the stricter one.
-LogPosition GroupReader::MinPositionFor(const Work& work) const {
-  TimePoint oldest = work.arrived.time - work.call.max_age + kTransitMargin;
+LogPosition GroupReader::MinPositionFor(const StatementCall& call,
+                                        TimePoint arrived) const {
+  TimePoint oldest = arrived - call.max_age + kTransitMargin;
   LogPosition min_position = evidence_.MinPositionFor(oldest);
   if (!min_position.known()) return min_position;
-  bool needs_own_writes = work.call.consistency == ReadConsistency::kOwnWrites;
-  if (needs_own_writes && min_position < work.call.own_position) {
-    return work.call.own_position;
+  bool needs_own_writes = call.consistency == ReadConsistency::kOwnWrites;
+  if (needs_own_writes && min_position < call.own_position) {
+    return call.own_position;
   }
   return min_position;
 }
@@ -191,13 +194,12 @@
   return true;
 }
 
-bool GroupReader::MayStay(const Work& work, ProxyContext* context) {
+bool GroupReader::MayStay(const StatementCall& call, ProxyContext* context) {
   Duration wait;
   if (queue_.size() >= kMaxQueuedReads) return false;
   if (!ExpectWait(context->now(), &wait)) return false;
   Duration service = service_times_.Expected(kAllReads, context->now());
-  return !balance_.ShouldLeave(wait, service, work.call.target_left,
-                               context->now());
+  return !balance_.ShouldLeave(wait, service, call.target_left, context->now());
 }
 
 Duration GroupReader::RunLimit(const Work& work) const {
@@ -310,7 +312,7 @@
   command.kind =
       work->call.is_prepared ? CommandKind::kExecute : CommandKind::kVerbatim;
   command.id = work->call.id;
-  command.after = MinPositionFor(*work);
+  command.after = MinPositionFor(work->call, work->arrived.time);
   command.text = work->call.text;
   command.arguments = work->call.text;
   command.prepared = work->call.prepared;
--- a/fireflycart/core/proxy/group_reader.h
+++ b/fireflycart/core/proxy/group_reader.h
@@ -37,9 +37,6 @@
 class ReadHandler {
  public:
   virtual ~ReadHandler() = default;
-  // A read was admitted to the replicas here. The owner, which counts what it
-  // admits itself, learns nothing of it.
-  virtual void OnReadAdmitted(const StatementCall& call) = 0;
   virtual void OnReadDone(const WorkOrigin& origin, StatementReply reply) = 0;
   // The read was not served; its time limits are what is left of them.
   virtual void OnReadReturned(const WorkOrigin& origin, StatementCall call) = 0;
@@ -79,6 +76,9 @@
   static bool IsUsable(const UpstreamRecord& record,
                        const DataCentreId& data_centre);
 
+  // True if the read may be submitted here: evidence covers it, and it gains
+  // nothing from leaving the data centre.
+  bool MayServe(const StatementCall& call, ProxyContext* context);
   void Submit(StatementCall call, const WorkOrigin& origin,
               ProxyContext* context);
   // Cancels the read if it is queued here; false if it is not.
@@ -107,11 +107,14 @@
     TimePoint until;
   };
 
-  LogPosition MinPositionFor(const Work& work) const;
+  // True if evidence covers all that the read must contain.
+  bool IsFresh(const StatementCall& call, TimePoint now) const;
+  LogPosition MinPositionFor(const StatementCall& call,
+                             TimePoint arrived) const;
   bool IsAvailable(const PooledUpstream& upstream, TimePoint now) const;
   // How long one more read would wait here; false if no upstream is available.
   bool ExpectWait(TimePoint now, Duration* wait) const;
-  bool MayStay(const Work& work, ProxyContext* context);
+  bool MayStay(const StatementCall& call, ProxyContext* context);
   Duration RunLimit(const Work& work) const;
   void RequestEvidenceIfDue(ProxyContext* context);
   void Dispatch(ProxyContext* context);
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -48,6 +48,16 @@
        << "\n";
 }
 
+// The name of a tenant may contain quotes.
+std::string EscapeLabel(const std::string& text) {
+  std::string escaped;
+  for (char c : text) {
+    if (c == '"' || c == '\\') escaped += '\\';
+    escaped += c;
+  }
+  return escaped;
+}
+
 }  // namespace
 
 void SessionMetrics::Count(const proxy::CountStatement& effect) {
@@ -113,6 +123,11 @@
     out << "fireflycart_memory_limits_met_total{limit=\""
         << MemoryLimitName(limit) << "\"} " << memory.count(limit) << "\n";
   }
+  out << "# TYPE fireflycart_refused_by_limit_total counter\n";
+  for (const auto& item : gauges.refused_by_limit) {
+    out << "fireflycart_refused_by_limit_total{tenant=\""
+        << EscapeLabel(item.first.value()) << "\"} " << item.second << "\n";
+  }
   return out.str();
 }
 
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -69,6 +69,7 @@
   TenantId tenant = TenantOf(caller->index);
   KeyDigest key;
   if (tenant != TenantId()) key = KeyDigest::Of("key-" + tenant.value());
+  if (options_.tenant_rate > 0) key = KeyDigest::Of(kCallersKey);
   SendFromCaller(caller,
                  proxy::SessionStarted{caller->session,
                                        RouteName(caller->consistency), key});
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -155,6 +155,16 @@
     KeyDigest key = KeyDigest::Of("key-" + tenant.id.value());
     if (!routes_.tenants.Add(tenant, {key}, &problem)) Report(problem);
   }
+  if (options_.tenant_rate > 0) {
+    TenantSpec tenant;
+    tenant.id = TenantId("acme");
+    tenant.has_limit = true;
+    tenant.rate_per_s = options_.tenant_rate;
+    tenant.burst = options_.tenant_burst;
+    std::string problem;
+    routes_.has_tenants = true;
+    routes_.tenants.Add(tenant, {KeyDigest::Of(kCallersKey)}, &problem);
+  }
   PutRoutes();
 }
 
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -59,6 +59,10 @@
   int hot_callers = 0;
   proxy::ReadConsistency hot_consistency = proxy::ReadConsistency::kOwnWrites;
   Duration hot_statement_pause;  // Between two statements of an operation.
+  // Limit of the tenant that all callers belong to, by second; zero: there are
+  // no tenants.
+  double tenant_rate = 0;
+  double tenant_burst = 0;
 };
 
 // Outcomes of the callers' operations.
