--- a/fireflycart/daemon/testing/fuzz_targets.cc
+++ b/fireflycart/daemon/testing/fuzz_targets.cc
@@ -3,6 +3,8 @@
 
 #include "fireflycart/daemon/testing/fuzz_targets.h"
 
+#include <algorithm>
+
 #include "fireflycart/core/config_manager.h"
 #include "fireflycart/core/configuration.h"
 #include "fireflycart/core/error.h"
@@ -14,6 +16,7 @@
 #include "fireflycart/net/platform_codec.h"
 #include "fireflycart/net/upstream_codec.h"
 #include "platform/documents.h"
+#include "platform/line_codec.h"
 #include "platform/testing/document_seeds.h"
 
 namespace fireflycart {
@@ -130,6 +133,28 @@
   ParseCall(path_only, AccessTokens(), TimePoint());
 }
 
+// The lines in which a caller's bytes are split, arriving in such pieces.
+std::vector<std::string> SplitLines(const std::string& input, size_t piece) {
+  platform::LineBuffer buffer;
+  std::vector<std::string> lines;
+  std::string line;
+  for (size_t start = 0; start < input.size(); start += piece) {
+    size_t size = std::min(piece, input.size() - start);
+    buffer.Append(input.data() + start, size);
+    while (buffer.Next(&line)) lines.push_back(line);
+  }
+  return lines;
+}
+
+void ParseAnyLines(const std::string& input) {
+  std::vector<std::string> lines = SplitLines(input, input.size() + 1);
+  for (size_t piece : {size_t{1}, size_t{2}, size_t{7}}) {
+    CheckInvariant(SplitLines(input, piece) == lines, "fuzz caller lines",
+                   "the pieces in which they arrive change the lines");
+  }
+  for (const std::string& line : lines) platform::ParseCallerLine(line);
+}
+
 }  // namespace
 
 std::vector<FuzzTarget> FuzzTargets() {
@@ -178,6 +203,10 @@
        {proxy::StoreFollower::EncodeVm(proxy::VmRecord{
            VmId("a"), "127.0.0.1:1", DataCentreId("d"), 7, 250, {}})}},
       {"address", ParseAnyAddress, {"127.0.0.1:7001"}},
+      {"caller_lines",
+       ParseAnyLines,
+       {"START a key\r\nQUERY 1 PREPARE s WRITE q\r\nQUERY 1 EXEC s i d\r\n",
+        "QUERY 2 SET n v w\r\nQUERY 3 READ a\r\r\nBYE\r\n"}},
       {"caller_call",
        ParseAnyCall,
        {R"({"group":"g","kind":"k","caller":"c","access":"read",)"
