Failover: log what a replacement waits for

Each cause is logged once in a row as failover.waits. No decision changes.

fireflycart_session_failure_test against this code: 64 OK.

--- a/fireflycart/core/proxy/failover.cc
+++ b/fireflycart/core/proxy/failover.cc
@@ -95,6 +95,7 @@
   has_unseen_order_ = false;
   leaves_out_silent_ = false;
   is_fleet_reachable_ = false;
+  reported_wait_.clear();
   command_sent_at_.clear();
   held_at_.clear();
   resuming_.clear();
@@ -397,7 +398,10 @@
       if (successor_ == UpstreamId()) return;
     }
   }
-  if (!RenewToken(*pool, context)) return;
+  if (!RenewToken(*pool, context)) {
+    ReportWait("a token", context);
+    return;
+  }
   uint64_t hold_term = HoldTermOf(term_, lease_.token());
   if (hold_term != hold_term_) held_at_.clear();  // They are held anew.
   hold_term_ = hold_term;
@@ -418,29 +422,53 @@
     // was taken.
     has_catch_up_position_ = false;
     all_held_at_ = Instant();
+    ReportWait("holds", context);
     return;
   }
   TrackHolds(pool, context);
   if (!AreHoldsConfirmed(*pool, context)) {
     RequestHoldEvidence(pool, context);
+    ReportWait("evidence of the holds", context);
+    return;
+  }
+  if (!ReachesCommitSet(*pool)) {
+    ReportWait("members of the commit set", context);
     return;
   }
-  if (!ReachesCommitSet(*pool)) return;
   // If the store gave the lease, it can also be asked for the list.
   bool is_list_old = pool->ListAge(context->now()) > kListMaxAge;
-  if (lease_.has_token() && is_list_old) return;
+  if (lease_.has_token() && is_list_old) {
+    ReportWait("a newer list of upstreams", context);
+    return;
+  }
   if (is_planned()) {
     if (!HasCaughtUp(pool, context)) return;
   } else {
     ChooseSuccessor(pool, context);
-    if (successor_ == UpstreamId()) return;
+    if (successor_ == UpstreamId()) {
+      ReportWait("a successor", context);
+      return;
+    }
     held_position_ = pool->FindUpstream(successor_)->status.received;
     // Reads are served at the successor meanwhile.
-    if (WouldLeadAlone(*pool, context)) return;
+    if (WouldLeadAlone(*pool, context)) {
+      ReportWait("a replica for the successor", context);
+      return;
+    }
   }
   RequestPromotion(*pool, context);
 }
 
+void Failover::ReportWait(const char* cause, ProxyContext* context) {
+  if (is_planned() || reported_wait_ == cause) return;
+  reported_wait_ = cause;
+  context->Log(LogLevel::kInfo, kPart, "waits",
+               {{"group", group_.value()},
+                {"for", cause},
+                {"after_ms",
+                 std::to_string((context->now() - started_.time).millis())}});
+}
+
 // True if the successor would have no replica, and so could not acknowledge
 // commits, while the upstreams that were left out may return any moment: then
 // the old primary goes on, or the successor has a replica.
--- a/fireflycart/core/proxy/failover.h
+++ b/fireflycart/core/proxy/failover.h
@@ -247,6 +247,9 @@
   bool MustHold(const UpstreamId& id, const UpstreamPool& pool) const;
   bool AreReplicasHeld(const UpstreamPool& pool, ProxyContext* context) const;
   void StepHoldingReplicas(UpstreamPool* pool, ProxyContext* context);
+  // Logs what keeps a lost primary from being replaced, once for each cause in
+  // a row.
+  void ReportWait(const char* cause, ProxyContext* context);
   bool ReplaceSuccessor(UpstreamPool* pool, ProxyContext* context);
   void StepAwaitingNewPrimary(UpstreamPool* pool, ProxyContext* context);
   bool HoldReplicas(UpstreamPool* pool, ProxyContext* context);
@@ -304,6 +307,7 @@
   bool is_fleet_reachable_ = false;
   CallId promotion_;
   TimePoint promotion_requested_at_;
+  std::string reported_wait_;
   Duration replacement_time_;  // Of the last lost primary; zero: none yet.
   TimePoint retry_at_;
   std::map<UpstreamId, TimePoint> command_sent_at_;
