--- a/fireflycart/core/admission/testing/zone_balance_test.cc
+++ b/fireflycart/core/admission/testing/zone_balance_test.cc
@@ -153,8 +153,8 @@
         continue;
       }
       counts_[i].left++;
-      if (!site.is_cut_off)
-        ways_.emplace(now_ + kWayMs, std::make_pair(i, now_));
+      if (site.is_cut_off) continue;
+      ways_.emplace(now_ + kWayMs, std::make_pair(i, now_));
     }
   }
 
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -481,8 +481,8 @@
     if (has_work) *busy_groups += item.first.value() + " ";
   }
   for (const auto& item : readers_) {
-    if (item.second->work_count() != 0)
-      *busy_groups += item.first.value() + " ";
+    bool has_work = item.second->work_count() != 0;
+    if (has_work) *busy_groups += item.first.value() + " ";
   }
   return !busy_groups->empty() || session_manager_.size() != 0 ||
          session_manager_.IsAwaitingClose(context_.now());
