--- a/fireflycart/core/admission/zone_balance.cc
+++ b/fireflycart/core/admission/data_centre_balance.cc
@@ -7,7 +7,7 @@
 // several times the delay of the news: work is kept back fast and sent away
 // slowly. And the share reacts over a width, not at a threshold.
 
-#include "fireflycart/core/admission/zone_balance.h"
+#include "fireflycart/core/admission/data_centre_balance.h"
 
 #include <algorithm>
 
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-void ZoneBalance::OnNews(Duration wait, Duration service, Duration way,
-                         TimePoint now) {
+void DataCentreBalance::OnNews(Duration wait, Duration service, Duration way,
+                               TimePoint now) {
   bool is_stale = !has_news_ || now - news_at_ > kNewsMaxAge;
   double weight =
       is_stale ? 1
@@ -34,8 +34,8 @@
   news_at_ = now;
 }
 
-bool ZoneBalance::ShouldLeave(Duration wait, Duration service,
-                              Duration target_left, TimePoint now) {
+bool DataCentreBalance::ShouldLeave(Duration wait, Duration service,
+                                    Duration target_left, TimePoint now) {
   bool is_known = has_news_ && now - news_at_ <= kNewsMaxAge;
   double here = Millis(wait) + Millis(service);
   // Without a measurement there, the same service time as here is assumed.
@@ -53,7 +53,7 @@
   return true;
 }
 
-double ZoneBalance::ShareFor(double gain_ms) const {
+double DataCentreBalance::ShareFor(double gain_ms) const {
   return std::clamp(gain_ms / Millis(kWidth), 0.0, 1.0);
 }
 
--- a/fireflycart/core/admission/zone_balance.h
+++ b/fireflycart/core/admission/data_centre_balance.h
@@ -6,7 +6,7 @@
 // slow. The way to other data centres takes time and its bytes cost money, so a
 // read leaves only if it gains more than that.
 //
-//   ZoneBalance balance(options);
+//   DataCentreBalance balance(options);
 //   balance.OnNews(wait, service, way, now);
 //   if (balance.ShouldLeave(local_wait, local_service, target_left, now)) ...
 //
@@ -18,20 +18,20 @@
 // idle, and the way for kDefaultWay. Only the caller of this class knows
 // whether any upstream here is available.
 
-#ifndef FIREFLYCART_CORE_ADMISSION_ZONE_BALANCE_H_
-#define FIREFLYCART_CORE_ADMISSION_ZONE_BALANCE_H_
+#ifndef FIREFLYCART_CORE_ADMISSION_DATA_CENTRE_BALANCE_H_
+#define FIREFLYCART_CORE_ADMISSION_DATA_CENTRE_BALANCE_H_
 
 #include "fireflycart/core/clock.h"
 
 namespace fireflycart::proxy {
 
-struct ZoneBalanceOptions {
+struct DataCentreBalanceOptions {
   // The price of the bytes between data centres, as the time that a read may
   // take longer rather than leave its own; zero: they cost nothing.
   Duration leave_cost = Duration::Millis(40);
 };
 
-class ZoneBalance {
+class DataCentreBalance {
  public:
   static constexpr Duration kWidth = Duration::Millis(40);
   static constexpr Duration kDefaultWay = Duration::Millis(8);  // Both ways.
@@ -42,7 +42,8 @@
   // that no read is late for the sake of bytes.
   static constexpr int64_t kTargetPart = 8;
 
-  explicit ZoneBalance(const ZoneBalanceOptions& options) : options_(options) {}
+  explicit DataCentreBalance(const DataCentreBalanceOptions& options)
+      : options_(options) {}
 
   // How long a read waits and then runs elsewhere, and the way there and back.
   void OnNews(Duration wait, Duration service, Duration way, TimePoint now);
@@ -57,7 +58,7 @@
  private:
   double ShareFor(double gain_ms) const;
 
-  ZoneBalanceOptions options_;
+  DataCentreBalanceOptions options_;
   bool has_news_ = false;
   TimePoint news_at_;
   double wait_ms_ = 0;
@@ -69,4 +70,4 @@
 
 }  // namespace fireflycart::proxy
 
-#endif  // FIREFLYCART_CORE_ADMISSION_ZONE_BALANCE_H_
+#endif  // FIREFLYCART_CORE_ADMISSION_DATA_CENTRE_BALANCE_H_
--- a/fireflycart/core/admission/testing/zone_balance_test.cc
+++ b/fireflycart/core/admission/testing/data_centre_balance_test.cc
@@ -4,7 +4,7 @@
 // The bounds come from the patterns: what exceeds the slots of a data centre
 // must leave it, the rest should not, and with room in sum nothing is late.
 
-#include "fireflycart/core/admission/zone_balance.h"
+#include "fireflycart/core/admission/data_centre_balance.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -67,7 +67,7 @@
  public:
   explicit Replay(Duration leave_cost) {
     for (size_t i = 0; i < kSites; i++) {
-      balances_.emplace_back(ZoneBalanceOptions{leave_cost});
+      balances_.emplace_back(DataCentreBalanceOptions{leave_cost});
     }
   }
 
@@ -180,14 +180,14 @@
   std::array<Site, kSites> sites_;
   std::array<Counts, kSites> counts_;
   std::array<std::pair<int, int>, kSites> marks_ = {};
-  std::vector<ZoneBalance> balances_;
+  std::vector<DataCentreBalance> balances_;
   std::multimap<int64_t, std::pair<size_t, int64_t>> ways_;  // By arrival.
   // The sites whose reads began at a time, in any order.
   std::map<int64_t, std::deque<size_t>> owners_;
 };
 
-class ZoneBalanceTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(ZoneBalanceTest);
+class DataCentreBalanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DataCentreBalanceTest);
   CPPUNIT_TEST(ShouldLeave_NoWait_Stays);
   CPPUNIT_TEST(ShouldLeave_WaitBelowCost_Stays);
   CPPUNIT_TEST(ShouldLeave_CostIsZero_LeavesForLess);
@@ -216,7 +216,7 @@
   }
 
   void ShouldLeave_CostIsZero_LeavesForLess() {
-    balance_ = ZoneBalance(ZoneBalanceOptions{Duration()});
+    balance_ = DataCentreBalance(DataCentreBalanceOptions{Duration()});
     CPPUNIT_ASSERT(Leaves(48, 400));
   }
 
@@ -242,7 +242,7 @@
   void ShouldLeave_NewsAreOld_OthersCountAsIdle() {
     balance_.OnNews(Duration::Millis(100), Duration::Millis(kServiceMs),
                     Duration::Millis(8), now_);
-    now_ = now_ + ZoneBalance::kNewsMaxAge + Duration::Millis(1);
+    now_ = now_ + DataCentreBalance::kNewsMaxAge + Duration::Millis(1);
     CPPUNIT_ASSERT(Leaves(100, 400));
   }
 
@@ -364,10 +364,10 @@
   }
 
   TimePoint now_ = TimePoint::FromMillis(1000);
-  ZoneBalance balance_{ZoneBalanceOptions{Duration::Millis(40)}};
+  DataCentreBalance balance_{DataCentreBalanceOptions{Duration::Millis(40)}};
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ZoneBalanceTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(DataCentreBalanceTest);
 
 }  // namespace
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/zone_traffic.h
+++ b/fireflycart/core/proxy/data_centre_traffic.h
@@ -1,7 +1,7 @@
 // Counts the statements that a VM sends to other VMs and to upstreams, and the
 // bytes of their texts and rows, inside its data centre and out of it.
 //
-//   ZoneTraffic traffic(data_centre);
+//   DataCentreTraffic traffic(data_centre);
 //   traffic.OnSent(upstream_data_centre, text.size());
 //   traffic.OnRows(upstream_data_centre, rows);
 //   uint64_t leaving = traffic.leaving().bytes;
@@ -9,8 +9,8 @@
 // Limits: a place whose data centre is not known counts as inside. Headers and
 // the calls between VMs that carry no statement are not counted.
 
-#ifndef FIREFLYCART_CORE_PROXY_ZONE_TRAFFIC_H_
-#define FIREFLYCART_CORE_PROXY_ZONE_TRAFFIC_H_
+#ifndef FIREFLYCART_CORE_PROXY_DATA_CENTRE_TRAFFIC_H_
+#define FIREFLYCART_CORE_PROXY_DATA_CENTRE_TRAFFIC_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -22,14 +22,14 @@
 
 namespace fireflycart::proxy {
 
-class ZoneTraffic {
+class DataCentreTraffic {
  public:
   struct Counts {
     uint64_t statements = 0;
     uint64_t bytes = 0;
   };
 
-  explicit ZoneTraffic(DataCentreId data_centre)
+  explicit DataCentreTraffic(DataCentreId data_centre)
       : data_centre_(std::move(data_centre)) {}
 
   void OnSent(const DataCentreId& to, size_t bytes) {
@@ -58,4 +58,4 @@
 
 }  // namespace fireflycart::proxy
 
-#endif  // FIREFLYCART_CORE_PROXY_ZONE_TRAFFIC_H_
+#endif  // FIREFLYCART_CORE_PROXY_DATA_CENTRE_TRAFFIC_H_
--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -44,7 +44,7 @@
 }  // namespace
 
 GroupReader::GroupReader(GroupSpec spec, DataCentreId data_centre,
-                         const ZoneBalanceOptions& options,
+                         const DataCentreBalanceOptions& options,
                          ReadHandler* handler)
     : spec_(WithReaderShare(std::move(spec))),
       data_centre_(std::move(data_centre)),
--- a/fireflycart/core/proxy/group_reader.h
+++ b/fireflycart/core/proxy/group_reader.h
@@ -12,7 +12,8 @@
 // other.
 //
 // Load pattern: a data centre asks for more than its own replicas can run.
-// Reads that would wait here longer than ZoneBalance allows leave at once.
+// Reads that would wait here longer than DataCentreBalance allows leave at
+// once.
 //
 // Limits: single reads that may run on a replica; at most kMaxQueuedReads wait.
 
@@ -25,8 +26,8 @@
 #include <vector>
 
 #include "fireflycart/core/admission/connection_plan.h"
+#include "fireflycart/core/admission/data_centre_balance.h"
 #include "fireflycart/core/admission/service_times.h"
-#include "fireflycart/core/admission/zone_balance.h"
 #include "fireflycart/core/proxy/read_evidence.h"
 #include "fireflycart/core/proxy/upstream_pool.h"
 #include "fireflycart/core/proxy/work_queue.h"
@@ -61,7 +62,7 @@
   static constexpr Duration kSoleReaderTime = Duration::Seconds(5);
 
   GroupReader(GroupSpec spec, DataCentreId data_centre,
-              const ZoneBalanceOptions& options, ReadHandler* handler);
+              const DataCentreBalanceOptions& options, ReadHandler* handler);
 
   void SetSpec(const GroupSpec& spec);
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
@@ -136,7 +137,7 @@
   ReadHandler* handler_;
   UpstreamPool pool_;
   ReadEvidence evidence_;
-  ZoneBalance balance_;
+  DataCentreBalance balance_;
   ServiceTimes service_times_;
   WorkQueue queue_;
   TenantDemand demand_;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -656,8 +656,8 @@
     if (item.second.group == group) records.push_back(WithTimes(item.second));
   }
   ReadHandler* handler = this;
-  auto reader = std::make_unique<GroupReader>(spec->second, self_.data_centre,
-                                              options_.zone_balance(), handler);
+  auto reader = std::make_unique<GroupReader>(
+      spec->second, self_.data_centre, options_.data_centre_balance(), handler);
   reader->SetListTime(follower_.upstreams_confirmed_at());
   reader->SetUpstreams(records, &context_);
   GroupReader* created = reader.get();
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "fireflycart/core/proxy/data_centre_traffic.h"
 #include "fireflycart/core/proxy/fleet.h"
 #include "fireflycart/core/proxy/forwarder.h"
 #include "fireflycart/core/proxy/group_owner.h"
@@ -30,7 +31,6 @@
 #include "fireflycart/core/proxy/limit_keeper.h"
 #include "fireflycart/core/proxy/session_manager.h"
 #include "fireflycart/core/proxy/store_follower.h"
-#include "fireflycart/core/proxy/zone_traffic.h"
 
 namespace fireflycart::proxy {
 
@@ -59,9 +59,11 @@
   bool reads_nearby() const { return reads_nearby_; }
   void set_reads_nearby(bool is_on) { reads_nearby_ = is_on; }
 
-  const ZoneBalanceOptions& zone_balance() const { return zone_balance_; }
-  void set_zone_balance(const ZoneBalanceOptions& options) {
-    zone_balance_ = options;
+  const DataCentreBalanceOptions& data_centre_balance() const {
+    return data_centre_balance_;
+  }
+  void set_data_centre_balance(const DataCentreBalanceOptions& options) {
+    data_centre_balance_ = options;
   }
 
  private:
@@ -70,7 +72,7 @@
   Duration key_age_limit_;
   size_t session_state_limit_ = size_t{256} << 20;
   bool reads_nearby_ = true;
-  ZoneBalanceOptions zone_balance_;
+  DataCentreBalanceOptions data_centre_balance_;
 };
 
 // Current sizes of a VM's state.
@@ -89,8 +91,8 @@
   // wait for one.
   int64_t statements_found_connection = 0;
   int64_t statements_awaited_connection = 0;
-  ZoneTraffic::Counts inside_data_centre;
-  ZoneTraffic::Counts leaving_data_centre;
+  DataCentreTraffic::Counts inside_data_centre;
+  DataCentreTraffic::Counts leaving_data_centre;
   int64_t vms = 0;
   int64_t vms_down = 0;
   uint64_t routes_version = 0;
@@ -235,7 +237,7 @@
     TimePoint sent;
   };
   std::map<CallId, EvidenceRequest> evidence_requests_;
-  ZoneTraffic traffic_;
+  DataCentreTraffic traffic_;
   struct ConnectionPlace {
     GroupId group;
     DataCentreId data_centre;
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -45,9 +45,9 @@
   options.set_session_state_limit(settings.sessions->memory_bytes /
                                   kPartSessionState);
   options.set_reads_nearby(settings.sessions->reads_nearby);
-  proxy::ZoneBalanceOptions zone_balance;
-  zone_balance.leave_cost = settings.sessions->leave_cost;
-  options.set_zone_balance(zone_balance);
+  proxy::DataCentreBalanceOptions data_centre_balance;
+  data_centre_balance.leave_cost = settings.sessions->leave_cost;
+  options.set_data_centre_balance(data_centre_balance);
   return options;
 }
 
--- a/fireflycart/standins/testing/session_zone_test.cc
+++ b/fireflycart/standins/testing/session_data_centre_test.cc
@@ -16,8 +16,8 @@
 constexpr int kVms = 6;  // Two in each of three data centres.
 constexpr Duration kWarmUp = Duration::Seconds(4);
 
-class SessionZoneTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(SessionZoneTest);
+class SessionDataCentreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionDataCentreTest);
   CPPUNIT_TEST(Reads_ReplicaNearby_HalfAsManyCross);
   CPPUNIT_TEST(DataCentre_OneOrNone_NothingChanges);
   CPPUNIT_TEST(Reader_CutFromOwner_ServesNothingOldAndReadsGoOn);
@@ -231,7 +231,7 @@
   std::unique_ptr<SessionWorld> world_;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SessionZoneTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionDataCentreTest);
 
 }  // namespace
 }  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_key_age_test.cc
+++ b/fireflycart/standins/testing/session_key_age_test.cc
@@ -33,7 +33,7 @@
 // Period at which the ages of all VMs are noted.
 constexpr Duration kSamplePeriod = Duration::Millis(10);
 constexpr char kDatabase[] = "ledger";
-constexpr int kZones = 4;
+constexpr int kDataCentres = 4;
 
 class KeyAgeWorld {
  public:
@@ -66,7 +66,8 @@
     proxy::VmRecord record;
     record.vm = vm->id;
     record.address = vm->id.value();
-    record.data_centre = DataCentreId("dc-" + std::to_string(index % kZones));
+    record.data_centre =
+        DataCentreId("dc-" + std::to_string(index % kDataCentres));
     record.cpu_permille = 250;
     record.incarnation = vm->incarnation = ++last_number_;
     proxy::ProxyOptions options;
@@ -339,12 +340,13 @@
   }
 
   Duration Latency(const Vm& a, const Vm& b) const {
-    return Duration::Millis(a.index % kZones == b.index % kZones ? 1 : 2);
+    return Duration::Millis(
+        a.index % kDataCentres == b.index % kDataCentres ? 1 : 2);
   }
 
   void CountAge(const Vm& a, const Vm& b, size_t bytes) {
     figures_.age_bytes += static_cast<int64_t>(bytes);
-    if (a.index % kZones == b.index % kZones) return;
+    if (a.index % kDataCentres == b.index % kDataCentres) return;
     figures_.age_bytes_across += static_cast<int64_t>(bytes);
   }
 
