Memory: a turn ends by how slowly its message comes, not after 2 s

Cause (review): a place for a large message was taken away 2 s after it was given if others waited. A message of 1 MiB needs 4 s over 2 Mbit/s, so two such callers on a small machine closed each other for ever.

--- a/fireflycart/core/admission/memory_budget.cc
+++ b/fireflycart/core/admission/memory_budget.cc
@@ -111,6 +111,7 @@
   holder->reserved_ = size;
   holder->is_receiving_ = true;
   holder->reserved_at_ = now;
+  holder->received_at_reserve_ = holder->received_;
   holder->place_ = pool->holders.insert(pool->holders.end(), holder);
 }
 
@@ -166,8 +167,12 @@
       if (pool.waiting.empty()) continue;
       for (MemoryHolder* holder : pool.holders) {
         bool waits = holder->awaited_ != MessageSize::kSmall;
+        Duration turn = now - holder->reserved_at_;
+        int64_t received = static_cast<int64_t>(holder->received_) -
+                           static_cast<int64_t>(holder->received_at_reserve_);
         bool is_slow = holder->is_receiving_ && !waits && !holder->must_go_ &&
-                       now - holder->reserved_at_ >= kReceiveTime;
+                       turn >= kReceiveTime &&
+                       received < turn.millis() * kLeastBytesPerMilli;
         if (is_slow) slow.push_back(holder);
       }
     }
--- a/fireflycart/core/admission/memory_budget.h
+++ b/fireflycart/core/admission/memory_budget.h
@@ -79,6 +79,8 @@
   MemorySide side_ = MemorySide::kCallers;
   MessageSize reserved_ = MessageSize::kSmall;
   MessageSize awaited_ = MessageSize::kSmall;  // kSmall: none.
+  size_t received_ = 0;  // Of the message that is received.
+  size_t received_at_reserve_ = 0;
   bool is_receiving_ = false;  // Its reserved message is not complete.
   bool must_go_ = false;
   TimePoint reserved_at_;
@@ -106,8 +108,11 @@
 
 class MemoryBudget {
  public:
-  // Time to complete a message while others wait for a reservation.
+  // Who receives a message more slowly than that after this time has to go
+  // while others wait for a reservation. A message of 1 MiB over 2 Mbit/s is
+  // faster.
   static constexpr Duration kReceiveTime = Duration::Seconds(2);
+  static constexpr int64_t kLeastBytesPerMilli = 64;
   // Holdings below it are nobody's fault: their holder never has to go.
   static constexpr size_t kFreeHoldingBytes = size_t{8} << 10;
 
@@ -123,6 +128,10 @@
   // Returns false if it has to wait for OnMayReceive().
   bool Reserve(MemoryHolder* holder, MemorySide side, MessageSize size,
                TimePoint now);
+  // So much of the incomplete message was received; told before Reserve().
+  void OnProgress(MemoryHolder* holder, size_t bytes) {
+    holder->received_ = bytes;
+  }
   // The message is complete; from now on it ends with its answer.
   void OnReceived(MemoryHolder* holder) { holder->is_receiving_ = false; }
   // Gives the reservation back, or the place in the queue. What the holder
@@ -132,7 +141,7 @@
   void Remove(MemoryHolder* holder, TimePoint now);
 
   // To be called from time to time while has_waiting(): ends the turns of those
-  // that did not complete their message in time, unless they wait themselves.
+  // that receive their message too slowly, unless they wait themselves.
   void EndSlowTurns(TimePoint now);
   bool has_waiting() const { return waiting_ > 0; }
 
--- a/fireflycart/core/admission/testing/memory_budget_test.cc
+++ b/fireflycart/core/admission/testing/memory_budget_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(Reserve_MediumThenLarge_GivesMediumBack);
   CPPUNIT_TEST(EndSlowTurns_OthersWait_IncompleteOneMustGo);
   CPPUNIT_TEST(EndSlowTurns_CompleteOne_Stays);
+  CPPUNIT_TEST(EndSlowTurns_SteadyOneOnNarrowLink_Stays);
+  CPPUNIT_TEST(EndSlowTurns_OneThatStopsHalfWay_MustGo);
   CPPUNIT_TEST(EndSlowTurns_NobodyWaits_IncompleteOneStays);
   CPPUNIT_TEST(EndSlowTurns_HolderWaitsItself_Stays);
   CPPUNIT_TEST(Quota_OneSession_LargestMessageIsKept);
@@ -172,6 +174,25 @@
     CPPUNIT_ASSERT_EQUAL(0, a_.must_go);
   }
 
+  // 2 Mbit/s are 250 bytes in a millisecond.
+  void EndSlowTurns_SteadyOneOnNarrowLink_Stays() {
+    CPPUNIT_ASSERT(Reserve(&a_, MessageSize::kLarge));
+    CPPUNIT_ASSERT(!Reserve(&b_, MessageSize::kLarge));
+    for (int64_t ms = 0; ms * 250 < int64_t{kLargeMessageBytes}; ms += 100) {
+      budget_.OnProgress(&a_, static_cast<size_t>(ms * 250));
+      budget_.EndSlowTurns(now_ + Duration::Millis(ms));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, a_.must_go);
+  }
+
+  void EndSlowTurns_OneThatStopsHalfWay_MustGo() {
+    CPPUNIT_ASSERT(Reserve(&a_, MessageSize::kLarge));
+    CPPUNIT_ASSERT(!Reserve(&b_, MessageSize::kLarge));
+    budget_.OnProgress(&a_, kLargeMessageBytes / 2);
+    budget_.EndSlowTurns(now_ + Duration::Seconds(10));
+    CPPUNIT_ASSERT_EQUAL(1, a_.must_go);
+  }
+
   void EndSlowTurns_NobodyWaits_IncompleteOneStays() {
     CPPUNIT_ASSERT(Reserve(&a_, MessageSize::kLarge));
     budget_.EndSlowTurns(now_ + MemoryBudget::kReceiveTime);
--- a/fireflycart/net/memory_guard.h
+++ b/fireflycart/net/memory_guard.h
@@ -27,6 +27,9 @@
 
   void Hold(MemoryHolder* holder, size_t bytes) { budget_.Hold(holder, bytes); }
   bool Reserve(MemoryHolder* holder, MemorySide side, MessageSize size);
+  void OnProgress(MemoryHolder* holder, size_t bytes) {
+    budget_.OnProgress(holder, bytes);
+  }
   void OnReceived(MemoryHolder* holder) { budget_.OnReceived(holder); }
   void Release(MemoryHolder* holder) { budget_.Release(holder, clock_->Now()); }
   void Remove(MemoryHolder* holder) { budget_.Remove(holder, clock_->Now()); }
