Peers: no account for a stream that has ended

Cause (review): an answer to a request that the peer had reset made a new account of its stream, which nothing ended; such a connection came to hold most and was closed. Bytes of a body beyond the limit were not given back to the window. Change: such an answer is dropped, and the window gets the bytes back.

--- a/fireflycart/net/http2_connection.cc
+++ b/fireflycart/net/http2_connection.cc
@@ -162,6 +162,7 @@
     if (!account.turn) {
       account.turn = std::make_shared<StreamTurn>(this, stream);
     }
+    memory_->OnProgress(account.turn.get(), body);
     may_receive =
         memory_->Reserve(account.turn.get(), MemorySide::kPeers, size);
   }
@@ -217,6 +218,9 @@
 
 void Http2Connection::SubmitResponse(int32_t stream, std::string body) {
   if (closed_) return;
+  // The peer has given the request up. A server that accounts for memory knows
+  // each stream from its header to its end.
+  if (memory_ != nullptr && accounts_.count(stream) == 0) return;
   std::vector<Http2Header> headers = {{":status", "200"}};
   std::vector<nghttp2_nv> values = NameValues(headers);
   nghttp2_data_provider provider = Provider(stream);
@@ -282,6 +286,9 @@
   Http2Connection* self = Self(user_data);
   std::string& body = self->incoming_[stream];
   if (body.size() + length > kMaxPeerMessageBytes) {
+    if (self->memory_ != nullptr) {
+      nghttp2_session_consume_connection(session, length);
+    }
     nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream,
                               NGHTTP2_ENHANCE_YOUR_CALM);
     return 0;
