Connections: reset only when one more shape is to be prepared

Cause (review): a shape of more than 256 KiB made every statement on its connection reset it and prepare the shape again. Change: the limit counts when a shape is added.

--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -19,7 +19,7 @@
 constexpr int kSoleOwnerShareDenominator = 3;
 // Connections that transactions may not pin, reserved for single statements.
 constexpr int kUnpinnedReserve = 2;
-// A connection with shapes of more than this is reset before its next use.
+// A connection with shapes of more than this is reset before one is added.
 constexpr size_t kMaxPreparedBytes = size_t{256} << 10;
 
 bool HasUnansweredResume(const PooledConnection& connection) {
@@ -317,8 +317,10 @@
     PooledConnection* connection, const StatementCall& call) {
   std::vector<UpstreamCommand> commands;
   // Nothing is reset within a transaction.
-  bool has_surplus =
-      !connection->is_pinned && connection->prepared_bytes > kMaxPreparedBytes;
+  bool prepares =
+      call.is_prepared && connection->prepared.count(call.prepared) == 0;
+  bool has_surplus = prepares && !connection->is_pinned &&
+                     connection->prepared_bytes > kMaxPreparedBytes;
   for (const auto& value : connection->values) {
     if (call.values.count(value.first) == 0) has_surplus = true;
   }
