Dispatch: the primary takes a read only if the replica is in another data centre

Cause (review): a replica of the same data centre with its slots in use counted as far away, so reads of a fleet in one data centre went to the primary. Change: the data centres decide, as the header says.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -321,7 +321,7 @@
                   work.excluded_upstreams.count(primary_) == 0;
   // The lane of the primary's own work was served first, so what is left in it
   // waits for something else than a slot.
-  return has_room && !HasRoomNearby(replica) &&
+  return has_room && replica.record.data_centre != data_centre_ &&
          MayStartAtPrimary(work, context);
 }
 
