Limits, readers: what a review of their joining found

Cause (review): a statement that waited for its limit was never decided once the configuration had no limits, or refused though its tenant had none; one that a return decided lay until the next event; a stopping VM could exit while one waited; a repeat for a caller that had left began a transaction which nobody ended; a read could run at a reader for longer than its caller's call.

--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -205,7 +205,9 @@
 Duration GroupReader::RunLimit(const Work& work) const {
   Duration limit = work.expected_service * kRunTimeMargin;
   limit = std::min(limit, Duration::Millis(work.call.target_left.millis() / 2));
-  return std::min(std::max(limit, kMinRunLimit), kMaxRunLimit);
+  limit = std::min(std::max(limit, kMinRunLimit), kMaxRunLimit);
+  // Returned before the call of the VM of its session ends.
+  return std::min(limit, work.call.time_left);
 }
 
 void GroupReader::RequestEvidenceIfDue(ProxyContext* context) {
--- a/fireflycart/core/proxy/limit_keeper.cc
+++ b/fireflycart/core/proxy/limit_keeper.cc
@@ -123,7 +123,9 @@
     bool may_wait = may_ask && i >= asked_count_ &&
                     context->now() >= stock_.empty_until(tenant);
     Decided decided;
-    decided.may_run = stock_.Take(tenant, context->now());
+    // Its limit may have been removed while it waited.
+    decided.may_run =
+        !stock_.IsLimited(tenant) || stock_.Take(tenant, context->now());
     if (!decided.may_run && may_wait) {
       waiting_.push_back(std::move(waiting[i]));
       context->WakeAt(called_at_ + kMinCallGap);
@@ -158,7 +160,8 @@
 }
 
 void LimitKeeper::OnWake(ProxyContext* context) {
-  if (!stock_.has_limits() || call_ != CallId()) return;
+  if (call_ != CallId()) return;
+  if (!stock_.has_limits() && waiting_.empty()) return;
   TimePoint now = context->now();
   bool is_idle = view_.owned.empty() && now - last_operation_ > kIdleTime;
   if (is_idle && waiting_.empty()) return;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -80,8 +80,8 @@
     item.second->SetListTime(follower_.upstreams_confirmed_at());
   }
   if (is_due) OnWake();
-  SubmitDecided();
   ApplyChanges();
+  SubmitDecided();
   TrackConnections(&effects);
   return effects;
 }
@@ -465,6 +465,11 @@
     fleet_.OnCallAnswered(result.vm, &context_);
     if (result.reply.is_leaving) fleet_.OnLeaving(result.vm, &context_);
   }
+  if (!session_manager_.Has(result.session)) {
+    // Its caller left, so nobody would end what a repeat begins.
+    forwarder_.OnSessionEnded(result.session);
+    return;
+  }
   if (result.action == Forwarder::Action::kRetry) {
     RouteToOwner(result.session, std::move(result.call));
   } else {
@@ -578,7 +583,8 @@
     bool has_work = item.second->work_count() != 0;
     if (has_work) *busy_groups += item.first.value() + " ";
   }
-  return !busy_groups->empty() || session_manager_.size() != 0 ||
+  return !busy_groups->empty() || limit_keeper_.waiting_count() != 0 ||
+         session_manager_.size() != 0 ||
          session_manager_.IsAwaitingClose(context_.now());
 }
 
@@ -672,6 +678,8 @@
 void ProxyReducer::OnReadReturned(const WorkOrigin& origin,
                                   StatementCall call) {
   if (origin.is_local) {
+    // Its caller may have left.
+    if (!session_manager_.Has(origin.session)) return;
     RouteToOwner(origin.session, std::move(call));
     return;
   }
@@ -768,18 +776,25 @@
 }
 
 void ProxyReducer::SubmitDecided() {
-  for (LimitKeeper::Decided& item : limit_keeper_.TakeDecided()) {
-    LimitKeeper::Waiting& waiting = item.waiting;
-    if (!item.may_run) {
-      RefuseForLimit(std::move(waiting.call), waiting.origin, item.retry_after);
-      continue;
-    }
-    Duration waited = context_.now() - waiting.since;
-    StatementCall& call = waiting.call;
-    call.time_left = std::max(call.time_left - waited, Duration());
-    call.target_left = std::max(call.target_left - waited, Duration());
-    SubmitAllowed(std::move(call), waiting.origin);
+  // What is submitted may decide on more: the lender may be this VM.
+  for (std::vector<LimitKeeper::Decided> decided = limit_keeper_.TakeDecided();
+       !decided.empty(); decided = limit_keeper_.TakeDecided()) {
+    for (LimitKeeper::Decided& item : decided) SubmitDecided(&item);
+  }
+}
+
+void ProxyReducer::SubmitDecided(LimitKeeper::Decided* decided) {
+  LimitKeeper::Waiting& waiting = decided->waiting;
+  if (!decided->may_run) {
+    RefuseForLimit(std::move(waiting.call), waiting.origin,
+                   decided->retry_after);
+    return;
   }
+  Duration waited = context_.now() - waiting.since;
+  StatementCall& call = waiting.call;
+  call.time_left = std::max(call.time_left - waited, Duration());
+  call.target_left = std::max(call.target_left - waited, Duration());
+  SubmitAllowed(std::move(call), waiting.origin);
 }
 
 void ProxyReducer::CancelWaiting(const SessionKey& session) {
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -196,6 +196,7 @@
                       Duration retry_after);
   void ReturnToOwner(const WorkOrigin& origin, StatementCall call);
   void SubmitDecided();
+  void SubmitDecided(LimitKeeper::Decided* decided);
   // Ends the statement of a session that left, if it waits for its limit.
   void CancelWaiting(const SessionKey& session);
   void UpdateLimits();
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -83,6 +83,9 @@
   // AnswerAll.
   void LogUnanswered(TimePoint stop_requested, ProxyContext* context) const;
 
+  bool Has(SessionNumber session) const {
+    return sessions_.count(session) != 0;
+  }
   size_t size() const { return sessions_.size(); }
   // True if a caller may still send a statement that crosses the close of its
   // session.
