Limits of tenants: after a restart of all VMs the lender lends at once

Change: it lends once the spenders of all groups have called it for 0.5 s without a gap and none has borrowed since its own start. A new test restarts all VMs. It remembers 0.7 of its part now, not 0.85. Tests of the sessions' manager construct it as it is now.

--- a/fireflycart/core/proxy/testing/limit_keeper_test.cc
+++ b/fireflycart/core/proxy/testing/limit_keeper_test.cc
@@ -379,6 +379,7 @@
   CPPUNIT_TEST(Calm_TenantsBelowLimit_AreServed);
   CPPUNIT_TEST(Demand_MovesBetweenGroups_NearlyWholeLimitGranted);
   CPPUNIT_TEST(Lender_Killed_RunsOnAtRememberedRate);
+  CPPUNIT_TEST(AllVms_Restarted_LendsAtOnce);
   CPPUNIT_TEST(Limit_Lowered_BindsAtOnce);
   CPPUNIT_TEST(Random_Losses_NeverMoreThanAllowed);
   CPPUNIT_TEST_SUITE_END();
@@ -476,6 +477,23 @@
     ExpectWithin(world, 0, TimePoint());
   }
 
+  // 60% of the limit is asked for; nothing of it is lost for long.
+  void AllVms_Restarted_LendsAtOnce() {
+    std::vector<Demand> demands = {MakeDemand("t", 100, 100, 60, EvenSplit())};
+    LimitWorld world(demands, 11);
+    world.Run(Duration::Seconds(8));
+    for (int i = 0; i < kVms; i++) world.Kill(i);
+    world.Run(Duration::Seconds(1));
+    for (int i = 0; i < kVms; i++) world.Start(i);
+    world.Run(Duration::Millis(1000));
+    TimePoint from = world.now();
+    int64_t asked = world.asked(0);
+    world.Run(Duration::Seconds(2));
+    int64_t ran = world.RanSince(0, from);
+    CPPUNIT_ASSERT(10 * ran >= 9 * (world.asked(0) - asked));
+    CPPUNIT_ASSERT(world.WorstExcess(0, TimePoint()) <= 0);
+  }
+
   void Limit_Lowered_BindsAtOnce() {
     LimitWorld world({MakeDemand("hot", 100, 50, 400, EvenSplit())}, 15);
     world.Run(kStart);
--- a/fireflycart/core/proxy/testing/session_keys_test.cc
+++ b/fireflycart/core/proxy/testing/session_keys_test.cc
@@ -15,6 +15,7 @@
 constexpr char kPublicDatabase[] = "notices";
 constexpr char kKey[] = "rbn4ryrbbkf83fgfwrz5";
 constexpr char kOtherKey[] = "cc1xq0d8m4jw2h7p6ttv";
+constexpr size_t kStateLimit = size_t{1} << 20;
 const SessionNumber kSession(4);
 
 class RecordingRouter : public StatementRouter {
@@ -292,7 +293,7 @@
   ProxyContext context_{VmId("vm-0"), 1, 1};
   ProxyEffects effects_;
   RecordingRouter router_;
-  SessionManager sessions_{&router_};
+  SessionManager sessions_{&router_, kStateLimit};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionKeysTest);
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr char kDatabase[] = "ledger";
+constexpr size_t kStateLimit = size_t{1} << 20;
 const SessionNumber kSession(4);
 
 // Answers a cancelled statement at once, as an owner on the same VM does.
@@ -56,7 +57,7 @@
     ProxyEffects effects;
     context.Begin(TimePoint::FromMillis(1000), &effects);
     CancellingRouter router;
-    SessionManager sessions(&router);
+    SessionManager sessions(&router, kStateLimit);
     router.Connect(&sessions, &context);
     sessions.OnStarted(kSession, kDatabase, KeyDigest(), &context);
     CallerStatement statement;
--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -18,7 +18,7 @@
 constexpr double kRateSeconds = 1;
 // The rates that spenders remember were told at different moments, so they are
 // told somewhat less than they took.
-constexpr double kRememberedShare = 0.85;
+constexpr double kRememberedShare = 0.7;
 
 double SecondsBetween(TimePoint from, TimePoint to) {
   return static_cast<double>(std::max<int64_t>((to - from).millis(), 0)) /
@@ -41,6 +41,27 @@
   return count;
 }
 
+bool TokenLender::IsNothingLent(TimePoint now) const {
+  size_t count = 0;
+  for (const auto& item : reports_) {
+    if (now - item.second.at > kFreshCallAge) continue;
+    if (item.second.has_borrowed) return false;
+    count++;
+  }
+  return groups_ > 0 && count >= groups_;
+}
+
+// Each spender calls one VM in each period, so while all call this one, no
+// other VM can come to lend by the same rule.
+void TokenLender::StartEarly(TimePoint now) {
+  if (!IsNothingLent(now)) {
+    fresh_since_ = TimePoint();
+    return;
+  }
+  if (fresh_since_ == TimePoint()) fresh_since_ = now;
+  if (now - fresh_since_ >= kFreshTime) lends_from_ = now;
+}
+
 // A pause, as of a VM that was suspended, ends the majority, too.
 void TokenLender::Check(TimePoint now) {
   bool is_continuous = now - checked_at_ <= kCallAge;
@@ -48,14 +69,14 @@
   bool has_majority = is_chosen_ && 2 * CoveredGroups(now) > groups_;
   if (has_majority && has_majority_ && is_continuous) return;
   has_majority_ = has_majority;
-  majority_since_ = now;
+  lends_from_ = now + kStartDelay;
+  fresh_since_ = TimePoint();
   buckets_.clear();
 }
 
 LenderState TokenLender::State(TimePoint now) const {
   if (!has_majority_) return LenderState::kNone;
-  return now - majority_since_ < kStartDelay ? LenderState::kStarting
-                                             : LenderState::kLending;
+  return now < lends_from_ ? LenderState::kStarting : LenderState::kLending;
 }
 
 TokensReply TokenLender::OnCall(const VmId& spender, const TokensCall& call,
@@ -63,9 +84,10 @@
   // What was known before this call must have been without a gap.
   Check(now);
   for (const GroupId& group : call.groups) {
-    reports_[group] = GroupReport{spender, now};
+    reports_[group] = GroupReport{spender, now, call.has_borrowed};
   }
   Check(now);
+  if (has_majority_ && now < lends_from_) StartEarly(now);
   TokensReply reply;
   reply.state = State(now);
   if (reply.state != LenderState::kLending) return reply;
@@ -82,7 +104,7 @@
   auto inserted = buckets_.try_emplace(tenant.id);
   Bucket& bucket = inserted.first->second;
   // An empty bucket has filled since lending began.
-  if (inserted.second) bucket.filled_at = majority_since_ + kStartDelay;
+  if (inserted.second) bucket.filled_at = lends_from_;
   double rate = tenant.rate_per_s * kLentShare;
   double capacity = std::max(tenant.burst, 1.0);
   double returned = static_cast<double>(std::max<int64_t>(wish.returned, 0));
--- a/fireflycart/core/tenants/token_lender.h
+++ b/fireflycart/core/tenants/token_lender.h
@@ -39,11 +39,18 @@
   static constexpr double kLentShare = 0.95;
   // A spender that has not called for so long does not count.
   static constexpr Duration kCallAge = Duration::Millis(600);
-  // The spenders of an earlier lender may have called it for kCallAge after
-  // they ceased to be the majority, and may remember its rates since then.
+  // The spenders of an earlier lender may have called it for kCallAge
+  // after they ceased to be the majority, and may remember its rates since
+  // then.
   static constexpr Duration kStartDelay =
       kCallAge + kRememberedRateLife + Duration::Millis(100);
 
+  // After a restart of all VMs it starts sooner: when the spenders of all
+  // groups have called it for this long, each within the age, and none has
+  // borrowed since its own start.
+  static constexpr Duration kFreshTime = Duration::Millis(500);
+  static constexpr Duration kFreshCallAge = Duration::Millis(300);
+
   // `is_chosen`: this VM is the lender, from its own view, and is in touch with
   // others. `groups` is the number of all groups.
   void SetView(bool is_chosen, size_t groups, TimePoint now);
@@ -68,10 +75,14 @@
   struct GroupReport {
     VmId spender;
     TimePoint at;
+    bool has_borrowed = true;
   };
 
   void Check(TimePoint now);
   size_t CoveredGroups(TimePoint now) const;
+  // True if the spenders of all groups call and have never borrowed.
+  bool IsNothingLent(TimePoint now) const;
+  void StartEarly(TimePoint now);
   TokenGrant Lend(const VmId& spender, const TenantSpec& tenant,
                   const TokenWish& wish, TimePoint now);
   static double RememberedRate(const TenantSpec& tenant, const VmId& spender,
@@ -82,7 +93,8 @@
   size_t groups_ = 0;
   std::map<GroupId, GroupReport> reports_;
   bool has_majority_ = false;
-  TimePoint majority_since_;
+  TimePoint lends_from_;   // While it has the majority.
+  TimePoint fresh_since_;  // Since when nothing is lent; zero: something is.
   TimePoint checked_at_;
   std::map<TenantId, Bucket> buckets_;
 };
--- a/fireflycart/core/tenants/token_messages.h
+++ b/fireflycart/core/tenants/token_messages.h
@@ -33,6 +33,9 @@
 struct TokensCall {
   std::vector<GroupId> groups;  // That the sender owns.
   std::vector<TokenWish> wishes;
+  // A lender has answered the sender since its start. So it is with an earlier
+  // version, as far as is known.
+  bool has_borrowed = true;
 };
 
 struct TokenGrant {
--- a/fireflycart/core/tenants/token_stock.cc
+++ b/fireflycart/core/tenants/token_stock.cc
@@ -141,6 +141,7 @@
                                 TimePoint now) {
   TokensCall call;
   call.groups.assign(owned_.begin(), owned_.end());
+  call.has_borrowed = lent_until_ != TimePoint();
   double seconds = SecondsBetween(called_at_, now);
   called_at_ = now;
   double weight = 1 - std::exp(-seconds / kArrivalSeconds);
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -437,7 +437,7 @@
   for (const TokenWish& wish : c.wishes) {
     wishes.push_back(proxy::Pack(wish.tenant, wish.wanted, wish.returned));
   }
-  return Json::array({std::move(groups), std::move(wishes)});
+  return Json::array({std::move(groups), std::move(wishes), c.has_borrowed});
 }
 void FromJson(const Json& json, TokensCall* c) {
   proxy::Unpacker fields(json);
@@ -452,6 +452,7 @@
         .Take(&wish.returned);
     c->wishes.push_back(wish);
   }
+  fields.TakeOptional(&c->has_borrowed);
 }
 
 Json ToJson(const TokensReply& r) {
