--- a/fireflycart/core/tenants/testing/tenant_directory_test.cc
+++ b/fireflycart/core/tenants/testing/tenant_directory_test.cc
@@ -108,6 +108,7 @@
     TenantSpec spec;
     spec.id = TenantId(name);
     std::vector<KeyDigest> digests;
+    digests.reserve(keys.size());
     for (const std::string& key : keys) digests.push_back(KeyDigest::Of(key));
     return directory_.Add(spec, digests, problem);
   }
