--- a/fireflycart/standins/testing/session_key_age_test.cc
+++ b/fireflycart/standins/testing/session_key_age_test.cc
@@ -107,6 +107,7 @@
     }
     std::sort(ranks.begin(), ranks.end());
     std::vector<int> indexes;
+    indexes.reserve(ranks.size());
     for (const auto& item : ranks) indexes.push_back(item.second);
     return indexes;
   }
@@ -652,8 +653,9 @@
     std::vector<int> ranks = world.ByRank();
     constexpr int kLost = 3;
     world.ResetFigures();
-    for (int i = 0; i < kLost; i++)
+    for (int i = 0; i < kLost; i++) {
       fault(&world, ranks[static_cast<size_t>(i)]);
+    }
     world.ChangeKey();
     world.Run(Duration::Seconds(12));
     world.Print(name);
