Test of messages: a statement of a version without tenants has 18 fields

Cause: the test cut the last field off, which was the tenant until the field for readers came after it; in the joined code it cut that one and found the tenant. Change: it cuts to the number of fields that the earlier version has, as the other tests of earlier versions do.

--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -20,6 +20,7 @@
 constexpr size_t kEarlierVmListFields = 3;
 constexpr size_t kEarlierVmFields = 6;
 constexpr size_t kEarlierRouteTableFields = 4;
+constexpr size_t kEarlierStatementFields = 18;
 constexpr size_t kTenantsField = 5;
 constexpr char kKey[] = "rbn4ryrbbkf83fgfwrz5";
 
@@ -233,7 +234,7 @@
     StatementCall call;
     call.tenant = TenantId("acme");
     Json json = ToJson(call);
-    Shorten(&json, json.size() - 1);
+    Shorten(&json, kEarlierStatementFields);
     StatementCall decoded;
     FromJson(json, &decoded);
     CPPUNIT_ASSERT_EQUAL(TenantId(), decoded.tenant);
