--- a/fireflycart/core/admission/memory_budget.h
+++ b/fireflycart/core/admission/memory_budget.h
@@ -113,7 +113,7 @@
   // faster.
   static constexpr Duration kReceiveTime = Duration::Seconds(2);
   static constexpr int64_t kLeastBytesPerMilli = 64;
-  // Holdings below it are nobody's fault: their holder never has to go.
+  // A holder of less never has to go.
   static constexpr size_t kFreeHoldingBytes = size_t{8} << 10;
 
   // The observer may be null.
--- a/fireflycart/core/admission/session_state_quota.h
+++ b/fireflycart/core/admission/session_state_quota.h
@@ -19,7 +19,7 @@
 
 class SessionStateQuota {
  public:
-  // What a session may keep if nobody else keeps anything: one message of the
+  // What a session may keep if no other keeps anything: one message of the
   // largest size, or this part of the limit if that is more.
   static constexpr size_t kPartOfSession = 8;
   static constexpr size_t kLeastSessionBytes = size_t{1100} << 10;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -466,7 +466,7 @@
     if (result.reply.is_leaving) fleet_.OnLeaving(result.vm, &context_);
   }
   if (!session_manager_.Has(result.session)) {
-    // Its caller left, so nobody would end what a repeat begins.
+    // Its caller left, so nothing would end what a repeat begins.
     forwarder_.OnSessionEnded(result.session);
     return;
   }
--- a/fireflycart/core/proxy/work_queue.cc
+++ b/fireflycart/core/proxy/work_queue.cc
@@ -83,7 +83,7 @@
   return true;
 }
 
-// Nobody waits, so nobody is ahead of anybody.
+// No tenant waits, so none is ahead.
 void WorkQueue::EndBusyPeriod(FairClass* fair) {
   for (const auto& item : fair->start_tags) {
     fair->virtual_time = std::max(fair->virtual_time, item.second);
--- a/fireflycart/core/tenants/token_messages.h
+++ b/fireflycart/core/tenants/token_messages.h
@@ -13,7 +13,7 @@
 
 // A token is valid for so long, counted by the spender from before it asked.
 constexpr Duration kTokenLife = Duration::Millis(250);
-// A spender that hears of no lender goes on at its remembered rate until so
+// A spender without a lender goes on at its remembered rate until so
 // long after it asked for the last time.
 constexpr Duration kRememberedRateLife = Duration::Millis(2000);
 
