--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -441,6 +441,8 @@
     const auto* body = std::get_if<SnapshotReply>(&event.body);
     if (body != nullptr) {
       follower_.OnSnapshot(*body, snapshot_asked_at_, &context_);
+    } else {
+      LogSnapshotFailed(event.error);
     }
     RequestSnapshot();
     return;
@@ -887,11 +889,22 @@
   if (snapshot_call_ != CallId() || newer_peer_ == VmId()) return;
   snapshot_call_ = context_.NextCall();
   snapshot_asked_at_ = context_.now();
+  snapshot_peer_ = newer_peer_;
   context_.Emit(CallPeer{snapshot_call_, newer_peer_, newer_peer_address_,
                          kSnapshotTimeout, SnapshotCall{follower_.known()}});
   newer_peer_ = VmId();
 }
 
+void ProxyReducer::LogSnapshotFailed(PeerCallError error) {
+  Duration took = context_.now() - snapshot_asked_at_;
+  context_.Log(
+      LogLevel::kWarning, kPart, "snapshot_failed",
+      {{"peer", snapshot_peer_.value()},
+       {"was_sent", error == PeerCallError::kNotSent ? "no" : "yes"},
+       {"took_ms", std::to_string(took.millis())},
+       {"routes_version", std::to_string(follower_.routes().version)}});
+}
+
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
                               const StatementCall& call) {
   (void)from;
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -204,6 +204,7 @@
   void OnRoutesAgeAnswered();
   void CheckKeys();
   void RequestSnapshot();
+  void LogSnapshotFailed(PeerCallError error);
   void ApplyChanges();
   bool ApplyVms();
   bool ApplyEra();
@@ -246,6 +247,7 @@
   std::unordered_map<uint64_t, ConnectionPlace> connections_;
   CallId snapshot_call_;
   TimePoint snapshot_asked_at_;
+  VmId snapshot_peer_;
   VmId newer_peer_;  // Has newer data; receives the next snapshot request.
   std::string newer_peer_address_;
   uint64_t applied_changes_ = 0;
