--- a/fireflycart/standins/testing/session_store_test.cc
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <numeric>
 #include <string>
@@ -19,6 +20,7 @@
 constexpr uint64_t kSeed = 7;
 constexpr int kSmallFleet = 8;
 constexpr int kLargeFleet = 30;
+constexpr int kManyVms = 89;
 // Users require that a configuration is in force within these times, in small
 // and in large deployments.
 constexpr Duration kSmallApplyTime = Duration::Seconds(3);
@@ -26,6 +28,8 @@
 // Long enough for the VMs to learn of each other and to select readers.
 constexpr Duration kSettleTime = Duration::Seconds(6);
 constexpr uint64_t kNewVersion = 9;
+constexpr Duration kChangePeriod = Duration::Millis(250);
+constexpr Duration kCheckPeriod = Duration::Millis(50);
 
 class SessionStoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionStoreTest);
@@ -34,6 +38,10 @@
   CPPUNIT_TEST(MostVms_CutFromEverything_RoutesArriveInTime);
   CPPUNIT_TEST(AllReaders_CutFromStore_RoutesArriveInTime);
   CPPUNIT_TEST(MostVms_CutFromStore_RoutesArriveInTime);
+  CPPUNIT_TEST(PeerConnections_GoSilent_RoutesArriveInTime);
+  CPPUNIT_TEST(MostOfSmallFleet_CutFromEverything_RoutesArriveInTime);
+  CPPUNIT_TEST(OneVm_CutFromPeersOnly_RoutesArriveInTime);
+  CPPUNIT_TEST(Readers_RefusedRoutesOnly_RoutesArriveInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +91,47 @@
     }
   }
 
+  // What a VM hears on connections that others opened does not show that its
+  // own connections to them work.
+  void PeerConnections_GoSilent_RoutesArriveInTime() {
+    for (uint64_t seed : {1, 2, 3}) {
+      MakeWorld(kManyVms, kLargeApplyTime, seed);
+      world_->MutePeerConnections();
+      ExpectEachVersionInForce(kLargeApplyTime, Duration::Seconds(12));
+    }
+  }
+
+  void MostOfSmallFleet_CutFromEverything_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kSmallFleet);
+      world_->Run(delay);
+      std::vector<int> cut = FirstByRank(kSmallFleet - 2);
+      for (int vm : cut) CutFromEverything(vm);
+      ExpectNewRoutesInForce(kSmallApplyTime, cut);
+    }
+  }
+
+  void OneVm_CutFromPeersOnly_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kSmallFleet);
+      world_->Run(delay);
+      CutFromPeers(FirstByRank(kSmallFleet).back());
+      ExpectNewRoutesInForce(kSmallApplyTime, {});
+    }
+  }
+
+  // Answers for other tables tell nothing of the routes.
+  void Readers_RefusedRoutesOnly_RoutesArriveInTime() {
+    for (Duration delay : Delays()) {
+      MakeWorld(kLargeFleet);
+      world_->Run(delay);
+      for (int vm : FirstByRank(kLargeFleet - 4)) {
+        world_->RefuseTable(vm, proxy::StoreTable::kRoutes, true);
+      }
+      ExpectNewRoutesInForce(kLargeApplyTime, {});
+    }
+  }
+
  private:
   // The readers' calls are then in different stages.
   static std::vector<Duration> Delays() {
@@ -94,11 +143,17 @@
   }
 
   void MakeWorld(int vms) {
+    MakeWorld(vms, vms == kSmallFleet ? kSmallApplyTime : kLargeApplyTime,
+              kSeed);
+  }
+
+  void MakeWorld(int vms, Duration apply_time, uint64_t seed) {
     vms_ = vms;
     SessionWorldOptions options;
     options.vms = vms;
     options.callers = 3;
-    world_ = std::make_unique<SessionWorld>(options, kSeed);
+    (void)apply_time;
+    world_ = std::make_unique<SessionWorld>(options, seed);
     world_->Run(kSettleTime);
   }
 
@@ -118,6 +173,10 @@
 
   void CutFromEverything(int vm) {
     CutFromStore(vm);
+    CutFromPeers(vm);
+  }
+
+  void CutFromPeers(int vm) {
     for (int other = 0; other < vms_; other++) {
       if (other != vm) world_->Cut(NameOf(vm), NameOf(other));
     }
@@ -141,6 +200,36 @@
     }
   }
 
+  // Writes a version each kChangePeriod. Each must be in force everywhere
+  // within the limit.
+  void ExpectEachVersionInForce(Duration limit, Duration time) {
+    std::map<uint64_t, TimePoint> written;
+    uint64_t version = kNewVersion;
+    for (Duration t; t < time; t = t + kChangePeriod) {
+      world_->SetRoutes(version, Duration::Millis(900));
+      written[version++] = world_->now();
+      for (Duration u; u < kChangePeriod; u = u + kCheckPeriod) {
+        world_->Run(kCheckPeriod);
+        ExpectInForce(written, limit);
+      }
+    }
+  }
+
+  void ExpectInForce(const std::map<uint64_t, TimePoint>& written,
+                     Duration limit) {
+    uint64_t due = 0;
+    for (const auto& item : written) {
+      if (world_->now() - item.second > limit) due = item.first;
+    }
+    for (int vm = 0; vm < vms_; vm++) {
+      uint64_t in_force = world_->vm(vm)->gauges().routes_version;
+      std::string message = NameOf(vm) + " has version " +
+                            std::to_string(in_force) + ", due is " +
+                            std::to_string(due);
+      CPPUNIT_ASSERT_MESSAGE(message, in_force >= due);
+    }
+  }
+
   int vms_ = 0;
   std::unique_ptr<SessionWorld> world_;
 };
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -349,6 +349,14 @@
   for (const Link& link : cuts) Heal(link.first, link.second);
 }
 
+void SessionWorld::MutePeerConnections() {
+  for (const auto& from : vms_) {
+    for (const auto& to : vms_) {
+      if (from != to) mute_peer_connections_.emplace(from->name, to->name);
+    }
+  }
+}
+
 void SessionWorld::CutPrimaryFromReplicas() {
   UpstreamId leader = primary();
   for (const auto& item : records_) {
@@ -721,6 +729,13 @@
   VmId from = vm->id;
   PeerCallBody body = e.body;
   call_receivers_[number] = to->name;
+  Link connection(vm->name, to->name);
+  timers_.emplace(now_ + e.timeout, [this, number, connection] {
+    bool is_unanswered = peer_calls_.count(number) != 0;
+    if (is_unanswered) mute_peer_connections_.erase(connection);
+    EndPeerCall(number, PeerCallError::kBroken, PeerReplyBody());
+  });
+  if (mute_peer_connections_.count(connection) != 0) return;
   Send(vm->name, to->name, [this, vm, to, number, from, body] {
     if (!to->reducer) {
       Send(to->name, vm->name, [this, number] {
@@ -730,9 +745,6 @@
     }
     Deliver(to, to->incarnation, PeerCalled{HandleId(number), from, body});
   });
-  timers_.emplace(now_ + e.timeout, [this, number] {
-    EndPeerCall(number, PeerCallError::kBroken, PeerReplyBody());
-  });
 }
 
 void SessionWorld::EndPeerCall(uint64_t number, PeerCallError error,
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -114,6 +114,10 @@
   // is on its way is lost, in both directions, and so is the end of the
   // connection. New connections work. The upstream drops them after 3 s.
   void MuteConnections(int vm, const UpstreamId& upstream);
+  // The open connections between VMs go silent for good: calls on them get no
+  // answer. A VM replaces its connection to another VM when a call on it has
+  // timed out.
+  void MutePeerConnections();
   // The store refuses the calls of a VM for this table.
   void RefuseTable(int vm, proxy::StoreTable table, bool refuses);
   void CutPrimaryFromReplicas();
@@ -303,6 +307,7 @@
   std::set<uint64_t> accepted_connections_;
   std::set<uint64_t> opened_connections_;  // The VM was told.
   std::set<uint64_t> mute_connections_;
+  std::set<Link> mute_peer_connections_;  // By calling and called VM.
   std::set<uint64_t> reset_connections_;  // Closed while their link was cut.
   uint64_t last_number_ = 0;
   int store_answers_to_lose_ = 0;
