Peers: one that does not answer no longer delays newer data for a second

What callers saw: 'no database' for databases that a configuration had added more than 5 s before, at single VMs, after open connections had gone silent.

Cause: a VM hears of newer data on the connection that a peer opened, and asks on its own connection to that peer, which may be silent. It asked one peer at a time, 1 s each, then the one heard last; some 14 peers are heard. What arrives from a peer was taken for a way to that peer.

PeerConnections_GoSilent_RoutesArriveInTime failed before (vm-15 has version 2 when 9 is due) and passes.

Fix: SnapshotInquiry keeps the peers that are ahead and asks the next after 250 ms without an answer, three calls at a time at most. Peers that are no longer ahead are not asked.

--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -35,7 +35,6 @@
 constexpr Duration kEvidenceTimeout = Duration::Millis(500);
 // Shortest time between two updates of the fleet from the list of VMs.
 constexpr Duration kFleetUpdateInterval = Duration::Millis(200);
-constexpr Duration kSnapshotTimeout = Duration::Millis(1000);
 // Time that a starting VM waits for the list of VMs; after that it becomes
 // ready without the list.
 constexpr Duration kVmListTimeout = Duration::Millis(1500);
@@ -121,6 +120,7 @@
 void ProxyReducer::OnWake() {
   follower_.OnWake(&context_);
   fleet_.OnWake(&context_);
+  snapshots_.Ask(follower_.known(), &context_);
   // A reader whose calls are answered knows best.
   bool asks_peers =
       follower_.has_key_age() && !(follower_.follows_store() &&
@@ -436,15 +436,8 @@
 void ProxyReducer::Handle(const PeerReplied& event) {
   if (fleet_.OnReply(event, &context_)) return;
   if (OnEvidenceReply(event)) return;
-  if (snapshot_call_ != CallId() && event.call == snapshot_call_) {
-    snapshot_call_ = CallId();
-    const auto* body = std::get_if<SnapshotReply>(&event.body);
-    if (body != nullptr) {
-      follower_.OnSnapshot(*body, snapshot_asked_at_, &context_);
-    } else {
-      LogSnapshotFailed(event.error);
-    }
-    RequestSnapshot();
+  if (snapshots_.OnReply(event)) {
+    OnSnapshotAnswered(event.error);
     return;
   }
   if (key_age_inquiry_.OnReply(event, follower_.key_age(), &context_)) {
@@ -488,10 +481,26 @@
   }
   follower_.OnPeerRoutesAge(answer.reply.routes, answer.reply.age,
                             answer.asked_at);
-  if (answer.reply.routes <= follower_.routes().version) return;
-  newer_peer_ = answer.peer;
-  newer_peer_address_ = fleet_.AddressOf(answer.peer);
-  RequestSnapshot();
+  KnownVersions versions;
+  versions.routes = answer.reply.routes;
+  snapshots_.OnPeerAhead(answer.peer, fleet_.AddressOf(answer.peer), versions);
+  snapshots_.Ask(follower_.known(), &context_);
+}
+
+void ProxyReducer::OnSnapshotAnswered(PeerCallError error) {
+  const SnapshotInquiry::Answer& answer = snapshots_.answer();
+  if (answer.has_reply) {
+    follower_.OnSnapshot(answer.reply, answer.asked_at, &context_);
+  } else {
+    Duration took = context_.now() - answer.asked_at;
+    context_.Log(
+        LogLevel::kWarning, kPart, "snapshot_failed",
+        {{"peer", answer.peer.value()},
+         {"was_sent", error == PeerCallError::kNotSent ? "no" : "yes"},
+         {"took_ms", std::to_string(took.millis())},
+         {"routes_version", std::to_string(follower_.routes().version)}});
+  }
+  snapshots_.Ask(follower_.known(), &context_);
 }
 
 void ProxyReducer::Handle(const StoreAnswered& event) {
@@ -879,30 +888,8 @@
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
   std::string address = fleet_.AddressOf(vm);
   if (address.empty()) address = heartbeat.address;
-  if (address.empty()) return;
-  newer_peer_ = vm;
-  newer_peer_address_ = address;
-  RequestSnapshot();
-}
-
-void ProxyReducer::RequestSnapshot() {
-  if (snapshot_call_ != CallId() || newer_peer_ == VmId()) return;
-  snapshot_call_ = context_.NextCall();
-  snapshot_asked_at_ = context_.now();
-  snapshot_peer_ = newer_peer_;
-  context_.Emit(CallPeer{snapshot_call_, newer_peer_, newer_peer_address_,
-                         kSnapshotTimeout, SnapshotCall{follower_.known()}});
-  newer_peer_ = VmId();
-}
-
-void ProxyReducer::LogSnapshotFailed(PeerCallError error) {
-  Duration took = context_.now() - snapshot_asked_at_;
-  context_.Log(
-      LogLevel::kWarning, kPart, "snapshot_failed",
-      {{"peer", snapshot_peer_.value()},
-       {"was_sent", error == PeerCallError::kNotSent ? "no" : "yes"},
-       {"took_ms", std::to_string(took.millis())},
-       {"routes_version", std::to_string(follower_.routes().version)}});
+  snapshots_.OnPeerAhead(vm, address, heartbeat.known);
+  snapshots_.Ask(follower_.known(), &context_);
 }
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -30,6 +30,7 @@
 #include "fireflycart/core/proxy/key_age_inquiry.h"
 #include "fireflycart/core/proxy/limit_keeper.h"
 #include "fireflycart/core/proxy/session_manager.h"
+#include "fireflycart/core/proxy/snapshot_inquiry.h"
 #include "fireflycart/core/proxy/store_follower.h"
 
 namespace fireflycart::proxy {
@@ -203,8 +204,7 @@
   std::optional<Duration> RoutesAge() const;
   void OnRoutesAgeAnswered();
   void CheckKeys();
-  void RequestSnapshot();
-  void LogSnapshotFailed(PeerCallError error);
+  void OnSnapshotAnswered(PeerCallError error);
   void ApplyChanges();
   bool ApplyVms();
   bool ApplyEra();
@@ -226,6 +226,7 @@
   Fleet fleet_;
   SessionManager session_manager_;
   Forwarder forwarder_;
+  SnapshotInquiry snapshots_;
   KeyAgeInquiry key_age_inquiry_;
   LimitKeeper limit_keeper_;
   uint64_t limits_version_ = 0;  // Of the routes.
@@ -245,11 +246,6 @@
     DataCentreId data_centre;
   };
   std::unordered_map<uint64_t, ConnectionPlace> connections_;
-  CallId snapshot_call_;
-  TimePoint snapshot_asked_at_;
-  VmId snapshot_peer_;
-  VmId newer_peer_;  // Has newer data; receives the next snapshot request.
-  std::string newer_peer_address_;
   uint64_t applied_changes_ = 0;
   uint64_t applied_vm_changes_ = 0;
   StoreEra applied_era_;
