Routes: each VM knows how old its routes are, and reads the store when too old

What callers saw: 'no database' for databases that a configuration had added more than 5 s before.

Cause: whether a VM asks the store for routes followed from the age of the store's last answer to any VM for any table. That says nothing of this VM's routes: another table may have been answered, the VM that was answered may not pass the routes on, and the heartbeat that tells it may have waited. No news of the routes was taken for the newest routes.

Fix: the moment up to which a VM's table is known to be the newest, built for keys of tenants (KeyAge), counts for the routes of every deployment (RoutesAge), with the limit apply_limit_ms. A VM that begins to follow the routes reads their one row; two tests of StoreFollower expected a follow call there and now expect the read, as strictly.

--- a/fireflycart/core/proxy/fleet.cc
+++ b/fireflycart/core/proxy/fleet.cc
@@ -17,9 +17,9 @@
 // Places the lender of limits as if it were the owner of a group of this name.
 constexpr char kLimitsName[] = "tenant limits";
 // VMs of a data centre that ask the readers of the store for the age of the
-// keys, so that one may fail, and one more for so many VMs.
-constexpr size_t kMinKeyRelays = 2;
-constexpr size_t kVmsPerKeyRelay = 40;
+// routes, so that one may fail, and one more for so many VMs.
+constexpr size_t kMinRelays = 2;
+constexpr size_t kVmsPerRelay = 40;
 
 }  // namespace
 
@@ -110,11 +110,11 @@
     }
   }
   store_readers_ = ChooseStoreReaders(self_.vm, with_store, without_store);
-  RecomputeKeySources();
+  RecomputeRoutesSources();
   version_++;
 }
 
-void Fleet::RecomputeKeySources() {
+void Fleet::RecomputeRoutesSources() {
   // By rank, of all VMs that reach the store, and of this data centre.
   std::map<uint64_t, VmId> with_store;
   std::map<uint64_t, VmId> near;
@@ -126,17 +126,17 @@
     bool is_near = vm.record.data_centre == self_.data_centre;
     if (is_near) near[rank] = item.first;
   }
-  size_t relays = std::max(kMinKeyRelays, near.size() / kVmsPerKeyRelay);
+  size_t relays = std::max(kMinRelays, near.size() / kVmsPerRelay);
   uint64_t own = RankOf(self_.vm);
   auto before_self =
       static_cast<size_t>(std::distance(near.begin(), near.lower_bound(own)));
   bool is_relay = before_self < relays;
   const std::map<uint64_t, VmId>& from = is_relay ? with_store : near;
   size_t count = is_relay ? kStoreReaders : relays;
-  key_sources_.clear();
+  routes_sources_.clear();
   for (const auto& item : from) {
-    if (key_sources_.size() == count) break;
-    key_sources_.push_back(item.second);
+    if (routes_sources_.size() == count) break;
+    routes_sources_.push_back(item.second);
   }
 }
 
--- a/fireflycart/core/proxy/fleet.h
+++ b/fireflycart/core/proxy/fleet.h
@@ -89,10 +89,10 @@
   std::vector<VmRecord> Records() const;
   // The VMs that follow the store, from the view of this one.
   const StoreReaders& store_readers() const { return store_readers_; }
-  // The VMs to ask first how old the knowledge of the keys is. Of each data
-  // centre the first few VMs by rank ask the readers of the store, and the
-  // others ask them.
-  const std::vector<VmId>& key_sources() const { return key_sources_; }
+  // The VMs to ask first how old their routes are. Of each data centre the
+  // first few VMs by rank ask the readers of the store, and the others ask
+  // them.
+  const std::vector<VmId>& routes_sources() const { return routes_sources_; }
   // The VM that lends out the limits of tenants; see token_lender.h.
   const VmId& limits_lender() const { return limits_lender_; }
   // False if no other VM has answered a probe for kInTouchAge.
@@ -157,7 +157,7 @@
   void Recompute();
   void RecomputeReaders(const std::vector<VmRecord>& able_to_own);
   void RecomputeStoreReaders();
-  void RecomputeKeySources();
+  void RecomputeRoutesSources();
   void ProbeWatchedReader(ProxyContext* context);
   void SetCanOwn(Vm* vm, bool can_own, ProxyContext* context);
   void AskAgain(Vm* vm, ProxyContext* context);
@@ -179,7 +179,7 @@
   std::map<GroupId, VmId> readers_;
   std::set<DataCentreId> data_centres_;
   StoreReaders store_readers_;
-  std::vector<VmId> key_sources_;
+  std::vector<VmId> routes_sources_;
   VmId limits_lender_;
   TimePoint probe_answered_at_;
   uint64_t version_ = 1;
--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -162,7 +162,7 @@
   std::optional<Duration> routes_age;  // As in a heartbeat.
 };
 
-// Asks for the age of the receiver's routes; see key_age_inquiry.h.
+// Asks for the age of the receiver's routes; see routes_age_inquiry.h.
 struct RoutesAgeCall {};
 struct RoutesAgeReply {
   uint64_t routes = 0;  // Version.
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -46,7 +46,7 @@
     : self_(self),
       options_(options),
       context_(self.vm, self.incarnation, seed),
-      follower_(options.key_age_limit()),
+      follower_(RoutesAge(options.apply_limit(), options.key_age_limit())),
       fleet_(self, this),
       session_manager_(this, options.session_state_limit()),
       traffic_(self_.data_centre) {}
@@ -122,11 +122,11 @@
   fleet_.OnWake(&context_);
   snapshots_.Ask(follower_.known(), &context_);
   // A reader whose calls are answered knows best.
-  bool asks_peers =
-      follower_.has_key_age() && !(follower_.follows_store() &&
-                                   follower_.key_age().IsYoung(context_.now()));
+  bool asks_peers = follower_.routes_age().has_limit() &&
+                    !(follower_.follows_store() &&
+                      follower_.routes_age().IsYoung(context_.now()));
   if (asks_peers) {
-    key_age_inquiry_.OnWake(follower_.key_age(), fleet_, &context_);
+    routes_age_inquiry_.OnWake(follower_.routes_age(), fleet_, &context_);
   }
   CheckKeys();
   UpdateLimits();
@@ -318,13 +318,12 @@
 }
 
 bool ProxyReducer::HasCurrentKeys() const {
-  return !follower_.has_key_age() ||
-         follower_.key_age().MayServe(context_.now());
+  return follower_.routes_age().MayServeKeys(context_.now());
 }
 
-std::optional<Duration> ProxyReducer::RoutesAge() const {
-  const KeyAge& age = follower_.key_age();
-  if (!follower_.has_key_age() || !age.is_confirmed()) return std::nullopt;
+std::optional<Duration> ProxyReducer::CurrentRoutesAge() const {
+  const RoutesAge& age = follower_.routes_age();
+  if (!age.has_limit() || !age.is_confirmed()) return std::nullopt;
   return age.Age(context_.now());
 }
 
@@ -333,7 +332,7 @@
   bool has_current_keys = HasCurrentKeys();
   if (has_current_keys == had_current_keys_) return;
   had_current_keys_ = has_current_keys;
-  std::optional<Duration> age = RoutesAge();
+  std::optional<Duration> age = CurrentRoutesAge();
   context_.Log(LogLevel::kWarning, kPart,
                has_current_keys ? "keys_current" : "keys_out_of_date",
                {{"age_ms", age ? std::to_string(age->millis()) : "unknown"},
@@ -372,7 +371,7 @@
   gauges.is_ready = is_ready();
   gauges.follows_store = follower_.follows_store();
   gauges.store_age = follower_.store_age(context_.now());
-  gauges.key_age = RoutesAge().value_or(Duration());
+  gauges.routes_age = CurrentRoutesAge().value_or(Duration());
   gauges.has_current_keys = HasCurrentKeys();
   gauges.refused_by_limit = limit_keeper_.refused();
   return gauges;
@@ -440,7 +439,7 @@
     OnSnapshotAnswered(event.error);
     return;
   }
-  if (key_age_inquiry_.OnReply(event, follower_.key_age(), &context_)) {
+  if (routes_age_inquiry_.OnReply(event, follower_.routes_age(), &context_)) {
     OnRoutesAgeAnswered();
     return;
   }
@@ -474,8 +473,8 @@
 }
 
 void ProxyReducer::OnRoutesAgeAnswered() {
-  const KeyAgeInquiry::Answer& answer = key_age_inquiry_.answer();
-  if (!key_age_inquiry_.has_answer()) {
+  const RoutesAgeInquiry::Answer& answer = routes_age_inquiry_.answer();
+  if (!routes_age_inquiry_.has_answer()) {
     fleet_.Check(answer.peer, &context_);
     return;
   }
@@ -867,7 +866,7 @@
   heartbeat.is_leaving = is_stopping_;
   heartbeat.era = follower_.era();
   heartbeat.upstream_ages = follower_.upstream_times().Ages(context_.now());
-  heartbeat.routes_age = RoutesAge();
+  heartbeat.routes_age = CurrentRoutesAge();
   return heartbeat;
 }
 
@@ -958,7 +957,7 @@
   if (follower_.known().vms > call.known.vms) {
     reply.vms = follower_.VmsAfter(call.known.vms);
   }
-  reply.routes_age = RoutesAge();
+  reply.routes_age = CurrentRoutesAge();
   context_.Emit(AnswerPeer{handle, std::move(reply)});
 }
 
@@ -967,7 +966,7 @@
   (void)from;
   (void)call;
   context_.Emit(AnswerPeer{
-      handle, RoutesAgeReply{follower_.routes().version, RoutesAge()}});
+      handle, RoutesAgeReply{follower_.routes().version, CurrentRoutesAge()}});
 }
 
 void ProxyReducer::OnPeerCall(HandleId handle, const VmId& from,
--- a/fireflycart/core/proxy/proxy_reducer.h
+++ b/fireflycart/core/proxy/proxy_reducer.h
@@ -27,8 +27,8 @@
 #include "fireflycart/core/proxy/forwarder.h"
 #include "fireflycart/core/proxy/group_owner.h"
 #include "fireflycart/core/proxy/group_reader.h"
-#include "fireflycart/core/proxy/key_age_inquiry.h"
 #include "fireflycart/core/proxy/limit_keeper.h"
+#include "fireflycart/core/proxy/routes_age_inquiry.h"
 #include "fireflycart/core/proxy/session_manager.h"
 #include "fireflycart/core/proxy/snapshot_inquiry.h"
 #include "fireflycart/core/proxy/store_follower.h"
@@ -47,6 +47,10 @@
   Duration drain_time() const { return drain_time_; }
   void set_drain_time(Duration d) { drain_time_ = d; }
 
+  // Time within which a configuration must be in force on each VM that reaches
+  // the store; zero if there is no such limit.
+  Duration apply_limit() const { return apply_limit_; }
+  void set_apply_limit(Duration d) { apply_limit_ = d; }
   // Time after which no statement may run that is sent with a key which was
   // taken away; zero if there is no such limit.
   Duration key_age_limit() const { return key_age_limit_; }
@@ -70,6 +74,7 @@
  private:
   Duration stop_limit_ = Duration::Millis(6000);
   Duration drain_time_ = Duration::Millis(7000);
+  Duration apply_limit_ = Duration::Millis(5000);
   Duration key_age_limit_;
   size_t session_state_limit_ = size_t{256} << 20;
   bool reads_nearby_ = true;
@@ -100,8 +105,9 @@
   bool is_ready = false;
   bool follows_store = false;  // Reads the store on behalf of other VMs, too.
   Duration store_age;          // Since its last known answer to any VM.
-  // Of its knowledge of the tenants' keys; zero if that has no limit.
-  Duration key_age;
+  // Of its knowledge of the routes and the tenants' keys; zero if that has no
+  // limit.
+  Duration routes_age;
   bool has_current_keys = true;  // Serves callers with keys.
   // Operations that this VM refused for the limits of their tenants.
   std::map<TenantId, uint64_t> refused_by_limit;
@@ -201,7 +207,7 @@
   // Ends the statement of a session that left, if it waits for its limit.
   void CancelWaiting(const SessionKey& session);
   void UpdateLimits();
-  std::optional<Duration> RoutesAge() const;
+  std::optional<Duration> CurrentRoutesAge() const;
   void OnRoutesAgeAnswered();
   void CheckKeys();
   void OnSnapshotAnswered(PeerCallError error);
@@ -227,7 +233,7 @@
   SessionManager session_manager_;
   Forwarder forwarder_;
   SnapshotInquiry snapshots_;
-  KeyAgeInquiry key_age_inquiry_;
+  RoutesAgeInquiry routes_age_inquiry_;
   LimitKeeper limit_keeper_;
   uint64_t limits_version_ = 0;  // Of the routes.
   bool had_current_keys_ = true;
--- a/fireflycart/core/tenants/key_age.cc
+++ b/fireflycart/core/proxy/routes_age.cc
@@ -2,11 +2,11 @@
 // moment, or a newer table, reflects those before any earlier moment. So the
 // newest of all confirmations counts, in whatever order they arrive.
 
-#include "fireflycart/core/tenants/key_age.h"
+#include "fireflycart/core/proxy/routes_age.h"
 
 #include <algorithm>
 
-namespace fireflycart {
+namespace fireflycart::proxy {
 namespace {
 
 constexpr int64_t kReadPeriodsPerLimit = 6;
@@ -25,25 +25,31 @@
 
 }  // namespace
 
-void KeyAge::Confirm(TimePoint at) {
+Duration RoutesAge::limit() const {
+  if (!has_keys_ || key_limit_ == Duration()) return apply_limit_;
+  if (apply_limit_ == Duration()) return key_limit_;
+  return std::min(apply_limit_, key_limit_);
+}
+
+void RoutesAge::Confirm(TimePoint at) {
   confirmed_at_ = std::max(confirmed_at_, at);
 }
 
-bool KeyAge::MayServe(TimePoint now) const {
-  if (!has_limit()) return true;
-  return is_confirmed() && Age(now) <= limit_ - kMargin;
+bool RoutesAge::MayServeKeys(TimePoint now) const {
+  if (!has_keys_ || key_limit_ == Duration()) return true;
+  return is_confirmed() && Age(now) <= key_limit_ - kMargin;
 }
 
-bool KeyAge::IsYoung(Duration age) const {
-  return age.millis() * kYoungParts <= limit_.millis() * kYoungLimitParts;
+bool RoutesAge::IsYoung(Duration age) const {
+  return age.millis() * kYoungParts <= limit().millis() * kYoungLimitParts;
 }
 
-Duration KeyAge::read_period() const {
-  return PeriodOf(limit_, kReadPeriodsPerLimit);
+Duration RoutesAge::read_period() const {
+  return PeriodOf(limit(), kReadPeriodsPerLimit);
 }
 
-Duration KeyAge::ask_period() const {
-  return PeriodOf(limit_, kAskPeriodsPerLimit);
+Duration RoutesAge::ask_period() const {
+  return PeriodOf(limit(), kAskPeriodsPerLimit);
 }
 
-}  // namespace fireflycart
+}  // namespace fireflycart::proxy
--- a/fireflycart/core/tenants/key_age.h
+++ b/fireflycart/core/proxy/routes_age.h
@@ -1,33 +1,40 @@
-// How old a VM's knowledge of the tenants' keys is, and what follows from it.
+// How old a VM's knowledge of the routes and of the tenants' keys is, and what
+// follows from it.
 //
-//   KeyAge age(options.key_age_limit());
+//   RoutesAge age(options.apply_limit(), options.key_age_limit());
 //   age.Confirm(start_of_read);      // the table reflects all changes before
-//   if (!age.MayServe(now)) Refuse();
+//   if (!age.IsYoung(now)) AskTheStore();
+//   if (!age.MayServeKeys(now)) Refuse();
 //
-// A key that was taken away must not be accepted when the limit has passed. So
-// the age counts from the start of the newest read of the store that the table
-// is known to reflect, whoever made it, and not from the table's arrival.
+// A configuration must be in force within a limit, and a key that was taken
+// away must not be accepted after another. So the age counts from the start of
+// the newest read of the store that the table is known to reflect, whoever made
+// it, and not from the table's arrival.
 //
 // Limits: clocks of two VMs are not comparable; what a peer tells is an age,
 // which the caller counts from before it asked the peer.
 
-#ifndef FIREFLYCART_CORE_TENANTS_KEY_AGE_H_
-#define FIREFLYCART_CORE_TENANTS_KEY_AGE_H_
+#ifndef FIREFLYCART_CORE_PROXY_ROUTES_AGE_H_
+#define FIREFLYCART_CORE_PROXY_ROUTES_AGE_H_
 
 #include "fireflycart/core/clock.h"
 
-namespace fireflycart {
+namespace fireflycart::proxy {
 
-class KeyAge {
+class RoutesAge {
  public:
   // Refusing starts this much before the limit: clocks run at slightly
   // different rates, and times are cut to whole milliseconds.
   static constexpr Duration kMargin = Duration::Millis(100);
 
-  // A limit of zero is none.
-  explicit KeyAge(Duration limit) : limit_(limit) {}
+  // Limits of zero are none. That of the keys counts while the routes name
+  // tenants.
+  RoutesAge(Duration apply_limit, Duration key_limit)
+      : apply_limit_(apply_limit), key_limit_(key_limit) {}
 
-  bool has_limit() const { return limit_ != Duration(); }
+  void SetHasKeys(bool has_keys) { has_keys_ = has_keys; }
+
+  bool has_limit() const { return limit() != Duration(); }
 
   // The table reflects every change that was acknowledged before then.
   void Confirm(TimePoint at);
@@ -35,7 +42,7 @@
   Duration Age(TimePoint now) const { return now - confirmed_at_; }
 
   // True if callers with keys may be served.
-  bool MayServe(TimePoint now) const;
+  bool MayServeKeys(TimePoint now) const;
   // True for the age of any VM in a healthy fleet. A VM whose peers know
   // nothing younger asks the store itself.
   bool IsYoung(Duration age) const;
@@ -53,10 +60,15 @@
   Duration ask_period() const;
 
  private:
-  Duration limit_;
+  // The shorter of those that count; zero if none does.
+  Duration limit() const;
+
+  Duration apply_limit_;
+  Duration key_limit_;
+  bool has_keys_ = false;
   TimePoint confirmed_at_;
 };
 
-}  // namespace fireflycart
+}  // namespace fireflycart::proxy
 
-#endif  // FIREFLYCART_CORE_TENANTS_KEY_AGE_H_
+#endif  // FIREFLYCART_CORE_PROXY_ROUTES_AGE_H_
--- a/fireflycart/core/proxy/key_age_inquiry.cc
+++ b/fireflycart/core/proxy/routes_age_inquiry.cc
@@ -2,7 +2,7 @@
 // to a VM that should have newer knowledge; if that did not help, the next goes
 // to a random VM, at once if the peer did not answer.
 
-#include "fireflycart/core/proxy/key_age_inquiry.h"
+#include "fireflycart/core/proxy/routes_age_inquiry.h"
 
 #include <algorithm>
 #include <variant>
@@ -10,8 +10,8 @@
 
 namespace fireflycart::proxy {
 
-void KeyAgeInquiry::OnWake(const KeyAge& age, const Fleet& fleet,
-                           ProxyContext* context) {
+void RoutesAgeInquiry::OnWake(const RoutesAge& age, const Fleet& fleet,
+                              ProxyContext* context) {
   if (call_ != CallId()) return;
   Duration period = age.ask_period();
   Duration own_age = age.Age(context->now());
@@ -35,9 +35,9 @@
       CallPeer{call_, peer, fleet.AddressOf(peer), kTimeout, RoutesAgeCall()});
 }
 
-VmId KeyAgeInquiry::ChoosePeer(const Fleet& fleet,
-                               ProxyContext* context) const {
-  const std::vector<VmId>& sources = fleet.key_sources();
+VmId RoutesAgeInquiry::ChoosePeer(const Fleet& fleet,
+                                  ProxyContext* context) const {
+  const std::vector<VmId>& sources = fleet.routes_sources();
   if (failures_ == 0 && !sources.empty()) {
     return sources[context->Random(sources.size())];
   }
@@ -50,8 +50,8 @@
   return usable[context->Random(usable.size())];
 }
 
-bool KeyAgeInquiry::OnReply(const PeerReplied& reply, const KeyAge& age,
-                            ProxyContext* context) {
+bool RoutesAgeInquiry::OnReply(const PeerReplied& reply, const RoutesAge& age,
+                               ProxyContext* context) {
   if (call_ == CallId() || reply.call != call_) return false;
   call_ = CallId();
   const auto* body = std::get_if<RoutesAgeReply>(&reply.body);
--- a/fireflycart/core/proxy/key_age_inquiry.h
+++ b/fireflycart/core/proxy/routes_age_inquiry.h
@@ -1,5 +1,5 @@
-// Asks peers how old their knowledge of the keys is, so that this VM knows the
-// same of its own without reading the store.
+// Asks peers how old their routes are, so that this VM knows the same of its
+// own without reading the store.
 //
 //   inquiry.OnWake(age, fleet, &context);
 //   if (inquiry.OnReply(reply, age, &context)) Use(inquiry.answer());
@@ -15,16 +15,16 @@
 //
 // Limits: one question at a time.
 
-#ifndef FIREFLYCART_CORE_PROXY_KEY_AGE_INQUIRY_H_
-#define FIREFLYCART_CORE_PROXY_KEY_AGE_INQUIRY_H_
+#ifndef FIREFLYCART_CORE_PROXY_ROUTES_AGE_INQUIRY_H_
+#define FIREFLYCART_CORE_PROXY_ROUTES_AGE_INQUIRY_H_
 
 #include "fireflycart/core/proxy/fleet.h"
 #include "fireflycart/core/proxy/proxy_context.h"
-#include "fireflycart/core/tenants/key_age.h"
+#include "fireflycart/core/proxy/routes_age.h"
 
 namespace fireflycart::proxy {
 
-class KeyAgeInquiry {
+class RoutesAgeInquiry {
  public:
   static constexpr Duration kTimeout = Duration::Millis(200);
   // The pause grows with each question without use, up to so many periods.
@@ -38,10 +38,10 @@
   };
 
   // Asks if a question is due.
-  void OnWake(const KeyAge& age, const Fleet& fleet, ProxyContext* context);
+  void OnWake(const RoutesAge& age, const Fleet& fleet, ProxyContext* context);
   // False if the reply is not to a question of this object. has_answer() tells
   // whether the peer answered.
-  bool OnReply(const PeerReplied& reply, const KeyAge& age,
+  bool OnReply(const PeerReplied& reply, const RoutesAge& age,
                ProxyContext* context);
   bool has_answer() const { return has_answer_; }
   const Answer& answer() const { return answer_; }
@@ -58,4 +58,4 @@
 
 }  // namespace fireflycart::proxy
 
-#endif  // FIREFLYCART_CORE_PROXY_KEY_AGE_INQUIRY_H_
+#endif  // FIREFLYCART_CORE_PROXY_ROUTES_AGE_INQUIRY_H_
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -83,7 +83,7 @@
 
 void StoreFollower::StepAll(ProxyContext* context) {
   CheckStoreAge(context);
-  CheckKeyAge(context);
+  CheckRoutesAge(context);
   for (Table& table : tables_) Step(&table, context);
 }
 
@@ -136,9 +136,9 @@
   int64_t period = kFollowPeriod.millis();
   int64_t offset =
       (&table - tables_.data()) * period / static_cast<int64_t>(kFollowed);
-  if (table.table == StoreTable::kRoutes && has_key_age()) {
+  if (table.table == StoreTable::kRoutes && routes_age_.has_limit()) {
     // Of the readers, one has often just been answered.
-    period = key_age_.read_period().millis();
+    period = routes_age_.read_period().millis();
     offset =
         static_cast<int64_t>(RankOf(self_.vm) % static_cast<uint64_t>(period));
   }
@@ -165,15 +165,26 @@
   SetFollowing(is_reader_, true, "store_age", context);
 }
 
-// Peers that know nothing younger of the keys, or no peers, leave the store.
-void StoreFollower::CheckKeyAge(ProxyContext* context) {
-  bool must_follow = has_key_age() && !key_age_.IsYoung(context->now());
+// If the peers know nothing younger, or there are none, the store is asked.
+void StoreFollower::CheckRoutesAge(ProxyContext* context) {
+  bool must_follow =
+      routes_age_.has_limit() && !routes_age_.IsYoung(context->now());
   if (must_follow == follows_routes_by_age_) return;
   follows_routes_by_age_ = must_follow;
   if (follows_store()) return;
-  Table& routes = tables_.front();
-  routes.is_first_follow = must_follow;
-  if (!must_follow) routes.failures = 0;
+  StartFollowing(&tables_.front(), must_follow);
+}
+
+// What changed while this VM left a table to others may be more than arrives in
+// time, and peers may have sent it already. The routes are one row, so they are
+// read. For the other tables, the newest version is known.
+void StoreFollower::StartFollowing(Table* table, bool is_followed) {
+  table->is_first_follow = is_followed;
+  if (is_followed && table->table == StoreTable::kRoutes) {
+    table->is_current = false;
+  }
+  // Without calls it is not known whether the store answers.
+  if (!is_followed) table->failures = 0;
 }
 
 bool StoreFollower::IsFollowed(const Table& table) const {
@@ -195,11 +206,7 @@
   follows_by_age_ = follows_by_age;
   if (follows_store() == followed) return;
   LogFollowing(cause, context);
-  for (Table& table : tables_) {
-    table.is_first_follow = follows_store();
-    // Without calls it is not known whether the store answers.
-    if (!follows_store()) table.failures = 0;
-  }
+  for (Table& table : tables_) StartFollowing(&table, IsFollowed(table));
 }
 
 // Records whom this VM takes for the readers, since it acts on that alone.
@@ -360,7 +367,8 @@
   if (table->table == StoreTable::kRoutes) {
     ConfirmRoutes(*table, answer, context->now());
     // The next call soon confirms more than the start of this one.
-    if (has_key_age() && !answer.is_unchanged) table->is_first_follow = true;
+    if (routes_age_.has_limit() && !answer.is_unchanged)
+      table->is_first_follow = true;
   }
   if (table->table == StoreTable::kUpstreams) {
     upstreams_confirmed_at_ = context->now();
@@ -373,13 +381,12 @@
 // changes was held back for the whole wait, so it reflects the end of the wait.
 void StoreFollower::ConfirmRoutes(const Table& table,
                                   const StoreAnswered& answer, TimePoint now) {
-  if (!has_key_age()) return;
   TimePoint confirmed_at = table.called_at;
   bool has_waited = !table.is_reading && answer.is_unchanged &&
                     table.wait > kFollowSlack &&
                     now - table.called_at >= table.wait;
   if (has_waited) confirmed_at = confirmed_at + table.wait - kFollowSlack;
-  key_age_.Confirm(confirmed_at);
+  routes_age_.Confirm(confirmed_at);
 }
 
 // A restored store may lack the row of this VM, or have that of an earlier
@@ -479,6 +486,7 @@
                 {"routes", std::to_string(routes.routes.size())},
                 {"source", source}});
   routes_ = routes;
+  routes_age_.SetHasKeys(routes_.has_tenants);
   changes_++;
 }
 
@@ -587,7 +595,7 @@
                                     TimePoint asked_at) {
   // Older routes were the newest at that moment, too, so these are no older.
   bool is_covered = version != 0 && version <= routes_.version;
-  if (age && is_covered) key_age_.Confirm(asked_at - *age);
+  if (age && is_covered) routes_age_.Confirm(asked_at - *age);
 }
 
 void StoreFollower::OnSnapshot(const SnapshotReply& reply, TimePoint asked_at,
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -26,10 +26,9 @@
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/restored_list.h"
 #include "fireflycart/core/proxy/route.h"
+#include "fireflycart/core/proxy/routes_age.h"
 #include "fireflycart/core/proxy/store_readers.h"
 #include "fireflycart/core/proxy/upstream_times.h"
-#include "fireflycart/core/tenants/key_age.h"
-
 namespace fireflycart::proxy {
 
 // An upstream that started later is newer, and one that leaves does not return
@@ -62,8 +61,9 @@
 
 class StoreFollower {
  public:
-  // Limits the age of keys if the routes name tenants.
-  explicit StoreFollower(Duration key_age_limit) : key_age_(key_age_limit) {}
+  // Asks the store for the routes if no peer knows a younger age.
+  explicit StoreFollower(const RoutesAge& routes_age)
+      : routes_age_(routes_age) {}
 
   // Period of the follow calls of one table; the three tables are a third of it
   // apart. So a VM that gets no answers from the store detects that within a
@@ -157,12 +157,7 @@
   TimePoint store_answered_at() const { return store_answered_at_; }
   // The list of upstreams includes the changes up to this time.
   TimePoint upstreams_confirmed_at() const { return upstreams_confirmed_at_; }
-  // How old the knowledge of the tenants' keys may be. In use if the routes
-  // name tenants.
-  const KeyAge& key_age() const { return key_age_; }
-  bool has_key_age() const {
-    return key_age_.has_limit() && routes_.has_tenants;
-  }
+  const RoutesAge& routes_age() const { return routes_age_; }
   // Count the changes of routes and upstreams, and of VMs.
   uint64_t changes() const { return changes_; }
   uint64_t vm_changes() const { return vm_changes_; }
@@ -209,8 +204,9 @@
   void MergeVms(const VmList& vms, ProxyContext* context);
   void AdvanceVersion(StoreTable which, StoreVersion version);
   void CheckStoreAge(ProxyContext* context);
-  void CheckKeyAge(ProxyContext* context);
+  void CheckRoutesAge(ProxyContext* context);
   bool IsFollowed(const Table& table) const;
+  static void StartFollowing(Table* table, bool is_followed);
   void ConfirmRoutes(const Table& table, const StoreAnswered& answer,
                      TimePoint now);
   void SetFollowing(bool is_reader, bool follows_by_age, const char* cause,
@@ -242,9 +238,9 @@
   StoreVersion vms_removed_version_;
   bool is_reader_ = true;
   bool follows_by_age_ = false;
-  // This VM follows the routes, since its knowledge of the keys is too old.
+  // This VM follows the routes, since its knowledge of them is too old.
   bool follows_routes_by_age_ = false;
-  KeyAge key_age_;
+  RoutesAge routes_age_;
   StoreReaders readers_;
   TimePoint store_answered_at_;
   VmId store_reader_;
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(Upstream_LeavesAfterFailedCalls_TimeIsThatOfPeers);
   CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
   CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
+  CPPUNIT_TEST(StoreLeftToPeers_RoutesTooOld_AreReadWhateverElseIsAnswered);
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
   CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
   CPPUNIT_TEST(AllTables_Refused_OneCallAtATime);
@@ -60,6 +61,10 @@
  public:
   void setUp() override {
     now_ = TimePoint::FromMillis(100000);
+    StartFollower();
+  }
+
+  void StartFollower() {
     VmRecord self;
     self.vm = kSelf;
     self.address = kSelfAddress;
@@ -126,7 +131,7 @@
 
   // A peer of an earlier version answered before the store did.
   void NewEra_AfterPeerWithoutEra_IsNoRestore() {
-    StoreFollower follower{Duration()};
+    StoreFollower follower{RoutesAge(Duration(), Duration())};
     VmRecord self;
     self.vm = kSelf;
     Begin();
@@ -217,7 +222,7 @@
     LeaveStoreToPeers();
     Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
     CPPUNIT_ASSERT(follower_.follows_store());
-    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
            {kFirst, 101});
     Open<FollowTable>(StoreTable::kUpstreams);
     follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
@@ -229,13 +234,29 @@
   void NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer() {
     LeaveStoreToPeers();
     Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
-    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kRefused,
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kRefused,
            {kFirst, 0});
     CPPUNIT_ASSERT(follower_.follows_store());
     follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
     CPPUNIT_ASSERT(!follower_.follows_store());
   }
 
+  void StoreLeftToPeers_RoutesTooOld_AreReadWhateverElseIsAnswered() {
+    RoutesAge age(Duration::Millis(5000), Duration());
+    follower_ = StoreFollower(age);
+    StartFollower();
+    LeaveStoreToPeers();
+    Duration waited;
+    while (age.IsYoung(waited)) {
+      Wait(Duration::Millis(100));
+      waited = waited + Duration::Millis(100);
+      follower_.OnPeerStoreAge(Duration(), BetterReader(), &context_);
+    }
+    Wait(Duration::Millis(100));
+    CPPUNIT_ASSERT(!follower_.follows_store());
+    Open<ReadTable>(StoreTable::kRoutes);
+  }
+
   // Connections to the store may be silent while new ones work.
   void OneTable_GetsNoAnswer_OthersAreAskedAgain() {
     CallId routes = Open<FollowTable>(StoreTable::kRoutes);
@@ -413,7 +434,7 @@
   TimePoint now_;
   ProxyEffects effects_;
   ProxyContext context_{kSelf, 7, 3};
-  StoreFollower follower_{Duration()};
+  StoreFollower follower_{RoutesAge(Duration(), Duration())};
   std::set<CallId> answered_;
 };
 
--- a/fireflycart/core/proxy/testing/store_rows_test.cc
+++ b/fireflycart/core/proxy/testing/store_rows_test.cc
@@ -179,7 +179,7 @@
   TimePoint now_ = TimePoint::FromMillis(1000);
   ProxyEffects effects_;
   ProxyContext context_{VmId("vm-1"), 1, 7};
-  StoreFollower follower_{Duration()};
+  StoreFollower follower_{RoutesAge(Duration(), Duration())};
   uint64_t version_ = 5;
 };
 
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -41,6 +41,7 @@
   proxy::ProxyOptions options;
   options.set_stop_limit(settings.sessions->stop_limit);
   options.set_drain_time(settings.sessions->drain_time);
+  options.set_apply_limit(settings.sessions->apply_limit);
   options.set_key_age_limit(settings.sessions->key_age_limit);
   options.set_session_state_limit(settings.sessions->memory_bytes /
                                   kPartSessionState);
--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -113,7 +113,8 @@
   Gauge("ready", gauges.is_ready ? 1 : 0, &out);
   Gauge("follows_store", gauges.follows_store ? 1 : 0, &out);
   Gauge("store_age_ms", gauges.store_age.millis(), &out);
-  Gauge("key_age_ms", gauges.key_age.millis(), &out);
+  Gauge("routes_age_ms", gauges.routes_age.millis(), &out);
+  Gauge("key_age_ms", gauges.routes_age.millis(), &out);
   Gauge("keys_current", gauges.has_current_keys ? 1 : 0, &out);
   Gauge("memory_held_bytes", memory.held(), &out);
   Gauge("memory_held_limit_bytes", memory.holdings_limit(), &out);
--- a/fireflycart/daemon/settings.cc
+++ b/fireflycart/daemon/settings.cc
@@ -92,6 +92,9 @@
           "Time after which a leaving upstream must receive no new work items: "
           "2000 to 600000 ms.");
 
+ABSL_FLAG(int, apply_limit_ms, 5000,
+          "Time within which a configuration must be in force on each VM that "
+          "reaches the store: 0 for no limit, or 500 to 600000 ms.");
 ABSL_FLAG(int, key_age_limit_ms, 0,
           "Time after which no statement may run that is sent with a key which "
           "was taken away: 0 for no limit, or 500 to 600000 ms.");
@@ -216,6 +219,15 @@
   return faults;
 }
 
+Duration LimitOf(const char* name, int value_ms, SettingsChecker* check) {
+  bool is_limit = value_ms >= 500 && value_ms <= 600000;
+  if (!is_limit && value_ms != 0) {
+    check->Add(name, absl::StrCat(value_ms),
+               "0, or a whole number from 500 to 600000");
+  }
+  return Duration::Millis(value_ms);
+}
+
 SessionSettings ReadSessionSettings(SettingsChecker* check) {
   SessionSettings settings;
   settings.session_address =
@@ -253,13 +265,10 @@
       600000));
   settings.drain_time = Duration::Millis(
       check->Range("drain_ms", absl::GetFlag(FLAGS_drain_ms), 2000, 600000));
-  int key_age_limit_ms = absl::GetFlag(FLAGS_key_age_limit_ms);
-  bool is_limit = key_age_limit_ms >= 500 && key_age_limit_ms <= 600000;
-  if (!is_limit && key_age_limit_ms != 0) {
-    check->Add("key_age_limit_ms", absl::StrCat(key_age_limit_ms),
-               "0, or a whole number from 500 to 600000");
-  }
-  settings.key_age_limit = Duration::Millis(key_age_limit_ms);
+  settings.apply_limit =
+      LimitOf("apply_limit_ms", absl::GetFlag(FLAGS_apply_limit_ms), check);
+  settings.key_age_limit =
+      LimitOf("key_age_limit_ms", absl::GetFlag(FLAGS_key_age_limit_ms), check);
   settings.reads_nearby = absl::GetFlag(FLAGS_reads_nearby);
   settings.leave_cost = Duration::Millis(check->Range(
       "leave_cost_ms", absl::GetFlag(FLAGS_leave_cost_ms), 0, 10000));
--- a/fireflycart/daemon/settings.h
+++ b/fireflycart/daemon/settings.h
@@ -36,6 +36,7 @@
   size_t memory_bytes = 0;  // Of the machine.
   Duration stop_limit;
   Duration drain_time;
+  Duration apply_limit;    // Zero if there is none, as below.
   Duration key_age_limit;  // Zero if there is none.
   bool reads_nearby = true;
   Duration leave_cost;
--- a/fireflycart/standins/testing/session_key_age_test.cc
+++ b/fireflycart/standins/testing/session_key_age_test.cc
@@ -251,7 +251,7 @@
     if (is_due) Reduce(vm, Deferred{now_, proxy::WakeUp{}});
     bool is_sampled = (now_.millis() + vm->index) % kSamplePeriod.millis() == 0;
     if (!is_sampled || vm->is_isolated || !vm->reducer->is_ready()) return;
-    int64_t age = vm->reducer->gauges().key_age.millis();
+    int64_t age = vm->reducer->gauges().routes_age.millis();
     figures_.worst_age = std::max(figures_.worst_age, age);
     figures_.sum_age += age;
     figures_.ages++;
@@ -510,7 +510,8 @@
     world.Run(Duration::Seconds(6));
     world.SetStoreRefusing(true);
     // The store still answers the calls that wait, at the end of their wait.
-    TimePoint lost = world.now() + KeyAge(kLimit).read_period() +
+    TimePoint lost = world.now() +
+                     proxy::RoutesAge(kLimit, Duration()).read_period() +
                      proxy::StoreFollower::kShortFollowWait;
     world.Run(Duration::Seconds(3));
     CPPUNIT_ASSERT_EQUAL(0, world.total_refused());
@@ -637,7 +638,7 @@
     world.Run(time);
     world.Print("healthy");
     // A VM that is cut off at the worst moment serves for long enough.
-    int64_t bound = (kLimit - KeyAge::kMargin - kMustServe).millis();
+    int64_t bound = (kLimit - proxy::RoutesAge::kMargin - kMustServe).millis();
     CPPUNIT_ASSERT_MESSAGE(std::to_string(world.figures().worst_age),
                            world.figures().worst_age <= bound);
     CPPUNIT_ASSERT_EQUAL(refused, world.total_refused());
--- a/fireflycart/standins/testing/session_store_test.cc
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -152,7 +152,7 @@
     SessionWorldOptions options;
     options.vms = vms;
     options.callers = 3;
-    (void)apply_time;
+    options.proxy.set_apply_limit(apply_time);
     world_ = std::make_unique<SessionWorld>(options, seed);
     world_->Run(kSettleTime);
   }
