Store: a VM is left to follow it only while it does

What callers saw: no configuration came into force anywhere for seconds, while the store served some VMs and turned the others away.

Cause: two VMs that followed the store could leave it to each other. A VM whose routes call failed left to another one; an answer to a call that was still open then told all that this VM, better in rank, was served, and the other one left. And a VM that had just begun to follow left again for a heartbeat with an age just below the limit that made it begin.

StoreLeftToPeers_LateAnswer_IsNotToldToOthers and NoAnswerToAnyVm_HeartbeatTellsOlderAnswer_GoesOnFollowing fail without it.

Fix: an answer counts for others only while the VM follows, and only one from after a VM began to follow for lack of readers ends that.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -203,6 +203,9 @@
                                  const char* cause, ProxyContext* context) {
   bool followed = follows_store();
   is_reader_ = is_reader;
+  if (follows_by_age && !follows_by_age_) {
+    follows_by_age_since_ = context->now();
+  }
   follows_by_age_ = follows_by_age;
   if (follows_store() == followed) return;
   LogFollowing(cause, context);
@@ -247,7 +250,8 @@
     store_answered_at_ = answered_at;
     store_reader_ = reader;
   }
-  if (!follows_by_age_ || age > kStoreAgeLimit) return;
+  // An answer from before this VM began shows no reader.
+  if (!follows_by_age_ || answered_at < follows_by_age_since_) return;
   // Of the VMs that follow for lack of readers and receive answers, the best in
   // rank goes on until there are readers. An earlier version of the program
   // names no reader.
@@ -411,8 +415,11 @@
 }
 
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
-  store_answered_at_ = context->now();
-  store_reader_ = self_.vm;
+  // Others rely on a VM that is answered, so it must go on asking.
+  if (follows_store()) {
+    store_answered_at_ = context->now();
+    store_reader_ = self_.vm;
+  }
   // The store may serve this table and refuse another.
   if (table.failures == 0) return;
   context->Log(LogLevel::kInfo, kPart, "store_regained",
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -238,6 +238,7 @@
   StoreVersion vms_removed_version_;
   bool is_reader_ = true;
   bool follows_by_age_ = false;
+  TimePoint follows_by_age_since_;
   // This VM follows the routes, since its knowledge of them is too old.
   bool follows_routes_by_age_ = false;
   RoutesAge routes_age_;
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(Upstream_LeavesAfterFailedCalls_TimeIsThatOfPeers);
   CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
   CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
+  CPPUNIT_TEST(NoAnswerToAnyVm_HeartbeatTellsOlderAnswer_GoesOnFollowing);
+  CPPUNIT_TEST(StoreLeftToPeers_LateAnswer_IsNotToldToOthers);
   CPPUNIT_TEST(StoreLeftToPeers_RoutesTooOld_AreReadWhateverElseIsAnswered);
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
   CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
@@ -241,6 +243,22 @@
     CPPUNIT_ASSERT(!follower_.follows_store());
   }
 
+  void NoAnswerToAnyVm_HeartbeatTellsOlderAnswer_GoesOnFollowing() {
+    LeaveStoreToPeers();
+    Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
+    Duration age = StoreFollower::kStoreAgeLimit - Duration::Millis(1);
+    follower_.OnPeerStoreAge(age, BetterReader(), &context_);
+    CPPUNIT_ASSERT(follower_.follows_store());
+  }
+
+  // Otherwise a VM that follows would leave the store to one that does not.
+  void StoreLeftToPeers_LateAnswer_IsNotToldToOthers() {
+    TimePoint before = follower_.store_answered_at();
+    Wait(Duration::Millis(500));
+    LeaveStoreToPeers();
+    CPPUNIT_ASSERT(follower_.store_answered_at() == before);
+  }
+
   void StoreLeftToPeers_RoutesTooOld_AreReadWhateverElseIsAnswered() {
     RoutesAge age(Duration::Millis(5000), Duration());
     follower_ = StoreFollower(age);
