--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -371,8 +371,8 @@
   if (table->table == StoreTable::kRoutes) {
     ConfirmRoutes(*table, answer, context->now());
     // The next call soon confirms more than the start of this one.
-    if (routes_age_.has_limit() && !answer.is_unchanged)
-      table->is_first_follow = true;
+    bool is_soon = routes_age_.has_limit() && !answer.is_unchanged;
+    if (is_soon) table->is_first_follow = true;
   }
   if (table->table == StoreTable::kUpstreams) {
     upstreams_confirmed_at_ = context->now();
