--- a/fireflycart/core/proxy/snapshot_inquiry.cc
+++ b/fireflycart/core/proxy/snapshot_inquiry.cc
@@ -1,5 +1,5 @@
 // A peer that was asked leaves the queue, so one that does not answer is asked
-// again only after it was heard again. Peers that are no longer ahead are
+// again only after its next heartbeat. Peers that are no longer ahead are
 // dropped before each call.
 
 #include "fireflycart/core/proxy/snapshot_inquiry.h"
--- a/fireflycart/core/proxy/snapshot_inquiry.h
+++ b/fireflycart/core/proxy/snapshot_inquiry.h
@@ -38,7 +38,8 @@
     SnapshotReply reply;
   };
 
-  // The peer has these versions; the peer heard last is asked first.
+  // Records that a message of the peer showed these versions. The peer of the
+  // latest message is asked first.
   void OnPeerAhead(const VmId& peer, const std::string& address,
                    const KnownVersions& versions);
   // Asks a peer that is ahead of these versions, if it is time to.
@@ -61,7 +62,7 @@
   void Remove(const VmId& peer);
   bool IsAsked(const VmId& peer) const;
 
-  std::deque<Peer> ahead_;  // The one heard last comes first.
+  std::deque<Peer> ahead_;  // That of the latest message comes first.
   std::map<CallId, OpenCall> calls_;
   TimePoint next_;  // Of the next call while others are open.
   Answer answer_;
--- a/fireflycart/standins/prepared_store_model.cc
+++ b/fireflycart/standins/prepared_store_model.cc
@@ -1,4 +1,4 @@
-// Deleted rows stay as marks, so that followers hear of them. Each write
+// Deleted rows are kept as tombstones, which follow calls return. Each write
 // records what it replaced; Restore undoes the writes after the moment, newest
 // first.
 
--- a/fireflycart/standins/testing/session_store_test.cc
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -91,8 +91,8 @@
     }
   }
 
-  // What a VM hears on connections that others opened does not show that its
-  // own connections to them work.
+  // A heartbeat from a peer does not show that the VM's own connection to that
+  // peer works.
   void PeerConnections_GoSilent_RoutesArriveInTime() {
     for (uint64_t seed : {1, 2, 3}) {
       MakeWorld(kManyVms, kLargeApplyTime, seed);
