HTTP client: a busy event loop no longer reads replies in pieces of 512 bytes

Callers saw: on a VM that is busy with callers, a database that was added is refused and one that was removed is served for seconds beyond the limit.

Cause: the buffer of a connection began empty, so Beast read 512 bytes at a time, and each read waits for its turn in the event loop. A configuration of 10 kB took 20 turns; on a busy VM a turn takes 50 to 500 ms. Meanwhile more changes came, so the next answer was larger: 82 kB were waiting in the socket. The timeout of 600 ms did not end the call, since data was there at each read.

The buffer now holds 64 KiB from the request until the reply is complete.

--- a/fireflycart/net/http_client.cc
+++ b/fireflycart/net/http_client.cc
@@ -23,6 +23,9 @@
 constexpr int kHttpVersion = 11;
 // Closing resets the connection instead of sending the rest.
 constexpr int kNoLingerSeconds = 0;
+// A connection reads once in each turn of the event loop, at most what its
+// buffer holds, so a small buffer delays large replies when the loop is busy.
+constexpr size_t kReadBufferBytes = size_t{64} << 10;
 
 Tcp::endpoint EndpointOf(const std::string& address) {
   IpAddress parsed = ParseAddress(address);
@@ -126,6 +129,7 @@
       Finish(HttpReply());
       return;
     }
+    buffer_.reserve(kReadBufferBytes);
     auto self = shared_from_this();
     http::async_read(stream_, buffer_, *parser_,
                      [self](beast::error_code read_error, size_t) {
@@ -139,6 +143,7 @@
       Finish(HttpReply());
       return;
     }
+    buffer_.shrink_to_fit();  // Idle connections keep none.
     HttpReply reply;
     reply.ok = true;
     reply.status = static_cast<int>(parser_->get().result_int());
