Store follower: after a failed or late call the routes are read, not followed

Callers saw: as before, databases refused or served after the limit on busy VMs, and longer with a large configuration.

Cause: a follow call returns all changes since a version, each with the whole configuration. A VM that is late thus asks for more, which makes it later.

A follow call that failed, or whose answer took longer than its timeout, is now followed by a read of the row, which is as large as one configuration, however late the VM is. This is what a VM already does when it begins to follow the routes.

The two new tests failed before. Two tests changed: AllTables_Refused_OneCallAtATime counted follow calls only, and counts reads, too; OneTable_RefusedForLong_OthersAreFollowed answered the routes 3.2 s after their call, beyond its timeout, and now answers them in time, in eight steps that take as long.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -1,8 +1,9 @@
 // Each table is a small state machine: it is read whole, then followed from the
 // version read; after a lost history or a failed read it is read whole again. A
 // failed follow call is repeated from the same version, since the store keeps
-// changes for a while. Of the tables whose calls failed, one is retried at a
-// time, so that an outage costs few calls; the others go on being followed.
+// changes for a while; but the routes, which are one row, are read. Of the
+// tables whose calls failed, one is retried at a time, so that an outage costs
+// few calls; the others go on being followed.
 //
 // An open call does not show that its connection works. When a call gets no
 // answer, the open calls are repeated on other connections.
@@ -118,17 +119,21 @@
   if (table->is_reading) {
     table->is_continuous = false;
     context->Emit(
-        StoreCall{table->call, kReadTimeout, ReadTable{table->table, ""}});
+        StoreCall{table->call, TimeoutOf(*table), ReadTable{table->table, ""}});
     return;
   }
   Duration wait = WaitOf(*table, context->now());
   table->is_continuous = !table->is_first_follow && table->failures == 0;
   table->is_first_follow = false;
   table->wait = wait;
-  context->Emit(StoreCall{table->call, wait + kFollowTimeoutMargin,
+  context->Emit(StoreCall{table->call, TimeoutOf(*table),
                           FollowTable{table->table, table->version, wait}});
 }
 
+Duration StoreFollower::TimeoutOf(const Table& table) {
+  return table.is_reading ? kReadTimeout : table.wait + kFollowTimeoutMargin;
+}
+
 // The time until the table's offset in the next period; the offsets of the
 // tables are spread evenly.
 Duration StoreFollower::WaitOf(const Table& table, TimePoint now) const {
@@ -176,13 +181,11 @@
 }
 
 // What changed while this VM left a table to others may be more than arrives in
-// time, and peers may have sent it already. The routes are one row, so they are
-// read. For the other tables, the newest version is known.
+// time, and peers may have sent it already. For the tables without the routes,
+// the newest version is known.
 void StoreFollower::StartFollowing(Table* table, bool is_followed) {
   table->is_first_follow = is_followed;
-  if (is_followed && table->table == StoreTable::kRoutes) {
-    table->is_current = false;
-  }
+  if (is_followed) ReadRoutesNext(table);
   // Without calls it is not known whether the store answers.
   if (!is_followed) table->failures = 0;
 }
@@ -379,6 +382,16 @@
   }
   table->version = answer.version;
   table->is_current = true;
+  // The timeout does not end a call while its answer is being received. If it
+  // took that long, the changes since then would take longer still.
+  bool is_late = context->now() - table->called_at > TimeoutOf(*table);
+  if (is_late) ReadRoutesNext(table);
+}
+
+// An answer to a follow call has all changes since its version, each with the
+// whole configuration. The row alone has the newest one.
+void StoreFollower::ReadRoutesNext(Table* table) {
+  if (table->table == StoreTable::kRoutes) table->is_current = false;
 }
 
 // An answer reflects the store after its call was sent. An answer without
@@ -442,6 +455,7 @@
   TimePoint next = context->now() + pause + Duration::Millis(jitter);
   bool reached_store = reaches_store();
   table->failures++;
+  ReadRoutesNext(table);
   for (Table& other : tables_) {
     if (other.failures > 0) other.next = std::max(other.next, next);
   }
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -207,6 +207,8 @@
   void CheckRoutesAge(ProxyContext* context);
   bool IsFollowed(const Table& table) const;
   static void StartFollowing(Table* table, bool is_followed);
+  static void ReadRoutesNext(Table* table);
+  static Duration TimeoutOf(const Table& table);
   void ConfirmRoutes(const Table& table, const StoreAnswered& answer,
                      TimePoint now);
   void SetFollowing(bool is_reader, bool follows_by_age, const char* cause,
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
   CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
   CPPUNIT_TEST(AllTables_Refused_OneCallAtATime);
+  CPPUNIT_TEST(RoutesCall_GetsNoAnswer_RowIsReadInsteadOfAllChanges);
+  CPPUNIT_TEST(RoutesAnswer_AfterItsTimeout_RowIsReadInsteadOfAllChanges);
   CPPUNIT_TEST(Follow_RemovalAndNewRowInOneAnswer_KeepsTheLastOfThem);
   CPPUNIT_TEST_SUITE_END();
 
@@ -289,10 +291,13 @@
     for (int i = 0; i < 20; i++) {
       CallId upstreams = Open<FollowTable>(StoreTable::kUpstreams);
       Answer(upstreams, StoreStatus::kRefused, {kFirst, 0});
-      Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
-             {kFirst, 100});
-      Open<FollowTable>(StoreTable::kRoutes);
-      Wait(StoreFollower::kMaxRetryDelay * 2);
+      // The store answers the routes within their timeout.
+      for (int step = 0; step < 8; step++) {
+        Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+               {kFirst, 100});
+        Open<FollowTable>(StoreTable::kRoutes);
+        Wait(StoreFollower::kRetryDelay * 2);
+      }
       CPPUNIT_ASSERT(Open<FollowTable>(StoreTable::kUpstreams) != upstreams);
       CPPUNIT_ASSERT(!follower_.reaches_store());
     }
@@ -305,15 +310,35 @@
     std::set<StoreTable> asked;
     for (int i = 0; i < 9; i++) {
       Wait(StoreFollower::kMaxRetryDelay * 2);
-      CPPUNIT_ASSERT_EQUAL(size_t{1}, OpenFollowCalls().size());
-      const auto& call = *OpenFollowCalls().begin();
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, OpenTableCalls().size());
+      const auto& call = *OpenTableCalls().begin();
       asked.insert(call.second);
       Answer(call.first, StoreStatus::kRefused, {kFirst, 0});
-      CPPUNIT_ASSERT(OpenFollowCalls().empty());
+      CPPUNIT_ASSERT(OpenTableCalls().empty());
     }
     CPPUNIT_ASSERT_EQUAL(size_t{3}, asked.size());
   }
 
+  void RoutesCall_GetsNoAnswer_RowIsReadInsteadOfAllChanges() {
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kUnknown,
+           {kFirst, 0});
+    Wait(StoreFollower::kMaxRetryDelay);
+    Open<ReadTable>(StoreTable::kRoutes);
+  }
+
+  void RoutesAnswer_AfterItsTimeout_RowIsReadInsteadOfAllChanges() {
+    StoreAnswered changed;
+    changed.routes.emplace_back();
+    changed.routes.back().version = 4;
+    Wait(StoreFollower::kFollowPeriod * 2);
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kFirst, 101}, changed);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, follower_.routes().version);
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kFirst, 102});
+    Open<FollowTable>(StoreTable::kRoutes);
+  }
+
   void OlderEra_SnapshotOfPeer_IsNotApplied() {
     Restore();
     ReadAll({kSecond, 40}, StoreAnswered(), true);
@@ -408,14 +433,17 @@
     return call;
   }
 
-  std::map<CallId, StoreTable> OpenFollowCalls() const {
+  // Calls that read or follow a table.
+  std::map<CallId, StoreTable> OpenTableCalls() const {
     std::map<CallId, StoreTable> calls;
     for (const ProxyEffect& effect : effects_) {
-      const auto* store_call = std::get_if<StoreCall>(&effect);
-      if (store_call == nullptr) continue;
-      const auto* body = std::get_if<FollowTable>(&store_call->body);
-      bool is_open = answered_.count(store_call->call) == 0;
-      if (body != nullptr && is_open) calls[store_call->call] = body->table;
+      const auto* call = std::get_if<StoreCall>(&effect);
+      if (call == nullptr || answered_.count(call->call) != 0) continue;
+      if (const auto* follow = std::get_if<FollowTable>(&call->body)) {
+        calls[call->call] = follow->table;
+      } else if (const auto* read = std::get_if<ReadTable>(&call->body)) {
+        calls[call->call] = read->table;
+      }
     }
     return calls;
   }
