Store follower: the age of the store's last answer grows, however slow its reports are

Callers saw nothing yet that is known. In an outage of the store for most VMs, nobody followed the lists of upstreams and VMs, so an upstream that leaves would go unnoticed.

Cause: a heartbeat tells how long ago the store answered some VM. The receiver counted that from the arrival and told it on, so the time that a message waits made the answer look younger at each step, and the youngest report won. Busy VMs tell one another for as long as an outage lasts that the store has just answered a VM.

Each answer now has a number that grows at the VM that received it, and heartbeats tell it. Of the reports of one answer the earliest time counts, so repeating a report changes nothing; only a new answer makes the age smaller. Reports of an earlier version of the program have no number and count as before.

--- a/fireflycart/core/proxy/peer_calls.h
+++ b/fireflycart/core/proxy/peer_calls.h
@@ -125,6 +125,9 @@
   KnownVersions known;
   Duration store_age;  // Since the last known answer of the store to any VM.
   VmId store_reader;   // That VM; empty if it is not known.
+  // Of that answer: higher than those of earlier ones to that VM. 0 from an
+  // earlier version of the program.
+  uint64_t store_answer = 0;
   bool reaches_store = false;
   bool is_leaving = false;
   // Of the sender, in calls: a VM that has started while the store refuses it
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -862,6 +862,7 @@
   heartbeat.known = follower_.known();
   heartbeat.store_age = follower_.store_age(context_.now());
   heartbeat.store_reader = follower_.store_reader();
+  heartbeat.store_answer = follower_.store_answer();
   heartbeat.reaches_store = follower_.reaches_store();
   heartbeat.is_leaving = is_stopping_;
   heartbeat.era = follower_.era();
@@ -881,7 +882,7 @@
   // A VM that misses new eras may follow the store without effect.
   if (heartbeat.tells_era) {
     follower_.OnPeerStoreAge(heartbeat.store_age, heartbeat.store_reader,
-                             &context_);
+                             heartbeat.store_answer, &context_);
   }
   follower_.OnUpstreamAges(heartbeat.upstream_ages, &context_);
   if (!heartbeat.known.IsAheadOf(follower_.known())) return;
--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -31,6 +31,8 @@
 constexpr Duration kAnnouncementTimeout = Duration::Millis(1000);
 // The store may decide this long before a wait ends that nothing has changed.
 constexpr Duration kFollowSlack = Duration::Millis(50);
+// Answers to VMs that received none for longer are forgotten.
+constexpr Duration kMaxAnswerAge = Duration::Seconds(60);
 
 void LogSkipped(StoreTable table, const std::string& problem,
                 ProxyContext* context) {
@@ -246,13 +248,38 @@
   StepAll(context);
 }
 
-void StoreFollower::OnPeerStoreAge(Duration age, const VmId& reader,
-                                   ProxyContext* context) {
-  TimePoint answered_at = context->now() - age;
-  if (answered_at > store_answered_at_) {
-    store_answered_at_ = answered_at;
-    store_reader_ = reader;
+// Records an answer of the store to a VM and returns when it was received, as
+// far as this VM can tell. The time that a message waited on its way is not
+// known, so each report of an answer may make it look younger, and a VM hears
+// of the same answer again and again. The earliest time counts.
+TimePoint StoreFollower::NoteAnswer(const VmId& reader, uint64_t number,
+                                    TimePoint at) {
+  LastAnswer& last = last_answers_[reader];
+  bool is_same = number == last.number && last.at != TimePoint();
+  if (number > last.number || last.at == TimePoint()) {
+    last = LastAnswer{number, at};
+  } else if (is_same) {
+    // Without a number, each report may be of another answer.
+    last.at = number == 0 ? std::max(last.at, at) : std::min(last.at, at);
+  }
+  TimePoint received_at = number < last.number ? TimePoint() : last.at;
+  store_answered_at_ = TimePoint();
+  for (auto it = last_answers_.begin(); it != last_answers_.end();) {
+    const LastAnswer& answer = it->second;
+    if (answer.at > store_answered_at_) {
+      store_answered_at_ = answer.at;
+      store_reader_ = it->first;
+      store_answer_ = answer.number;
+    }
+    bool is_old = at - answer.at > kMaxAnswerAge;
+    it = is_old ? last_answers_.erase(it) : std::next(it);
   }
+  return received_at;
+}
+
+void StoreFollower::OnPeerStoreAge(Duration age, const VmId& reader,
+                                   uint64_t number, ProxyContext* context) {
+  TimePoint answered_at = NoteAnswer(reader, number, context->now() - age);
   // An answer from before this VM began shows no reader.
   if (!follows_by_age_ || answered_at < follows_by_age_since_) return;
   // Of the VMs that follow for lack of readers and receive answers, the best in
@@ -430,8 +457,12 @@
 void StoreFollower::OnAnswered(const Table& table, ProxyContext* context) {
   // Others rely on a VM that is answered, so it must go on asking.
   if (follows_store()) {
-    store_answered_at_ = context->now();
-    store_reader_ = self_.vm;
+    // Above those of earlier processes, even if the time of day went back.
+    Duration elapsed = context->now() - started_at_;
+    uint64_t number =
+        std::max(self_.incarnation + static_cast<uint64_t>(elapsed.millis()),
+                 last_answers_[self_.vm].number + 1);
+    NoteAnswer(self_.vm, number, context->now());
   }
   // The store may serve this table and refuse another.
   if (table.failures == 0) return;
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -126,8 +126,10 @@
   // A peer that was asked then had routes of this version and age.
   void OnPeerRoutesAge(uint64_t version, const std::optional<Duration>& age,
                        TimePoint asked_at);
-  // A peer reported that the store answered that VM this long ago.
-  void OnPeerStoreAge(Duration age, const VmId& reader, ProxyContext* context);
+  // A peer reported that the store answered that VM this long ago; `number` is
+  // Heartbeat::store_answer.
+  void OnPeerStoreAge(Duration age, const VmId& reader, uint64_t number,
+                      ProxyContext* context);
 
   const RouteTable& routes() const { return routes_; }
   const UpstreamList& upstreams() const { return upstreams_.merged(); }
@@ -151,8 +153,10 @@
   // True if this VM follows the store, for all or because no VM is known to
   // have received an answer from it lately.
   bool follows_store() const { return is_reader_ || follows_by_age_; }
-  // The VM that received the last known answer of the store.
+  // The VM that received the last known answer of the store, and the answer's
+  // number.
   const VmId& store_reader() const { return store_reader_; }
+  uint64_t store_answer() const { return store_answer_; }
   Duration store_age(TimePoint now) const { return now - store_answered_at_; }
   TimePoint store_answered_at() const { return store_answered_at_; }
   // The list of upstreams includes the changes up to this time.
@@ -204,6 +208,7 @@
   void MergeVms(const VmList& vms, ProxyContext* context);
   void AdvanceVersion(StoreTable which, StoreVersion version);
   void CheckStoreAge(ProxyContext* context);
+  TimePoint NoteAnswer(const VmId& reader, uint64_t number, TimePoint at);
   void CheckRoutesAge(ProxyContext* context);
   bool IsFollowed(const Table& table) const;
   static void StartFollowing(Table* table, bool is_followed);
@@ -245,8 +250,15 @@
   bool follows_routes_by_age_ = false;
   RoutesAge routes_age_;
   StoreReaders readers_;
-  TimePoint store_answered_at_;
+  // The last known answer of the store to a VM.
+  struct LastAnswer {
+    uint64_t number = 0;
+    TimePoint at;
+  };
+  std::map<VmId, LastAnswer> last_answers_;
+  TimePoint store_answered_at_;  // The newest of these, as are the next two.
   VmId store_reader_;
+  uint64_t store_answer_ = 0;
   uint64_t changes_ = 0;
   uint64_t vm_changes_ = 0;
 };
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(NoAnswerToAnyVm_NoReader_FollowsUntilBetterReaderAnswers);
   CPPUNIT_TEST(NoAnswerToAnyVm_StoreRefusesThisVm_FollowsUntilAnyVmHasAnswer);
   CPPUNIT_TEST(NoAnswerToAnyVm_HeartbeatTellsOlderAnswer_GoesOnFollowing);
+  CPPUNIT_TEST(AnswerToOtherVm_ToldAgainLater_IsNoYounger);
+  CPPUNIT_TEST(AnswerToOtherVm_ToldByEarlierVersion_Counts);
   CPPUNIT_TEST(StoreLeftToPeers_LateAnswer_IsNotToldToOthers);
   CPPUNIT_TEST(StoreLeftToPeers_RoutesTooOld_AreReadWhateverElseIsAnswered);
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
@@ -229,9 +231,9 @@
     Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
            {kFirst, 101});
     Open<FollowTable>(StoreTable::kUpstreams);
-    follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
+    HearOfAnswer(WorseReader(), Duration());
     CPPUNIT_ASSERT(follower_.follows_store());
-    follower_.OnPeerStoreAge(Duration(), BetterReader(), &context_);
+    HearOfAnswer(BetterReader(), Duration());
     CPPUNIT_ASSERT(!follower_.follows_store());
   }
 
@@ -241,7 +243,7 @@
     Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kRefused,
            {kFirst, 0});
     CPPUNIT_ASSERT(follower_.follows_store());
-    follower_.OnPeerStoreAge(Duration(), WorseReader(), &context_);
+    HearOfAnswer(WorseReader(), Duration());
     CPPUNIT_ASSERT(!follower_.follows_store());
   }
 
@@ -249,10 +251,39 @@
     LeaveStoreToPeers();
     Wait(StoreFollower::kStoreAgeLimit + Duration::Millis(1));
     Duration age = StoreFollower::kStoreAgeLimit - Duration::Millis(1);
-    follower_.OnPeerStoreAge(age, BetterReader(), &context_);
+    HearOfAnswer(BetterReader(), age);
     CPPUNIT_ASSERT(follower_.follows_store());
   }
 
+  void AnswerToOtherVm_ToldAgainLater_IsNoYounger() {
+    LeaveStoreToPeers();
+    Wait(Duration::Seconds(1));
+    HearOfAnswer(BetterReader(), Duration::Millis(100));
+    Wait(Duration::Seconds(1));
+    follower_.OnPeerStoreAge(Duration::Millis(100), BetterReader(),
+                             last_answer_, &context_);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1100}, StoreAge());
+    // A report that was faster.
+    follower_.OnPeerStoreAge(Duration::Millis(1300), BetterReader(),
+                             last_answer_, &context_);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1300}, StoreAge());
+    follower_.OnPeerStoreAge(Duration(), BetterReader(), last_answer_ - 1,
+                             &context_);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1300}, StoreAge());
+    HearOfAnswer(BetterReader(), Duration::Millis(200));
+    CPPUNIT_ASSERT_EQUAL(int64_t{200}, StoreAge());
+  }
+
+  void AnswerToOtherVm_ToldByEarlierVersion_Counts() {
+    LeaveStoreToPeers();
+    Wait(Duration::Seconds(1));
+    follower_.OnPeerStoreAge(Duration::Millis(200), BetterReader(), 0,
+                             &context_);
+    follower_.OnPeerStoreAge(Duration::Millis(100), BetterReader(), 0,
+                             &context_);
+    CPPUNIT_ASSERT_EQUAL(int64_t{100}, StoreAge());
+  }
+
   // Otherwise a VM that follows would leave the store to one that does not.
   void StoreLeftToPeers_LateAnswer_IsNotToldToOthers() {
     TimePoint before = follower_.store_answered_at();
@@ -270,7 +301,7 @@
     while (age.IsYoung(waited)) {
       Wait(Duration::Millis(100));
       waited = waited + Duration::Millis(100);
-      follower_.OnPeerStoreAge(Duration(), BetterReader(), &context_);
+      HearOfAnswer(BetterReader(), Duration());
     }
     Wait(Duration::Millis(100));
     CPPUNIT_ASSERT(!follower_.follows_store());
@@ -378,6 +409,11 @@
     follower_.OnWake(&context_);
   }
 
+  // A peer tells of a new answer of the store to a VM.
+  void HearOfAnswer(const VmId& reader, Duration age) {
+    follower_.OnPeerStoreAge(age, reader, ++last_answer_, &context_);
+  }
+
   // Ends the open follow calls; the store then answers only other VMs.
   void LeaveStoreToPeers() {
     Begin();
@@ -408,6 +444,8 @@
     return follower_.upstream_times().LeavingSince(UpstreamId(id));
   }
 
+  int64_t StoreAge() const { return follower_.store_age(now_).millis(); }
+
   size_t Count(const char* id) const {
     return follower_.upstreams().records.count(UpstreamId(id));
   }
@@ -482,6 +520,7 @@
   ProxyContext context_{kSelf, 7, 3};
   StoreFollower follower_{RoutesAge(Duration(), Duration())};
   std::set<CallId> answered_;
+  uint64_t last_answer_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -262,7 +262,8 @@
       Json::array({ToJson(f.known), f.store_age.millis(), f.reaches_store,
                    f.is_leaving, f.address, f.takes_receiver_for_lost, f.era,
                    f.store_reader.value(), std::move(ages)});
-  if (f.routes_age) json.push_back(AgeToJson(f.routes_age));
+  json.push_back(AgeToJson(f.routes_age));
+  json.push_back(f.store_answer);
   return json;
 }
 void FromJson(const Json& json, Heartbeat* f) {
@@ -280,6 +281,7 @@
     f->upstream_ages.push_back(age);
   }
   if (fields.HasNext()) f->routes_age = AgeFromJson(fields.Next());
+  fields.TakeOptional(&f->store_answer);
 }
 
 }  // namespace
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(Heartbeat_Decoded_HasEras);
   CPPUNIT_TEST(Heartbeat_OfEarlierVersion_TellsNoEra);
   CPPUNIT_TEST(Heartbeat_Decoded_HasUpstreamAges);
+  CPPUNIT_TEST(Heartbeat_WithOrWithoutRoutesAge_HasNumberOfStoresAnswer);
   CPPUNIT_TEST(Snapshot_Decoded_HasEras);
   CPPUNIT_TEST(Snapshot_OfEarlierVersion_HasEraZero);
   CPPUNIT_TEST(Snapshot_ForEarlierVersion_HasNumbersInTheirPlaces);
@@ -90,6 +91,20 @@
     CPPUNIT_ASSERT(ages[1].leaving_for == Duration::Millis(70));
   }
 
+  void Heartbeat_WithOrWithoutRoutesAge_HasNumberOfStoresAnswer() {
+    HeartbeatCall sent = MakeHeartbeat();
+    sent.heartbeat.store_answer = 77;
+    for (bool has_routes_age : {false, true}) {
+      sent.heartbeat.routes_age.reset();
+      if (has_routes_age) sent.heartbeat.routes_age = Duration::Millis(300);
+      HeartbeatCall call;
+      FromJson(ToJson(sent), &call);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{77}, call.heartbeat.store_answer);
+      CPPUNIT_ASSERT_EQUAL(has_routes_age,
+                           call.heartbeat.routes_age.has_value());
+    }
+  }
+
   void Snapshot_Decoded_HasEras() {
     SnapshotReply reply;
     FromJson(ToJson(MakeSnapshot()), &reply);
--- a/fireflycart/standins/testing/session_store_test.cc
+++ b/fireflycart/standins/testing/session_store_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(MostOfSmallFleet_CutFromEverything_RoutesArriveInTime);
   CPPUNIT_TEST(OneVm_CutFromPeersOnly_RoutesArriveInTime);
   CPPUNIT_TEST(Readers_RefusedRoutesOnly_RoutesArriveInTime);
+  CPPUNIT_TEST(MessagesOfPeers_TakeLong_AgeOfStoresLastAnswerGrows);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -135,6 +136,22 @@
     }
   }
 
+  // What a message waits on its way does not make the answer younger.
+  void MessagesOfPeers_TakeLong_AgeOfStoresLastAnswerGrows() {
+    constexpr Duration kLatency = Duration::Millis(80);
+    constexpr Duration kOutage = Duration::Seconds(10);
+    for (int vms : {kSmallFleet, kLargeFleet}) {
+      MakeWorld(vms, kLargeApplyTime, kSeed, kLatency);
+      for (int vm = 0; vm < vms_; vm++) CutFromStore(vm);
+      world_->Run(kOutage);
+      for (int vm = 0; vm < vms_; vm++) {
+        Duration age = world_->vm(vm)->gauges().store_age;
+        CPPUNIT_ASSERT_MESSAGE(NameOf(vm) + ": " + std::to_string(age.millis()),
+                               age >= kOutage - Duration::Seconds(1));
+      }
+    }
+  }
+
  private:
   // The readers' calls are then in different stages.
   static std::vector<Duration> Delays() {
@@ -150,11 +167,13 @@
               kSeed);
   }
 
-  void MakeWorld(int vms, Duration apply_time, uint64_t seed) {
+  void MakeWorld(int vms, Duration apply_time, uint64_t seed,
+                 Duration peer_latency = Duration::Millis(1)) {
     vms_ = vms;
     SessionWorldOptions options;
     options.vms = vms;
     options.callers = 3;
+    options.peer_latency = peer_latency;
     options.proxy.set_apply_limit(apply_time);
     world_ = std::make_unique<SessionWorld>(options, seed);
     world_->Run(kSettleTime);
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -369,6 +369,12 @@
   links_[{from, to}].emplace_back(now_ + kLinkLatency, std::move(deliver));
 }
 
+void SessionWorld::SendToPeer(const std::string& from, const std::string& to,
+                              Delivery deliver) {
+  links_[{from, to}].emplace_back(now_ + options_.peer_latency,
+                                  std::move(deliver));
+}
+
 void SessionWorld::DeliverDue() {
   std::vector<Delivery> due;
   for (auto& item : links_) {
@@ -736,9 +742,9 @@
     EndPeerCall(number, PeerCallError::kBroken, PeerReplyBody());
   });
   if (mute_peer_connections_.count(connection) != 0) return;
-  Send(vm->name, to->name, [this, vm, to, number, from, body] {
+  SendToPeer(vm->name, to->name, [this, vm, to, number, from, body] {
     if (!to->reducer) {
-      Send(to->name, vm->name, [this, number] {
+      SendToPeer(to->name, vm->name, [this, number] {
         EndPeerCall(number, PeerCallError::kNotSent, PeerReplyBody());
       });
       return;
@@ -761,7 +767,7 @@
   uint64_t number = e.handle.value();
   PeerReplyBody body = e.body;
   // The reply is sent on the connection that the call came on.
-  Send(vm->name, call_senders_[number], [this, number, body] {
+  SendToPeer(vm->name, call_senders_[number], [this, number, body] {
     EndPeerCall(number, PeerCallError::kNone, body);
   });
 }
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -40,6 +40,7 @@
   Duration pause = Duration::Millis(20);  // Between two operations of a caller.
   Duration statement_pause;  // Between two statements of an operation.
   Duration caller_latency;   // One way, between a caller and its VM.
+  Duration peer_latency = Duration::Millis(1);  // One way, between two VMs.
   DatabaseOptions database;
   proxy::ReadConsistency consistency = proxy::ReadConsistency::kStrong;
   bool only_writes = false;
@@ -195,6 +196,8 @@
 
   void Step();
   void Send(const std::string& from, const std::string& to, Delivery deliver);
+  void SendToPeer(const std::string& from, const std::string& to,
+                  Delivery deliver);
   void DeliverDue();
   bool IsCut(const std::string& a, const std::string& b) const;
   // Tells the database whether the link is cut, if it is between upstreams.
