Logs: an answer of the store that was received after its call's timeout

No line told how long a call of the store took, so an answer that a busy VM reads slowly could not be told from one that comes late.

--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -411,8 +411,15 @@
   table->is_current = true;
   // The timeout does not end a call while its answer is being received. If it
   // took that long, the changes since then would take longer still.
-  bool is_late = context->now() - table->called_at > TimeoutOf(*table);
-  if (is_late) ReadRoutesNext(table);
+  Duration took = context->now() - table->called_at;
+  if (took <= TimeoutOf(*table)) return;
+  context->Log(LogLevel::kWarning, kPart, "answer_late",
+               {{"table", StoreTableName(table->table)},
+                {"took_ms", std::to_string(took.millis())},
+                {"timeout_ms", std::to_string(TimeoutOf(*table).millis())},
+                {"call", table->is_reading ? "read" : "follow"},
+                {"version", FormatVersion(table->version)}});
+  ReadRoutesNext(table);
 }
 
 // An answer to a follow call has all changes since its version, each with the
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -365,6 +366,7 @@
     Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kOk,
            {kFirst, 101}, changed);
     CPPUNIT_ASSERT_EQUAL(uint64_t{4}, follower_.routes().version);
+    CPPUNIT_ASSERT(HasRecord("answer_late"));
     Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
            {kFirst, 102});
     Open<FollowTable>(StoreTable::kRoutes);
@@ -444,6 +446,14 @@
     return follower_.upstream_times().LeavingSince(UpstreamId(id));
   }
 
+  bool HasRecord(const std::string& event) const {
+    return std::any_of(effects_.begin(), effects_.end(),
+                       [&event](const ProxyEffect& effect) {
+                         const auto* record = std::get_if<WriteRecord>(&effect);
+                         return record != nullptr && record->event == event;
+                       });
+  }
+
   int64_t StoreAge() const { return follower_.store_age(now_).millis(); }
 
   size_t Count(const char* id) const {
