--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -183,8 +183,8 @@
 }
 
 // What changed while this VM left a table to others may be more than arrives in
-// time, and peers may have sent it already. For the tables without the routes,
-// the newest version is known.
+// time, and peers may have sent it already. Of the tables other than the
+// routes, the newest version is known.
 void StoreFollower::StartFollowing(Table* table, bool is_followed) {
   table->is_first_follow = is_followed;
   if (is_followed) ReadRoutesNext(table);
@@ -248,10 +248,10 @@
   StepAll(context);
 }
 
-// Records an answer of the store to a VM and returns when it was received, as
-// far as this VM can tell. The time that a message waited on its way is not
-// known, so each report of an answer may make it look younger, and a VM hears
-// of the same answer again and again. The earliest time counts.
+// Records a report of an answer of the store and returns when that VM received
+// the answer, as far as this VM can tell; TimePoint() if a later one is known.
+// How long a report waited on its way is unknown, so the answer is as old as
+// its oldest report says, or older.
 TimePoint StoreFollower::NoteAnswer(const VmId& reader, uint64_t number,
                                     TimePoint at) {
   LastAnswer& last = last_answers_[reader];
--- a/fireflycart/net/testing/http_client_test.cc
+++ b/fireflycart/net/testing/http_client_test.cc
@@ -65,8 +65,8 @@
  public:
   // In each turn of a busy event loop a connection runs one handler.
   void Reply_LargeWhileEventLoopIsBusy_ArrivesWithinTimeout() {
-    constexpr size_t kBodyBytes = size_t{96}
-                                  << 10;  // A row of 64 KiB, encoded.
+    // A row of the store, 64 KiB in base64.
+    constexpr size_t kBodyBytes = size_t{96} << 10;
     constexpr int64_t kTurnMillis = 50;
     constexpr int64_t kTimeoutMillis = 1000;
     OneReplyServer server(std::string(kBodyBytes, 'x'));
