--- a/fireflycart/core/proxy/store_follower.cc
+++ b/fireflycart/core/proxy/store_follower.cc
@@ -1,8 +1,9 @@
 // Each table is a small state machine: it is read whole, then followed from the
 // version read; after a lost history or a failed read it is read whole again. A
 // failed follow call is repeated from the same version, since the store keeps
-// changes for a while. Of the tables whose calls failed, one is retried at a
-// time, so that an outage costs few calls; the others go on being followed.
+// changes for a while; but the routes, which are one row, are read. Of the
+// tables whose calls failed, one is retried at a time, so that an outage costs
+// few calls; the others go on being followed.
 //
 // An open call does not show that its connection works. When a call gets no
 // answer, the open calls are repeated on other connections.
@@ -182,13 +183,11 @@
 }
 
 // What changed while this VM left a table to others may be more than arrives in
-// time, and peers may have sent it already. The routes are one row, so they are
-// read. For the other tables, the newest version is known.
+// time, and peers may have sent it already. Of the tables other than the
+// routes, the newest version is known.
 void StoreFollower::StartFollowing(Table* table, bool is_followed) {
   table->is_first_follow = is_followed;
-  if (is_followed && table->table == StoreTable::kRoutes) {
-    table->is_current = false;
-  }
+  if (is_followed) ReadRoutesNext(table);
   // Without calls it is not known whether the store answers.
   if (!is_followed) table->failures = 0;
 }
@@ -410,7 +409,8 @@
   }
   table->version = answer.version;
   table->is_current = true;
-  // The timeout does not end a call while its answer is being received.
+  // The timeout does not end a call while its answer is being received. If it
+  // took that long, the changes since then would take longer still.
   Duration took = context->now() - table->called_at;
   if (took <= TimeoutOf(*table)) return;
   context->Log(LogLevel::kWarning, kPart, "answer_late",
@@ -419,6 +419,13 @@
                 {"timeout_ms", std::to_string(TimeoutOf(*table).millis())},
                 {"call", table->is_reading ? "read" : "follow"},
                 {"version", FormatVersion(table->version)}});
+  ReadRoutesNext(table);
+}
+
+// An answer to a follow call has all changes since its version, each with the
+// whole configuration. The row alone has the newest one.
+void StoreFollower::ReadRoutesNext(Table* table) {
+  if (table->table == StoreTable::kRoutes) table->is_current = false;
 }
 
 // An answer reflects the store after its call was sent. An answer without
@@ -486,6 +493,7 @@
   TimePoint next = context->now() + pause + Duration::Millis(jitter);
   bool reached_store = reaches_store();
   table->failures++;
+  ReadRoutesNext(table);
   for (Table& other : tables_) {
     if (other.failures > 0) other.next = std::max(other.next, next);
   }
--- a/fireflycart/core/proxy/store_follower.h
+++ b/fireflycart/core/proxy/store_follower.h
@@ -212,6 +212,7 @@
   void CheckRoutesAge(ProxyContext* context);
   bool IsFollowed(const Table& table) const;
   static void StartFollowing(Table* table, bool is_followed);
+  static void ReadRoutesNext(Table* table);
   static Duration TimeoutOf(const Table& table);
   void ConfirmRoutes(const Table& table, const StoreAnswered& answer,
                      TimePoint now);
--- a/fireflycart/core/proxy/testing/store_follower_test.cc
+++ b/fireflycart/core/proxy/testing/store_follower_test.cc
@@ -60,7 +60,8 @@
   CPPUNIT_TEST(OneTable_GetsNoAnswer_OthersAreAskedAgain);
   CPPUNIT_TEST(OneTable_RefusedForLong_OthersAreFollowed);
   CPPUNIT_TEST(AllTables_Refused_OneCallAtATime);
-  CPPUNIT_TEST(Answer_AfterItsTimeout_IsAppliedAndLogged);
+  CPPUNIT_TEST(RoutesCall_GetsNoAnswer_RowIsReadInsteadOfAllChanges);
+  CPPUNIT_TEST(RoutesAnswer_AfterItsTimeout_RowIsReadInsteadOfAllChanges);
   CPPUNIT_TEST(Follow_RemovalAndNewRowInOneAnswer_KeepsTheLastOfThem);
   CPPUNIT_TEST_SUITE_END();
 
@@ -350,7 +351,14 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, asked.size());
   }
 
-  void Answer_AfterItsTimeout_IsAppliedAndLogged() {
+  void RoutesCall_GetsNoAnswer_RowIsReadInsteadOfAllChanges() {
+    Answer(Open<FollowTable>(StoreTable::kRoutes), StoreStatus::kUnknown,
+           {kFirst, 0});
+    Wait(StoreFollower::kMaxRetryDelay);
+    Open<ReadTable>(StoreTable::kRoutes);
+  }
+
+  void RoutesAnswer_AfterItsTimeout_RowIsReadInsteadOfAllChanges() {
     StoreAnswered changed;
     changed.routes.emplace_back();
     changed.routes.back().version = 4;
@@ -359,6 +367,8 @@
            {kFirst, 101}, changed);
     CPPUNIT_ASSERT_EQUAL(uint64_t{4}, follower_.routes().version);
     CPPUNIT_ASSERT(HasRecord("answer_late"));
+    Answer(Open<ReadTable>(StoreTable::kRoutes), StoreStatus::kOk,
+           {kFirst, 102});
     Open<FollowTable>(StoreTable::kRoutes);
   }
 
