Group owner: answers that leave a connection's state in doubt are logged

An upstream reports after each command whether the connection is in a transaction. The owner read this once, after a failed BEGIN, so no log could tell whether an upstream had kept or ended a transaction on its own. The pool now derives from the commands sent what the upstream should report; unexpected_transaction_state and rollback_failed name each difference, and setup_failed also comes when the caller's statement has ended. Nothing else changes.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -47,6 +47,32 @@
 
 }  // namespace
 
+void GroupOwner::LogOddAnswer(const UpstreamId& upstream,
+                              const SentCommand& command,
+                              const UpstreamAnswer& answer,
+                              ProxyContext* context) {
+  bool is_rollback = command.kind == CommandKind::kRollback;
+  bool is_refused = answer.outcome != Outcome::kDone;
+  const char* event = nullptr;
+  if (is_refused && command.is_set_up()) {
+    event = "setup_failed";
+  } else if (is_refused && is_rollback) {
+    event = "rollback_failed";
+  } else if (!command.IsStateExpected(answer)) {
+    event = "unexpected_transaction_state";
+  }
+  if (event == nullptr) return;
+  const Work* work = FindWork(command.work);
+  context->Log(LogLevel::kError, kPart, event,
+               {{"group", spec_.id.value()},
+                {"upstream", upstream.value()},
+                {"id", work == nullptr ? "" : work->call.id.value()},
+                {"outcome", OutcomeName(answer.outcome)},
+                {"detail", answer.detail},
+                {"expected", TransactionStateName(command.state_after)},
+                {"state", TransactionStateName(answer.state)}});
+}
+
 void GroupOwner::OnStatementAnswer(Work* work, const SentCommand& command,
                                    const UpstreamAnswer& answer,
                                    ProxyContext* context) {
@@ -61,11 +87,6 @@
     default:
       if (answer.outcome == Outcome::kDone) return;
       // The connection lacks the session state that the statement needs.
-      context->Log(LogLevel::kError, kPart, "setup_failed",
-                   {{"group", spec_.id.value()},
-                    {"id", work->call.id.value()},
-                    {"outcome", OutcomeName(answer.outcome)},
-                    {"detail", answer.detail}});
       OnConnectionLost(pool_.Close(work->connection, context), context);
       return;
   }
@@ -269,9 +290,7 @@
   std::map<StatementNumber, bool> was_sent;
   for (const SentCommand& command : lost.sent) {
     if (command.work == StatementNumber()) continue;
-    bool is_statement = command.kind == CommandKind::kVerbatim ||
-                        command.kind == CommandKind::kExecute;
-    was_sent[command.work] = was_sent[command.work] || is_statement;
+    was_sent[command.work] = was_sent[command.work] || command.is_statement();
   }
   for (const auto& item : was_sent) {
     Work* work = FindWork(item.first);
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -56,6 +56,7 @@
   command.text = call.text;
   command.arguments = call.text;
   command.prepared = call.prepared;
+  command.commits = call.access == Access::kCommit;
   return command;
 }
 
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -241,7 +241,7 @@
                             ProxyContext* context) {
   PooledConnection* connection = pool_.Find(event.connection);
   if (connection == nullptr) return;
-  UpstreamId upstream = connection->upstream;
+  const UpstreamId upstream = connection->upstream;
   bool is_control = connection->is_control;
   SentCommand command =
       pool_.OnAnswered(event.connection, event.answer, context);
@@ -251,10 +251,13 @@
   if (is_control) {
     OnControlAnswer(upstream, command, event.answer, context);
     PassOnKeptCommits(context);
-  } else if (command.kind == CommandKind::kRollback) {
-    connection->is_rolling_back = false;
-  } else if (Work* work = FindWork(command.work)) {
-    OnStatementAnswer(work, command, event.answer, context);
+  } else {
+    LogOddAnswer(upstream, command, event.answer, context);
+    if (command.kind == CommandKind::kRollback) {
+      connection->is_rolling_back = false;
+    } else if (Work* work = FindWork(command.work)) {
+      OnStatementAnswer(work, command, event.answer, context);
+    }
   }
   Reevaluate(context);
 }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -212,6 +212,9 @@
   bool IsProbeAnswered() const;
 
   // Defined in group_answers.cc.
+  // Logs an answer that leaves the state of its connection in doubt.
+  void LogOddAnswer(const UpstreamId& upstream, const SentCommand& command,
+                    const UpstreamAnswer& answer, ProxyContext* context);
   void OnStatementAnswer(Work* work, const SentCommand& command,
                          const UpstreamAnswer& answer, ProxyContext* context);
   void OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
--- a/fireflycart/core/proxy/statement.cc
+++ b/fireflycart/core/proxy/statement.cc
@@ -38,4 +38,16 @@
   return "unknown";
 }
 
+const char* TransactionStateName(TransactionState state) {
+  switch (state) {
+    case TransactionState::kNone:
+      return "none";
+    case TransactionState::kOpen:
+      return "open";
+    case TransactionState::kFailed:
+      return "failed";
+  }
+  return "failed";
+}
+
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -105,6 +105,9 @@
   PreparedShape prepared;  // kPrepare.
 };
 
+// Lower-case name of a state in logs.
+const char* TransactionStateName(TransactionState state);
+
 // The answer to a caller's statement.
 struct CallerAnswer {
   Outcome outcome = Outcome::kDone;
@@ -142,6 +145,7 @@
   uint64_t term = 0;  // kHold, kDemote.
   // If set, a status request is sent instead after this time.
   TimePoint expires;
+  bool commits = false;  // Ends the open transaction with its commit.
 };
 
 // Status that an upstream reports.
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -37,8 +37,27 @@
   return (shape.writes ? "w_" : "r_") + shape.shape;
 }
 
+TransactionState StateAfter(const UpstreamCommand& command,
+                            TransactionState state) {
+  switch (command.kind) {
+    case CommandKind::kBegin:
+    case CommandKind::kBeginReadOnly:
+      return TransactionState::kOpen;
+    case CommandKind::kRollback:
+      return TransactionState::kNone;
+    default:
+      return command.commits ? TransactionState::kNone : state;
+  }
+}
+
 }  // namespace
 
+bool SentCommand::IsStateExpected(const UpstreamAnswer& answer) const {
+  if (answer.outcome == Outcome::kDone) return answer.state == state_after;
+  return state_before != TransactionState::kNone ||
+         answer.state == TransactionState::kNone;
+}
+
 void ConnectionCounts::Add(const ConnectionCounts& o) {
   idle += o.idle;
   busy += o.busy;
@@ -359,14 +378,18 @@
                         std::vector<UpstreamCommand> commands,
                         StatementNumber work, ProxyContext* context) {
   for (UpstreamCommand& command : commands) {
-    bool is_statement = command.kind == CommandKind::kVerbatim ||
-                        command.kind == CommandKind::kExecute;
     if (command.kind == CommandKind::kExecute) {
       command.name = PreparedStatementName(command.prepared);
     }
-    if (is_statement) upstreams_[connection->upstream].running++;
-    connection->sent.push_back(
-        SentCommand{command.kind, work, context->instant()});
+    SentCommand sent;
+    sent.kind = command.kind;
+    sent.work = work;
+    sent.at = context->instant();
+    sent.state_before = connection->state;
+    sent.state_after = StateAfter(command, connection->state);
+    connection->state = sent.state_after;
+    if (sent.is_statement()) upstreams_[connection->upstream].running++;
+    connection->sent.push_back(sent);
   }
   connection->last_used = context->now();
   context->Emit(SendUpstream{connection->id, std::move(commands)});
@@ -431,9 +454,8 @@
   SentCommand command = connection->sent.front();
   connection->sent.pop_front();
   PooledUpstream& upstream = upstreams_[connection->upstream];
-  bool is_statement = command.kind == CommandKind::kVerbatim ||
-                      command.kind == CommandKind::kExecute;
-  if (is_statement) upstream.running--;
+  if (command.is_statement()) upstream.running--;
+  if (connection->sent.empty()) connection->state = answer.state;
   upstream.last_answer = context->now();
   bool resumes = command.kind == CommandKind::kResume;
   // Only the last order counts: those before it were answered before it.
@@ -472,9 +494,7 @@
     if (!removed.is_open) upstream.opening--;
   }
   for (const SentCommand& command : removed.sent) {
-    bool is_statement = command.kind == CommandKind::kVerbatim ||
-                        command.kind == CommandKind::kExecute;
-    if (is_statement) upstream.running--;
+    if (command.is_statement()) upstream.running--;
   }
   return removed;
 }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -36,6 +36,23 @@
   CommandKind kind = CommandKind::kStatus;
   StatementNumber work;  // 0: not sent for a statement.
   Instant at;
+  // The transaction of the connection before the command, and after it if it
+  // succeeds.
+  TransactionState state_before = TransactionState::kNone;
+  TransactionState state_after = TransactionState::kNone;
+
+  // A caller's statement, or the commit of a transaction.
+  bool is_statement() const {
+    return kind == CommandKind::kVerbatim || kind == CommandKind::kExecute;
+  }
+  bool is_set_up() const {
+    return kind == CommandKind::kReset || kind == CommandKind::kSetValue ||
+           kind == CommandKind::kPrepare;
+  }
+  // False if the upstream reports another transaction state than the answer
+  // implies. What it reports after a failure in a transaction is not known
+  // beforehand.
+  bool IsStateExpected(const UpstreamAnswer& answer) const;
 };
 
 struct PooledConnection {
@@ -47,6 +64,9 @@
   bool is_pinned = false;        // Reserved for a transaction.
   bool is_rolling_back = false;  // Until the rollback is answered.
   TimePoint last_used;           // When it was opened or last sent to.
+  // Once the commands that were sent have succeeded; after a failure, what the
+  // upstream reported.
+  TransactionState state = TransactionState::kNone;
   std::deque<SentCommand> sent;
   std::map<std::string, std::string> values;
   std::set<PreparedShape> prepared;
