Upstream pool: prepared statements are named by numbers of their connection

What callers saw: none the wiser, a DONE.

Cause: the name was made of the shape, and a shape is the last field of its line and may hold any text, while a name ends at the first blank.

Now the name is the number of the statement on its connection: one word by construction, of bounded length whatever the shape, and used once, so that a reset that was not performed leaves no other shape under it. A connection still shares a shape between all callers.

--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -1,8 +1,8 @@
 // A connection is used only if its session state is known exactly. Its session
 // values are compared with those of the statement: a reset removes surplus
-// ones, and different ones are set again. Prepared statements are named by
-// their shape, so that callers share them. A connection of uncertain state is
-// closed.
+// ones, and different ones are set again. Prepared statements are named by a
+// number of their connection, since a shape may hold any text, and are shared
+// by all callers of a shape. A connection of uncertain state is closed.
 
 #include "fireflycart/core/proxy/upstream_pool.h"
 
@@ -33,10 +33,6 @@
   return upstream.has_status && !(upstream.status.received < position);
 }
 
-std::string PreparedStatementName(const PreparedShape& shape) {
-  return (shape.writes ? "w_" : "r_") + shape.shape;
-}
-
 TransactionState StateAfter(const UpstreamCommand& command,
                             TransactionState state) {
   switch (command.kind) {
@@ -363,10 +359,15 @@
     commands.push_back(set);
     connection->values[value.first] = value.second;
   }
-  if (call.is_prepared && connection->prepared.insert(call.prepared).second) {
+  if (!call.is_prepared) return commands;
+  std::string& name = connection->prepared[call.prepared];
+  if (name.empty()) {
+    // Used once, so that no other shape is left under it by a reset that the
+    // upstream did not perform.
+    name = "s" + std::to_string(++connection->last_prepared);
     UpstreamCommand prepare;
     prepare.kind = CommandKind::kPrepare;
-    prepare.name = PreparedStatementName(call.prepared);
+    prepare.name = name;
     prepare.prepared = call.prepared;
     commands.push_back(prepare);
     connection->prepared_bytes += call.prepared.shape.size();
@@ -379,7 +380,7 @@
                         StatementNumber work, ProxyContext* context) {
   for (UpstreamCommand& command : commands) {
     if (command.kind == CommandKind::kExecute) {
-      command.name = PreparedStatementName(command.prepared);
+      command.name = connection->prepared.at(command.prepared);
     }
     SentCommand sent;
     sent.kind = command.kind;
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -17,6 +17,7 @@
 #ifndef FIREFLYCART_CORE_PROXY_UPSTREAM_POOL_H_
 #define FIREFLYCART_CORE_PROXY_UPSTREAM_POOL_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
@@ -69,8 +70,9 @@
   TransactionState state = TransactionState::kNone;
   std::deque<SentCommand> sent;
   std::map<std::string, std::string> values;
-  std::set<PreparedShape> prepared;
-  size_t prepared_bytes = 0;  // Of their shapes.
+  std::map<PreparedShape, std::string> prepared;  // With their names.
+  uint64_t last_prepared = 0;                     // Number of the last name.
+  size_t prepared_bytes = 0;                      // Of their shapes.
 
   bool is_idle() const {
     return is_open && !is_control && !is_pinned && !is_rolling_back &&
