Stand-in for upstreams is strict; what it runs is compared with what was sent

The model took any command in any state, and the simulated world compared ids and session values only. The model now refuses what a strict upstream refuses (BEGIN in a transaction, ROLLBACK and COMMIT outside one, names that are not one word, unknown texts, positions before writes), and reports each statement with its prepared shape and whether it ran in a transaction; the world compares both with what the caller sent. Callers may prepare statements, whose shapes hold blanks.

--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -29,6 +29,16 @@
          command.kind == CommandKind::kExecute;
 }
 
+bool IsSetUp(const UpstreamCommand& command) {
+  return command.kind == CommandKind::kReset ||
+         command.kind == CommandKind::kSetValue ||
+         command.kind == CommandKind::kPrepare;
+}
+
+bool IsOneWord(const std::string& name) {
+  return !name.empty() && name.find(' ') == std::string::npos;
+}
+
 UpstreamAnswer Failed(Outcome outcome, TransactionState state) {
   UpstreamAnswer answer;
   answer.outcome = outcome;
@@ -203,16 +213,27 @@
   if (upstream.is_failing && ++upstream.statements % 2 == 0) {
     return fail(Outcome::kFailed);
   }
+  if (!MayRun(*connection, command)) return fail(Outcome::kBadRequest);
   std::string text = command.text;
+  RanStatement ran;
+  ran.text = text;
   if (command.kind == CommandKind::kExecute) {
     auto found = connection->prepared.find(command.name);
     if (found == connection->prepared.end()) {
       return fail(Outcome::kNoStatement);
     }
+    ran.is_prepared = true;
+    ran.prepared = found->second;
+    ran.text = command.arguments;
     text = (found->second.writes ? "WRITE " : "READ ") + command.arguments;
   }
+  ran.id = command.id;
+  ran.values = connection->values;
+  ran.in_transaction = in_transaction;
+  ran.has_lost_transaction = connection->has_lost_transaction;
+  connection->has_lost_transaction = false;
+  observer_->OnRun(ran);
   UpstreamAnswer answer;
-  observer_->OnRun(command.id, text, connection->values);
   bool lost_lead =
       in_transaction && !connection->is_read_only && !upstream.is_primary;
   if (text == "COMMIT") {
@@ -277,10 +298,63 @@
   return answer;
 }
 
+bool DatabaseModel::MayRun(const Connection& connection,
+                           const UpstreamCommand& command) const {
+  bool in_transaction = connection.state != TransactionState::kNone;
+  switch (command.kind) {
+    case CommandKind::kVerbatim: {
+      if (command.text == "COMMIT") return in_transaction;
+      bool reads = StartsWith(command.text, "READ ");
+      bool has_position = command.after.known();
+      return reads || (StartsWith(command.text, "WRITE ") && !has_position);
+    }
+    case CommandKind::kBegin:
+    case CommandKind::kBeginReadOnly:
+      return !in_transaction;
+    case CommandKind::kRollback:
+      return in_transaction;
+    case CommandKind::kPrepare:
+      return IsOneWord(command.name) && !command.prepared.shape.empty() &&
+             connection.state != TransactionState::kFailed;
+    case CommandKind::kSetValue:
+      return IsOneWord(command.name) &&
+             connection.state != TransactionState::kFailed;
+    case CommandKind::kReset:
+      return !in_transaction;
+    default:
+      return true;
+  }
+}
+
+void DatabaseModel::EndTransactions() {
+  for (auto& item : connections_) {
+    Connection& connection = item.second;
+    if (connection.state == TransactionState::kNone) continue;
+    connection.state = TransactionState::kNone;
+    connection.writes.clear();
+    connection.has_lost_transaction = true;
+  }
+}
+
 UpstreamAnswer DatabaseModel::RunOwn(Connection* connection,
                                      const UpstreamCommand& command,
                                      TimePoint now) {
   Upstream& upstream = upstreams_[connection->upstream];
+  if (!MayRun(*connection, command)) {
+    return Failed(Outcome::kBadRequest, connection->state);
+  }
+  if (IsSetUp(command) && set_ups_to_refuse_ > 0) {
+    set_ups_to_refuse_--;
+    if (connection->state == TransactionState::kOpen) {
+      connection->state = TransactionState::kFailed;
+    }
+    return Failed(Outcome::kFailed, connection->state);
+  }
+  bool is_rollback = command.kind == CommandKind::kRollback;
+  if (is_rollback && rollbacks_to_refuse_ > 0) {
+    rollbacks_to_refuse_--;
+    return Failed(Outcome::kFailed, connection->state);
+  }
   UpstreamAnswer answer;
   size_t applied = AppliedOf(upstream, now);
   if (applied > 0) answer.position = upstream.log[applied - 1].position;
@@ -299,6 +373,7 @@
       }
       connection->state = TransactionState::kOpen;
       connection->is_read_only = reads;
+      connection->has_lost_transaction = false;
       return answer;
     }
     case CommandKind::kRollback:
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -49,6 +49,20 @@
   TimePoint at;
 };
 
+// A caller's statement as an upstream ran it.
+struct RanStatement {
+  proxy::StatementId id;
+  // READ, WRITE or COMMIT; of a prepared statement, what follows its name.
+  std::string text;
+  bool is_prepared = false;
+  proxy::PreparedShape prepared;
+  std::map<std::string, std::string> values;  // Of its connection.
+  bool in_transaction = false;
+  // The upstream has ended the transaction of the connection since the last
+  // statement, see DatabaseModel::EndTransactions().
+  bool has_lost_transaction = false;
+};
+
 struct DatabaseOutput {
   ConnectionId connection;
   bool is_open = false;  // The connection was accepted; else an answer.
@@ -63,9 +77,7 @@
   // A caller's read ran on this log, up to the applied length.
   virtual void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
                       const std::vector<LogEntry>& log, size_t applied) = 0;
-  // A caller's statement ran with these session values.
-  virtual void OnRun(const proxy::StatementId& id, const std::string& text,
-                     const std::map<std::string, std::string>& values) = 0;
+  virtual void OnRun(const RanStatement& statement) = 0;
   // An upstream took the lead with this log.
   virtual void OnPromoted(const UpstreamId& upstream,
                           const std::vector<LogEntry>& log) = 0;
@@ -106,6 +118,13 @@
   void BreakAnswers(int count) { answers_to_break_ = count; }
   // That many coming statements are refused: all slots are busy.
   void RefuseBusy(int count) { busy_answers_ = count; }
+  // That many coming commands that set values, prepare or reset are refused.
+  void RefuseSetUp(int count) { set_ups_to_refuse_ = count; }
+  // That many coming rollbacks are refused; the transactions stay open.
+  void RefuseRollbacks(int count) { rollbacks_to_refuse_ = count; }
+  // Rolls back all open transactions, as an upstream may that finds them idle.
+  // Their connections stay; the next statement on one runs alone.
+  void EndTransactions();
   void SetApplyLag(Duration lag) { options_.apply_lag = lag; }
   // The same for one upstream.
   void SetApplyLag(const UpstreamId& upstream, Duration lag) {
@@ -156,6 +175,7 @@
     std::map<std::string, proxy::PreparedShape> prepared;
     proxy::TransactionState state = proxy::TransactionState::kNone;
     bool is_read_only = false;
+    bool has_lost_transaction = false;
     std::vector<std::string> writes;  // Of the open transaction.
     std::deque<proxy::UpstreamCommand> commands;
     TimePoint ready_at;  // The first command is done then.
@@ -182,6 +202,9 @@
   proxy::UpstreamAnswer RunStatement(Connection* connection,
                                      const proxy::UpstreamCommand& command,
                                      TimePoint now);
+  // The state that a command needs, as a strict upstream checks it.
+  bool MayRun(const Connection& connection,
+              const proxy::UpstreamCommand& command) const;
   proxy::UpstreamAnswer RunOwn(Connection* connection,
                                const proxy::UpstreamCommand& command,
                                TimePoint now);
@@ -210,6 +233,8 @@
   int answers_to_lose_ = 0;
   int answers_to_break_ = 0;
   int busy_answers_ = 0;
+  int set_ups_to_refuse_ = 0;
+  int rollbacks_to_refuse_ = 0;
   int behind_answers_ = 0;
   int slow_openings_ = 0;
 };
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -4,6 +4,7 @@
 // with the log that the read runs on.
 
 #include <algorithm>
+#include <array>
 
 #include "fireflycart/standins/testing/session_world.h"
 #include "fireflycart/standins/testing/session_world_parts.h"
@@ -21,6 +22,14 @@
 constexpr Duration kReconnectDelay = Duration::Millis(30);
 // A read is checked for the newest acknowledged writes only.
 constexpr size_t kMaxCheckedWrites = 100;
+// Of prepared statements; the same name stands for any of them.
+const std::array<const char*, 4> kShapes = {"q", "q 2c", "q  ", "READ q"};
+
+// All prepared statements write.
+bool IsWrite(const CallerStatement& statement) {
+  return statement.kind == StatementKind::kWrite ||
+         statement.kind == StatementKind::kExecute;
+}
 
 bool GuaranteesNoEffect(Outcome outcome) {
   switch (outcome) {
@@ -79,6 +88,7 @@
   caller->pending_statements.clear();
   caller->texts.clear();
   caller->sent_effect = false;
+  caller->in_transaction = false;
   caller->started = now_;
   auto add = [&](StatementKind kind, const std::string& text) {
     CallerStatement statement;
@@ -96,6 +106,23 @@
     caller->texts.push_back(text);
     return text;
   };
+  // Texts in logs are those of plain writes.
+  auto add_write = [&] {
+    std::string text = write_text();
+    if (!options_.prepares || Random(2) == 0) {
+      add(StatementKind::kWrite, text);
+      return;
+    }
+    add(StatementKind::kPrepare, "");
+    CallerStatement& prepare = caller->pending_statements.back();
+    prepare.name = "s1";
+    prepare.prepared =
+        proxy::PreparedShape{true, kShapes[Random(kShapes.size())]};
+    add(StatementKind::kExecute, "");
+    CallerStatement& execute = caller->pending_statements.back();
+    execute.name = "s1";
+    execute.arguments = text.substr(std::string("WRITE ").size());
+  };
   if (Random(8) == 0) {
     add(StatementKind::kSetValue, "");
     caller->pending_statements.back().name = "v" + std::to_string(Random(2));
@@ -105,13 +132,13 @@
   if (options_.only_reads) operation = Random(10) == 0 ? 0 : 4;
   switch (operation) {
     case 0:
-      add(StatementKind::kWrite, write_text());
+      add_write();
       break;
     case 1: {
       add(StatementKind::kBegin, "");
       add(StatementKind::kRead, "READ x");
-      add(StatementKind::kWrite, write_text());
-      if (Random(2) == 0) add(StatementKind::kWrite, write_text());
+      add_write();
+      if (Random(2) == 0) add_write();
       add(Random(6) == 0 ? StatementKind::kRollback : StatementKind::kCommit,
           "COMMIT");
       break;
@@ -134,6 +161,16 @@
   expectation.caller = caller->index;
   expectation.consistency = caller->consistency;
   expectation.values = caller->acknowledged_values;
+  expectation.sent = statement;
+  expectation.prepared = caller->prepared;
+  if (statement.kind == StatementKind::kPrepare) {
+    caller->prepared = statement.prepared;
+  }
+  expectation.in_transaction = caller->in_transaction;
+  if (statement.kind == StatementKind::kBegin ||
+      statement.kind == StatementKind::kBeginReadOnly) {
+    caller->in_transaction = true;
+  }
   TimePoint oldest = caller->consistency == ReadConsistency::kStrong
                          ? caller->started
                          : caller->started - options_.max_age;
@@ -150,9 +187,9 @@
   }
   expectations_[statement.id.value()] = std::move(expectation);
   bool has_effect =
-      !caller->texts.empty() && (statement.kind == StatementKind::kCommit ||
-                                 (statement.kind == StatementKind::kWrite &&
-                                  caller->pending_statements.size() == 1));
+      !caller->texts.empty() &&
+      (statement.kind == StatementKind::kCommit ||
+       (IsWrite(statement) && caller->pending_statements.size() == 1));
   caller->sent_effect = caller->sent_effect || has_effect;
   caller->is_waiting = true;
   SendFromCaller(caller, proxy::StatementReceived{caller->session, statement});
@@ -175,6 +212,7 @@
   }
   bool needs_signature = statement.kind == StatementKind::kRead ||
                          statement.kind == StatementKind::kWrite ||
+                         statement.kind == StatementKind::kExecute ||
                          statement.kind == StatementKind::kCommit;
   if (needs_signature && answer.signature.empty()) {
     Report("success without an upstream's signature");
@@ -276,16 +314,32 @@
   }
 }
 
-void SessionWorld::OnRun(const proxy::StatementId& id, const std::string& text,
-                         const std::map<std::string, std::string>& values) {
-  auto found = expectations_.find(id.value());
+void SessionWorld::OnRun(const RanStatement& ran) {
+  auto found = expectations_.find(ran.id.value());
   if (found == expectations_.end()) {
-    Report("a statement ran that no caller sent: " + text);
+    Report("a statement ran that no caller sent: " + ran.text);
     return;
   }
-  if (found->second.values != values) {
-    Report("unexpected session values in " + id.value() + " " + text);
+  const Expectation& expected = found->second;
+  const std::string name = ran.id.value() + " " + ran.text;
+  if (expected.values != ran.values) {
+    Report("unexpected session values in " + name);
+  }
+  const CallerStatement& sent = expected.sent;
+  bool executes = sent.kind == StatementKind::kExecute;
+  bool is_as_sent = executes == ran.is_prepared &&
+                    ran.text == (executes ? sent.arguments : sent.text);
+  if (executes) {
+    is_as_sent = is_as_sent &&
+                 expected.prepared.writes == ran.prepared.writes &&
+                 expected.prepared.shape == ran.prepared.shape;
   }
+  if (!is_as_sent) Report("a statement ran changed: " + name);
+  if (expected.in_transaction == ran.in_transaction) return;
+  // The upstream ended the transaction, which nobody could know before.
+  if (ran.has_lost_transaction) return;
+  Report(name + (ran.in_transaction ? " ran in a transaction"
+                                    : " ran outside its transaction"));
 }
 
 void SessionWorld::OnPromoted(const UpstreamId& upstream,
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -44,6 +44,8 @@
   DatabaseOptions database;
   proxy::ReadConsistency consistency = proxy::ReadConsistency::kStrong;
   bool only_writes = false;
+  // Every second write is a prepared statement, of one of a few shapes.
+  bool prepares = false;
   bool only_reads = false;  // Single ones, but for one write in ten.
   // A third of the callers uses each consistency.
   bool mixed_consistencies = true;
@@ -272,8 +274,7 @@
   // DatabaseObserver.
   void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
               const std::vector<LogEntry>& log, size_t applied) override;
-  void OnRun(const proxy::StatementId& id, const std::string& text,
-             const std::map<std::string, std::string>& values) override;
+  void OnRun(const RanStatement& ran) override;
   void OnPromoted(const UpstreamId& upstream,
                   const std::vector<LogEntry>& log) override;
 
@@ -332,6 +333,9 @@
     proxy::ReadConsistency consistency = proxy::ReadConsistency::kStrong;
     std::vector<std::string> texts;  // Writes that the read must contain.
     std::map<std::string, std::string> values;
+    proxy::CallerStatement sent;
+    proxy::PreparedShape prepared;  // Of the statement that it executes.
+    bool in_transaction = false;
   };
   std::vector<Acknowledged> acknowledged_;
   std::set<std::string> refused_writes_;  // Guaranteed to have no effect.
--- a/fireflycart/standins/testing/session_world_parts.h
+++ b/fireflycart/standins/testing/session_world_parts.h
@@ -48,6 +48,8 @@
   TimePoint started;
   TimePoint connected;
   std::map<std::string, std::string> acknowledged_values;
+  proxy::PreparedShape prepared;  // Under the only name it uses.
+  bool in_transaction = false;    // BEGIN was sent in this operation.
 };
 
 }  // namespace fireflycart::standins
