Group owner and reader: a statement is sent behind the answers to its set-up

What callers could see: after an upstream had refused a SET, RESET or PREPARE, a statement ran with the session values, or the shape, of another session (rules UNASKED, PINNED). The connection was closed then, but too late; and if the caller's statement had ended by then, nothing noticed and the connection stayed in use without the value that was recorded for it.

Cause: set-up and statement went out in one write, so the upstream ran the statement whatever it had answered to the commands before it.

Now the owner and the reader send the set-up, and the statement once all of it is answered with success (stage kSettingUp); in between it has a place in flight, and one more is allowed, since the upstream works on none of it. A statement whose upstream is to be sent nothing any more by then is queued again. A refused set-up closes its connection also if its statement has ended. For transactions nothing changes at their start, since BEGIN is answered first.

Evidence: SetUp_Refused_StatementBehindItDoesNotRun and SetUp_RefusedToReader_ReadBehindItDoesNotRun failed before ("unexpected session values in s3939 READ x") and pass now.

Cost: a round trip for a statement whose connection lacks its state.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -73,6 +73,34 @@
                 {"state", TransactionStateName(answer.state)}});
 }
 
+void GroupOwner::CloseAfter(ConnectionId id, const SentCommand& command,
+                            ProxyContext* context) {
+  PooledConnection lost = pool_.Close(id, context);
+  lost.sent.push_front(command);
+  OnConnectionLost(lost, context);
+}
+
+// The connection of a refused command lacks a state that the pool has recorded
+// for it, also if the statement has ended that needed it.
+void GroupOwner::OnSetUpAnswer(ConnectionId id, const SentCommand& command,
+                               const UpstreamAnswer& answer,
+                               ProxyContext* context) {
+  if (answer.outcome != Outcome::kDone) {
+    CloseAfter(id, command, context);
+    return;
+  }
+  PooledConnection* connection = pool_.Find(id);
+  Work* work = FindWork(command.work);
+  bool is_set_up = work != nullptr && work->stage == WorkStage::kSettingUp &&
+                   work->connection == id && connection->sent.empty();
+  if (!is_set_up) return;
+  if (MayStillStart(*work, connection->upstream, context)) {
+    SendStatement(work, connection, context);
+  } else {
+    Requeue(work, Duration(), context);
+  }
+}
+
 void GroupOwner::OnStatementAnswer(Work* work, const SentCommand& command,
                                    const UpstreamAnswer& answer,
                                    ProxyContext* context) {
@@ -81,14 +109,8 @@
     case CommandKind::kBeginReadOnly:
       OnBeginAnswer(work, answer, context);
       return;
-    case CommandKind::kVerbatim:
-    case CommandKind::kExecute:
-      break;
     default:
-      if (answer.outcome == Outcome::kDone) return;
-      // The connection lacks the session state that the statement needs.
-      OnConnectionLost(pool_.Close(work->connection, context), context);
-      return;
+      break;
   }
   PooledConnection* connection = pool_.Find(work->connection);
   if (connection == nullptr) return;
@@ -158,8 +180,7 @@
   PooledConnection* connection = pool_.Find(work->connection);
   if (connection == nullptr) return;
   if (answer.outcome == Outcome::kDone) {
-    work->stage = WorkStage::kRunning;
-    SendStatement(work, connection, {}, context);
+    SendStatement(work, connection, context);
     return;
   }
   UpstreamId upstream = connection->upstream;
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -381,16 +381,17 @@
   bool is_primary = upstream->record.id == primary_;
   LogPosition after =
       is_primary ? MinPositionAtPrimary(*work) : MinPositionFor(*work);
-  std::vector<UpstreamCommand> commands =
-      UpstreamPool::SetUpCommands(connection, work->call);
   if (!work->in_transaction()) {
-    work->stage = WorkStage::kRunning;
     // A single write needs no position: the primary has every commit.
-    if (work->call.access != Access::kRead) after = LogPosition();
-    commands.push_back(StatementCommand(work->call, after));
-    pool_.Send(connection, std::move(commands), work->number, context);
+    bool reads = work->call.access == Access::kRead;
+    work->after = reads ? after : LogPosition();
+    SetUpAndSend(work, connection, context);
     return true;
   }
+  // The answers to the set-up come before that to BEGIN, and the statement is
+  // sent after it.
+  std::vector<UpstreamCommand> commands =
+      UpstreamPool::SetUpCommands(connection, work->call);
   work->stage = WorkStage::kBeginning;
   connection->is_pinned = true;
   Transaction transaction;
@@ -422,19 +423,43 @@
   queue_.OnStarted(*work);
   if (pool_.carries_tenants()) started_at_once_++;
   found->second.running = work->number;
-  work->stage = WorkStage::kRunning;
   work->connection = connection->id;
   work->sent = context->instant();
   context->WakeAtCoarse(work->deadline);
-  SendStatement(work, connection,
-                UpstreamPool::SetUpCommands(connection, work->call), context);
+  SetUpAndSend(work, connection, context);
+}
+
+void GroupOwner::SetUpAndSend(Work* work, PooledConnection* connection,
+                              ProxyContext* context) {
+  std::vector<UpstreamCommand> commands =
+      UpstreamPool::SetUpCommands(connection, work->call);
+  if (commands.empty()) {
+    SendStatement(work, connection, context);
+    return;
+  }
+  work->stage = WorkStage::kSettingUp;
+  pool_.SendSetUp(connection, std::move(commands), work->number, context);
 }
 
 void GroupOwner::SendStatement(Work* work, PooledConnection* connection,
-                               std::vector<UpstreamCommand> commands,
                                ProxyContext* context) {
-  commands.push_back(StatementCommand(work->call, LogPosition()));
-  pool_.Send(connection, std::move(commands), work->number, context);
+  work->stage = WorkStage::kRunning;
+  work->sent = context->instant();
+  pool_.Send(connection, {StatementCommand(work->call, work->after)},
+             work->number, context);
+}
+
+// False if the upstream of work that was being set up may no longer be sent it.
+bool GroupOwner::MayStillStart(const Work& work, const UpstreamId& id,
+                               ProxyContext* context) {
+  if (work.in_transaction()) return true;
+  const PooledUpstream* upstream = pool_.FindUpstream(id);
+  if (upstream == nullptr || pool_.IsDrained(*upstream, context->now())) {
+    return false;
+  }
+  if (id != primary_) return true;
+  bool is_replaced = failover_.is_active() && !failover_.is_planned();
+  return !is_replaced && MayStartAtPrimary(work, context);
 }
 
 void GroupOwner::Requeue(Work* work, Duration pause, ProxyContext* context) {
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -348,6 +348,10 @@
            "statement_timeout", context);
       continue;
     }
+    if (work->stage == WorkStage::kSettingUp) {
+      Fail(work, Outcome::kBusy, "set_up_timeout", context);
+      continue;
+    }
     bool is_read = work->call.access == Access::kRead;
     Fail(work, is_read ? Outcome::kTimeout : Outcome::kUnknown,
          "statement_timeout", context);
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -255,6 +255,8 @@
     LogOddAnswer(upstream, command, event.answer, context);
     if (command.kind == CommandKind::kRollback) {
       connection->is_rolling_back = false;
+    } else if (command.is_set_up()) {
+      OnSetUpAnswer(event.connection, command, event.answer, context);
     } else if (Work* work = FindWork(command.work)) {
       OnStatementAnswer(work, command, event.answer, context);
     }
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -161,8 +161,12 @@
   UpstreamId ConnectionTarget(const Work& work, ProxyContext* context);
   bool IsUsableReplica(const Work& work, const PooledUpstream& upstream,
                        LogPosition min_position, ProxyContext* context) const;
+  // Sends the statement, behind the answers to what its connection lacks.
+  void SetUpAndSend(Work* work, PooledConnection* connection,
+                    ProxyContext* context);
   void SendStatement(Work* work, PooledConnection* connection,
-                     std::vector<UpstreamCommand> commands,
+                     ProxyContext* context);
+  bool MayStillStart(const Work& work, const UpstreamId& id,
                      ProxyContext* context);
   void Continue(Work* work, ProxyContext* context);
   // The upstream that leads; none while the last known one is down, has not
@@ -215,6 +219,12 @@
   // Logs an answer that leaves the state of its connection in doubt.
   void LogOddAnswer(const UpstreamId& upstream, const SentCommand& command,
                     const UpstreamAnswer& answer, ProxyContext* context);
+  // Closes a connection whose state this command left in doubt, as if it had
+  // been lost before the command was answered.
+  void CloseAfter(ConnectionId id, const SentCommand& command,
+                  ProxyContext* context);
+  void OnSetUpAnswer(ConnectionId id, const SentCommand& command,
+                     const UpstreamAnswer& answer, ProxyContext* context);
   void OnStatementAnswer(Work* work, const SentCommand& command,
                          const UpstreamAnswer& answer, ProxyContext* context);
   void OnBeginAnswer(Work* work, const UpstreamAnswer& answer,
--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -304,22 +304,33 @@
                         ProxyContext* context) {
   queue_.Remove(work);
   queue_.OnStarted(*work);
-  work->stage = WorkStage::kRunning;
   work->connection = connection->id;
   work->sent = context->instant();
+  work->after = MinPositionFor(work->call, work->arrived.time);
   context->WakeAt(work->sent.time + RunLimit(*work));
   std::vector<UpstreamCommand> commands =
       UpstreamPool::SetUpCommands(connection, work->call);
+  if (commands.empty()) {
+    SendRead(work, connection, context);
+    return;
+  }
+  work->stage = WorkStage::kSettingUp;
+  pool_.SendSetUp(connection, std::move(commands), work->number, context);
+}
+
+void GroupReader::SendRead(Work* work, PooledConnection* connection,
+                           ProxyContext* context) {
+  work->stage = WorkStage::kRunning;
+  work->sent = context->instant();
   UpstreamCommand command;
   command.kind =
       work->call.is_prepared ? CommandKind::kExecute : CommandKind::kVerbatim;
   command.id = work->call.id;
-  command.after = MinPositionFor(work->call, work->arrived.time);
+  command.after = work->after;
   command.text = work->call.text;
   command.arguments = work->call.text;
   command.prepared = work->call.prepared;
-  commands.push_back(command);
-  pool_.Send(connection, std::move(commands), work->number, context);
+  pool_.Send(connection, {command}, work->number, context);
 }
 
 void GroupReader::OnOpened(const UpstreamOpened& event, ProxyContext* context) {
@@ -353,14 +364,17 @@
   const UpstreamAnswer& answer = event.answer;
   SentCommand command = pool_.OnAnswered(event.connection, answer, context);
   if (connection->sent.empty()) given_up_.erase(event.connection);
-  bool is_statement = command.kind == CommandKind::kVerbatim ||
-                      command.kind == CommandKind::kExecute;
+  bool is_statement = command.is_statement();
   bool is_done = answer.outcome == Outcome::kDone;
   Work* work = FindWork(command.work);
   if (!is_statement && !is_done) {
     // The connection lacks the session state that its statements need.
+    if (work != nullptr) Return(work, "set_up_failed", context);
     OnConnectionLost(pool_.Close(event.connection, context), context);
-  } else if (is_statement && work != nullptr && is_done) {
+  } else if (!is_statement) {
+    bool is_set_up = work != nullptr && connection->sent.empty();
+    if (is_set_up) SendRead(work, connection, context);
+  } else if (work != nullptr && is_done) {
     Duration took = context->now() - work->sent.time;
     service_times_.OnServed(ServiceKindOf(work->call), took, context->now());
     service_times_.OnServed(kAllReads, took, context->now());
@@ -371,7 +385,7 @@
     work->reply.detail = answer.detail;
     work->reply.position = answer.position;
     Finish(work, context);
-  } else if (is_statement && work != nullptr) {
+  } else if (work != nullptr) {
     // One that is full or behind for a moment is not at fault.
     bool is_fault =
         answer.outcome != Outcome::kBusy && answer.outcome != Outcome::kBehind;
--- a/fireflycart/core/proxy/group_reader.h
+++ b/fireflycart/core/proxy/group_reader.h
@@ -123,6 +123,8 @@
   // Null if no upstream can take the read now; may open a connection for it.
   PooledConnection* ConnectionFor(const Work& work, ProxyContext* context);
   void Start(Work* work, PooledConnection* connection, ProxyContext* context);
+  void SendRead(Work* work, PooledConnection* connection,
+                ProxyContext* context);
   void OnFault(const UpstreamId& upstream, const char* cause,
                ProxyContext* context);
   void OnConnectionLost(const PooledConnection& lost, ProxyContext* context);
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -146,7 +146,8 @@
 
 bool UpstreamPool::HasSlot(const PooledUpstream& upstream) const {
   int in_flight = upstream.running + (carries_tenants_ ? upstream.opening : 0);
-  return in_flight < upstream.record.slots + kExtraInFlight;
+  int ahead = std::min(upstream.setting_up, kExtraSettingUp);
+  return in_flight < upstream.record.slots + kExtraInFlight + ahead;
 }
 
 void UpstreamPool::Open(PooledUpstream* upstream, const TenantId& tenant,
@@ -389,13 +390,33 @@
     sent.state_before = connection->state;
     sent.state_after = StateAfter(command, connection->state);
     connection->state = sent.state_after;
-    if (sent.is_statement()) upstreams_[connection->upstream].running++;
+    CountSent(sent, &upstreams_[connection->upstream]);
     connection->sent.push_back(sent);
   }
   connection->last_used = context->now();
   context->Emit(SendUpstream{connection->id, std::move(commands)});
 }
 
+void UpstreamPool::SendSetUp(PooledConnection* connection,
+                             std::vector<UpstreamCommand> commands,
+                             StatementNumber work, ProxyContext* context) {
+  Send(connection, std::move(commands), work, context);
+  connection->sent.back().ends_set_up = true;
+  CountSent(connection->sent.back(), &upstreams_[connection->upstream]);
+}
+
+void UpstreamPool::CountSent(const SentCommand& command,
+                             PooledUpstream* upstream) {
+  if (command.is_statement() || command.ends_set_up) upstream->running++;
+  if (command.ends_set_up) upstream->setting_up++;
+}
+
+void UpstreamPool::CountAnswered(const SentCommand& command,
+                                 PooledUpstream* upstream) {
+  if (command.is_statement() || command.ends_set_up) upstream->running--;
+  if (command.ends_set_up) upstream->setting_up--;
+}
+
 bool UpstreamPool::IsControlBusy(const UpstreamId& id) {
   PooledUpstream* upstream = FindUpstream(id);
   if (upstream == nullptr) return false;
@@ -455,7 +476,7 @@
   SentCommand command = connection->sent.front();
   connection->sent.pop_front();
   PooledUpstream& upstream = upstreams_[connection->upstream];
-  if (command.is_statement()) upstream.running--;
+  CountAnswered(command, &upstream);
   if (connection->sent.empty()) connection->state = answer.state;
   upstream.last_answer = context->now();
   bool resumes = command.kind == CommandKind::kResume;
@@ -495,7 +516,7 @@
     if (!removed.is_open) upstream.opening--;
   }
   for (const SentCommand& command : removed.sent) {
-    if (command.is_statement()) upstream.running--;
+    CountAnswered(command, &upstream);
   }
   return removed;
 }
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -41,6 +41,8 @@
   // succeeds.
   TransactionState state_before = TransactionState::kNone;
   TransactionState state_after = TransactionState::kNone;
+  // The last command of a set-up: the statement is sent when it is answered.
+  bool ends_set_up = false;
 
   // A caller's statement, or the commit of a transaction.
   bool is_statement() const {
@@ -103,12 +105,14 @@
   ConnectionId control;
   Instant control_opened;     // Sequence 0: the control connection is not open.
   TimePoint control_lost_at;  // When the last one broke; it may have restarted.
-  int running = 0;            // Statements sent and not yet answered.
-  int connections = 0;        // Data connections, opening ones included.
-  int opening = 0;            // Data connections that are not open yet.
-  int failed_opens = 0;       // Consecutive.
-  bool is_down = false;       // It does not answer.
-  TimePoint next_open;        // Earliest next attempt to connect.
+  // Statements sent and not yet answered, or whose set-up is.
+  int running = 0;
+  int setting_up = 0;    // Those of them that are set up.
+  int connections = 0;   // Data connections, opening ones included.
+  int opening = 0;       // Data connections that are not open yet.
+  int failed_opens = 0;  // Consecutive.
+  bool is_down = false;  // It does not answer.
+  TimePoint next_open;   // Earliest next attempt to connect.
   TimePoint last_answer;
   bool has_status = false;
   UpstreamStatus status;
@@ -143,6 +147,8 @@
   // Statements in flight beyond the slots of an upstream, to keep the slots
   // busy during the round trip.
   static constexpr int kExtraInFlight = 1;
+  // The same for statements whose set-up is not answered yet.
+  static constexpr int kExtraSettingUp = 1;
 
   // Every failover that takes effect from now on includes an upstream that was
   // first known this long ago: the list of the VM that orders the promotion is
@@ -261,9 +267,14 @@
 
   // Returns the commands that give the connection exactly the session values of
   // the call and, if it is prepared, its shape; records them in the connection.
+  // The statement must not be sent before they are answered: an upstream that
+  // refuses one would run it with the state of another session.
   static std::vector<UpstreamCommand> SetUpCommands(
       PooledConnection* connection, const StatementCall& call);
-
+  // Sends these commands, with a place in flight for the statement behind them.
+  void SendSetUp(PooledConnection* connection,
+                 std::vector<UpstreamCommand> commands, StatementNumber work,
+                 ProxyContext* context);
   void Send(PooledConnection* connection, std::vector<UpstreamCommand> commands,
             StatementNumber work, ProxyContext* context);
 
@@ -327,6 +338,8 @@
   void SetDrainLimit(Duration limit) { drain_limit_ = limit; }
 
  private:
+  void CountSent(const SentCommand& command, PooledUpstream* upstream);
+  void CountAnswered(const SentCommand& command, PooledUpstream* upstream);
   int MaxDataConnections(const UpstreamId& upstream) const;
   // Its idle connection that was used longest ago; null if it has none.
   PooledConnection* OldestIdleOf(const UpstreamId& upstream,
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -35,6 +35,7 @@
 
 enum class WorkStage {
   kQueued,      // Awaits a slot, a connection or a leadership confirmation.
+  kSettingUp,   // Its session's state is sent to the connection it will use.
   kBeginning,   // BEGIN is sent and not yet answered.
   kRunning,     // The statement is sent and not yet answered.
   kConfirming,  // Its commit is acknowledged and may yet be lost in a failover.
@@ -62,6 +63,7 @@
   // Refused it as too far behind, or failed it.
   std::set<UpstreamId> excluded_upstreams;
   ConnectionId connection;  // Set while it is sent.
+  LogPosition after;        // That a read requires of its upstream.
   Instant sent;
   StatementReply reply;
 
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -1,5 +1,6 @@
-// Nothing may run at an upstream that no caller sent, nor with other values, nor
-// in another transaction.
+// Upstreams refuse what prepares a connection, keep a transaction that was to
+// be rolled back, or end one on their own. Nothing may run there that no caller
+// sent, nor with other values, nor in another transaction.
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -16,11 +17,37 @@
 class SessionUnaskedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionUnaskedTest);
   CPPUNIT_TEST(Shapes_WithBlanks_RunAsPrepared);
+  CPPUNIT_TEST(SetUp_Refused_StatementBehindItDoesNotRun);
+  CPPUNIT_TEST(SetUp_RefusedToReader_ReadBehindItDoesNotRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
+  void setUp() override { MakeWorld(SessionWorldOptions()); }
+
+  void Shapes_WithBlanks_RunAsPrepared() {
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().refused);
+    ExpectNothingUnasked();
+  }
+
+  void SetUp_Refused_StatementBehindItDoesNotRun() {
+    RefuseSetUps();
+    ExpectNothingUnasked();
+  }
+
+  void SetUp_RefusedToReader_ReadBehindItDoesNotRun() {
     SessionWorldOptions options;
+    options.data_centres = 3;
+    options.proxy.set_reads_nearby(true);
+    options.mixed_consistencies = false;
+    options.consistency = proxy::ReadConsistency::kBoundedStaleness;
+    MakeWorld(options);
+    RefuseSetUps();
+    ExpectNothingUnasked();
+  }
+
+ private:
+  void MakeWorld(SessionWorldOptions options) {
     options.prepares = true;
     // What arrives in one write has run before its first answer is read.
     options.database.statement_time = Duration();
@@ -28,13 +55,15 @@
     world_->Run(Duration::Seconds(3));
   }
 
-  void Shapes_WithBlanks_RunAsPrepared() {
-    world_->Run(Duration::Seconds(2));
-    CPPUNIT_ASSERT_EQUAL(0, world_->counts().refused);
-    ExpectNothingUnasked();
+  void RefuseSetUps() {
+    for (int i = 0; i < 20; i++) {
+      world_->database().RefuseSetUp(3);
+      world_->Run(Duration::Millis(200));
+    }
+    // None waits for a connection that was closed.
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().unknown);
   }
 
- private:
   void ExpectNothingUnasked() {
     world_->CheckEffects();
     CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
