Group owner: a connection whose rollback was refused is closed

Cause: the answer to ROLLBACK made the connection available whatever it said, so after a refusal it returned to the pool with the transaction open.

Now any answer but success closes the connection, which makes the upstream roll back.

Evidence: Rollback_Refused_TransactionIsNotPassedOn failed before ('WRITE c2-4026 ran in a transaction') and passes now.

--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -255,6 +255,10 @@
     LogOddAnswer(upstream, command, event.answer, context);
     if (command.kind == CommandKind::kRollback) {
       connection->is_rolling_back = false;
+      // It may still have the transaction.
+      if (event.answer.outcome != Outcome::kDone) {
+        CloseAfter(event.connection, command, context);
+      }
     } else if (command.is_set_up()) {
       OnSetUpAnswer(event.connection, command, event.answer, context);
     } else if (Work* work = FindWork(command.work)) {
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(Shapes_WithBlanks_RunAsPrepared);
   CPPUNIT_TEST(SetUp_Refused_StatementBehindItDoesNotRun);
   CPPUNIT_TEST(SetUp_RefusedToReader_ReadBehindItDoesNotRun);
+  CPPUNIT_TEST(Rollback_Refused_TransactionIsNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,6 +47,14 @@
     ExpectNothingUnasked();
   }
 
+  void Rollback_Refused_TransactionIsNotPassedOn() {
+    for (int i = 0; i < 20; i++) {
+      world_->database().RefuseRollbacks(2);
+      world_->Run(Duration::Millis(200));
+    }
+    ExpectNothingUnasked();
+  }
+
  private:
   void MakeWorld(SessionWorldOptions options) {
     options.prepares = true;
