Group owner and reader: an unexpected transaction state closes the connection

Cause: upstreams report after each command whether the connection is in a transaction, and the owner looked at it only after a failed BEGIN.

Now the state is compared with what the commands sent so far imply. A difference closes the connection, and the statement ends as if its answer had not come: a single read is repeated, a single write or a commit is unknown, the rest of a transaction is aborted. A write of a transaction that ran alone may be kept, so it is answered as unknown. The first statement after the upstream has ended a transaction cannot be prevented from here; all later ones are. A connection that is in a transaction never counts as idle.

Evidence: Transaction_EndedByUpstream_RestOfItDoesNotRun failed before ('READ y ran outside its transaction') and passes now.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -80,6 +80,22 @@
   OnConnectionLost(lost, context);
 }
 
+// A write of a transaction that the upstream has ended ran alone, and may have
+// been committed. For all else it is as if the answer had not come.
+void GroupOwner::OnUnexpectedState(ConnectionId id, const SentCommand& command,
+                                   const UpstreamAnswer& answer,
+                                   ProxyContext* context) {
+  Work* work = FindWork(command.work);
+  bool may_be_kept =
+      work != nullptr && command.is_statement() && work->in_transaction() &&
+      work->call.access == Access::kWrite && answer.outcome == Outcome::kDone;
+  if (may_be_kept) {
+    transactions_.erase(work->transaction());
+    Fail(work, Outcome::kUnknown, "unexpected_transaction_state", context);
+  }
+  CloseAfter(id, command, context);
+}
+
 // The connection of a refused command lacks a state that the pool has recorded
 // for it, also if the statement has ended that needed it.
 void GroupOwner::OnSetUpAnswer(ConnectionId id, const SentCommand& command,
@@ -186,9 +202,6 @@
   UpstreamId upstream = connection->upstream;
   connection->is_pinned = false;
   transactions_.erase(work->transaction());
-  if (answer.state != TransactionState::kNone) {
-    pool_.Close(connection->id, context);
-  }
   OnStatementOrBeginFailed(work, upstream, answer, context);
 }
 
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -253,7 +253,9 @@
     PassOnKeptCommits(context);
   } else {
     LogOddAnswer(upstream, command, event.answer, context);
-    if (command.kind == CommandKind::kRollback) {
+    if (!command.IsStateExpected(event.answer)) {
+      OnUnexpectedState(event.connection, command, event.answer, context);
+    } else if (command.kind == CommandKind::kRollback) {
       connection->is_rolling_back = false;
       // It may still have the transaction.
       if (event.answer.outcome != Outcome::kDone) {
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -223,6 +223,8 @@
   // been lost before the command was answered.
   void CloseAfter(ConnectionId id, const SentCommand& command,
                   ProxyContext* context);
+  void OnUnexpectedState(ConnectionId id, const SentCommand& command,
+                         const UpstreamAnswer& answer, ProxyContext* context);
   void OnSetUpAnswer(ConnectionId id, const SentCommand& command,
                      const UpstreamAnswer& answer, ProxyContext* context);
   void OnStatementAnswer(Work* work, const SentCommand& command,
--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -367,9 +367,14 @@
   bool is_statement = command.is_statement();
   bool is_done = answer.outcome == Outcome::kDone;
   Work* work = FindWork(command.work);
-  if (!is_statement && !is_done) {
-    // The connection lacks the session state that its statements need.
-    if (work != nullptr) Return(work, "set_up_failed", context);
+  bool is_state_expected = command.IsStateExpected(answer);
+  if (!is_state_expected || (!is_statement && !is_done)) {
+    // The connection is in a transaction, or lacks the session state that its
+    // statements need.
+    if (work != nullptr) {
+      Return(work, is_state_expected ? "set_up_failed" : "unexpected_state",
+             context);
+    }
     OnConnectionLost(pool_.Close(event.connection, context), context);
   } else if (!is_statement) {
     bool is_set_up = work != nullptr && connection->sent.empty();
--- a/fireflycart/core/proxy/upstream_pool.h
+++ b/fireflycart/core/proxy/upstream_pool.h
@@ -78,7 +78,7 @@
 
   bool is_idle() const {
     return is_open && !is_control && !is_pinned && !is_rolling_back &&
-           sent.empty();
+           sent.empty() && state == TransactionState::kNone;
   }
 };
 
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(SetUp_Refused_StatementBehindItDoesNotRun);
   CPPUNIT_TEST(SetUp_RefusedToReader_ReadBehindItDoesNotRun);
   CPPUNIT_TEST(Rollback_Refused_TransactionIsNotPassedOn);
+  CPPUNIT_TEST(Transaction_EndedByUpstream_RestOfItDoesNotRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -55,6 +56,14 @@
     ExpectNothingUnasked();
   }
 
+  void Transaction_EndedByUpstream_RestOfItDoesNotRun() {
+    for (int i = 0; i < 200; i++) {
+      world_->database().EndTransactions();
+      world_->Run(Duration::Millis(20));
+    }
+    ExpectNothingUnasked();
+  }
+
  private:
   void MakeWorld(SessionWorldOptions options) {
     options.prepares = true;
