Fuzz: callers' lines on their whole way to an upstream

The new target carries mutated lines as statement_path_test.cc does: what an upstream gets is what the caller sent, or nothing. The targets of routes and of upstreams also check that the names which they accept make a first line of exactly three fields; routes with tenants are a new seed.

--- a/fireflycart/daemon/testing/fuzz_targets.cc
+++ b/fireflycart/daemon/testing/fuzz_targets.cc
@@ -18,6 +18,7 @@
 #include "platform/documents.h"
 #include "platform/line_codec.h"
 #include "platform/testing/document_seeds.h"
+#include "platform/testing/statement_path.h"
 
 namespace fireflycart {
 namespace {
@@ -68,6 +69,17 @@
   EncodeConfigPointer(DecodeConfigPointer(input));
 }
 
+// Names that were accepted must be one field each of the first line.
+void CheckStart(const GroupId& group, const std::string& who,
+                const UpstreamId& upstream) {
+  std::string line = platform::EncodeUpstreamStart(group, who, upstream);
+  CheckInvariant(std::count(line.begin(), line.end(), ' ') == 3 &&
+                     line.find("  ") == std::string::npos &&
+                     line.find_first_of("\r\n") == line.size() - 2 &&
+                     line[line.size() - 3] != ' ',
+                 "fuzz start", "a name is not one field: " + line);
+}
+
 // A record that was accepted must hold only what a line of the wire protocol
 // and a message to a peer can hold.
 void DecodeAnyUpstream(const std::string& input) {
@@ -80,6 +92,7 @@
   CheckInvariant(IsName(record.group.value()) && IsName(record.address) &&
                      IsName(record.data_centre.value()) && record.slots > 0,
                  "fuzz upstream", "a field has a value that is not allowed");
+  CheckStart(record.group, "vm-1", record.id);
   proxy::SnapshotReply reply;
   reply.upstreams.records[record.id] = record;
   RoundTrip(reply);
@@ -92,6 +105,12 @@
   CheckInvariant(is_valid == problem.empty() && problem.size() <= kMaxProblem,
                  "fuzz routes", "the problem is missing or too long");
   if (!is_valid) throw Error(ErrorCode::kInvalidArgument, "", "", problem);
+  for (const auto& item : routes.routes) {
+    CheckStart(item.second.group, "vm-1", UpstreamId("up-1"));
+  }
+  for (const auto& item : routes.tenants.tenants()) {
+    CheckStart(GroupId("g"), item.first.value(), UpstreamId("up-1"));
+  }
   proxy::SnapshotReply reply;
   reply.routes = routes;
   RoundTrip(reply);
@@ -155,6 +174,11 @@
   for (const std::string& line : lines) platform::ParseCallerLine(line);
 }
 
+// What reaches an upstream is what the caller sent, or nothing does.
+void CarryAnyLines(const std::string& input) {
+  platform::StatementPath(proxy::LogPosition{3, 1207}).Carry(input);
+}
+
 }  // namespace
 
 std::vector<FuzzTarget> FuzzTargets() {
@@ -197,7 +221,11 @@
        DecodeAnyPointer,
        {EncodeConfigPointer(ConfigPointer())}},
       {"upstream", DecodeAnyUpstream, {platform::UpstreamSeed()}},
-      {"routes", DecodeAnyRoutes, {platform::RoutesSeed()}},
+      {"routes",
+       DecodeAnyRoutes,
+       {platform::RoutesSeed(),
+        R"({"tenants":[{"name":"acme","apiKeys":["k1"]}],)" +
+            platform::RoutesSeed().substr(1)}},
       {"vm",
        DecodeAnyVm,
        {proxy::StoreFollower::EncodeVm(proxy::VmRecord{
@@ -207,6 +235,12 @@
        ParseAnyLines,
        {"START a key\r\nQUERY 1 PREPARE s WRITE q\r\nQUERY 1 EXEC s i d\r\n",
         "QUERY 2 SET n v w\r\nQUERY 3 READ a\r\r\nBYE\r\n"}},
+      {"statement_path",
+       CarryAnyLines,
+       {"QUERY 1 PREPARE s WRITE q\r\nQUERY 1 EXEC s i d\r\nQUERY 2 READ a\r\n",
+        "QUERY 2 SET n v w\r\nQUERY 3 WRITE a d\r\nQUERY 4 PREPARE p READ  x "
+        "\r\nQUERY 4 PREPARE s WRITE READ y\r\nQUERY 5 EXEC p AFTER 3.1\r\n"
+        "QUERY 6 FORGET p\r\nQUERY 7 EXEC s - \xe4\r\n"}},
       {"caller_call",
        ParseAnyCall,
        {R"({"group":"g","kind":"k","caller":"c","access":"read",)"
