--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -222,6 +222,9 @@
     if (found == connection->prepared.end()) {
       return fail(Outcome::kNoStatement);
     }
+    if (found->second.writes && command.after.known()) {
+      return fail(Outcome::kBadRequest);
+    }
     ran.is_prepared = true;
     ran.prepared = found->second;
     ran.text = command.arguments;
