Soak: what upstreams ran is compared with what callers sent

Callers now note each statement before they send it: id, text, for EXEC the prepared statement, session values, inside a transaction or not. At the end of a run, each statement that an upstream ran must be one of these, and each write that is kept must be a single one or of a transaction whose COMMIT was sent. A statement may run more than once; whether that is allowed is not this check.

Callers now also use prepared statements of both modes under names that all share, with shapes that hold blanks or look like keywords, prepare a name again, forget one and run it, read in BEGIN READ, double blanks, send a transaction in one write, and leave within a line or with a statement unanswered. Two callers more, so that the older operations are not fewer.

Not played: transactions that an upstream ends by itself.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,8 +12,9 @@
 upstreams and takes the store away. What callers saw is compared with what the
 upstreams keep: acknowledged writes are there once, refused ones not at all,
 reads are as fresh as their route says, session values hold, routes never go
-back, a stopped daemon ends by itself with all statements answered. Nothing is
-judged by how long it took. A failing seed leaves its logs in BUILD/soak.
+back, a stopped daemon ends by itself with all statements answered. What
+upstreams ran is what callers sent, see soak/asked.py. Nothing is judged by how
+long it took. A failing seed leaves its logs in BUILD/soak.
 """
 
 import argparse
@@ -26,12 +27,12 @@
 import time
 
 from soak.callers import Caller, Failed, History, RouteWatcher, Session
-from soak.faults import Faults, random_faults, tour
+from soak.faults import PLANNED, UNPLANNED, Faults, random_faults, tour
 from soak.fleet import FIRST_ROUTES, LONG, PORTS, VMS, Fleet, wait_until
 from soak.severed import SeveredFaults, severed_faults
 from soak.silent_pairs import SilentPairFaults, silent_pair_faults
 
-CALLERS = 8
+CALLERS = 10
 SEVERED_VMS = 5
 MODES = {  # Number of daemons, the faults, what plays them and for how many seconds.
     "seed": (VMS, Faults, random_faults, 14),
@@ -41,35 +42,36 @@
 LEAST_WRITES = 100  # Acknowledged in a run; fewer mean that nothing was tested.
 
 
-async def heal(fleet):
+async def heal(fleet, asked):
     """Ends all faults and waits until every daemon serves writes again."""
     for link in fleet.links:
         link.heal()
-    await fleet.admin("break?0")
+    for order in ("break?0", "refuse_set_up?0", "refuse_rollbacks?0"):
+        await fleet.admin(order)
     for vm in range(fleet.vms):
         await fleet.wait_ready(vm)
-        await wait_until(lambda vm=vm: serves(fleet, vm), f"a write at vm-{vm}")
+        await wait_until(lambda vm=vm: serves(fleet, vm, asked), f"a write at vm-{vm}")
     newest = f"v{fleet.routes}"
     if fleet.routes > FIRST_ROUTES:
         for vm in range(fleet.vms):
-            await wait_until(lambda vm=vm: starts_session(fleet, vm, newest),
+            await wait_until(lambda vm=vm: starts_session(fleet, vm, newest, asked),
                              f"route {newest} at vm-{vm}")
 
 
-async def starts_session(fleet, vm, database):
+async def starts_session(fleet, vm, database, asked):
     """Whether a session starts."""
     try:
-        session = await Session.open((fleet.ip(vm), PORTS["session"]), database)
+        session = await Session.open((fleet.ip(vm), PORTS["session"]), database, asked)
     except (OSError, Failed):
         return False
     session.close()
     return True
 
 
-async def serves(fleet, vm):
+async def serves(fleet, vm, asked):
     """Whether a write at this daemon is acknowledged."""
     try:
-        session = await Session.open((fleet.ip(vm), PORTS["session"]), "primary")
+        session = await Session.open((fleet.ip(vm), PORTS["session"]), "primary", asked)
         try:
             await session.query("probe", "WRITE probe data")
         finally:
@@ -79,20 +81,27 @@
     return True
 
 
-def check(history, state, started):
-    """Compares what callers were told with the primary's log."""
+def check(history, state, ran, started):
+    """Compares what callers sent and were told with what upstreams ran and keep."""
     problems = list(history.problems)
+    problems += history.asked.unasked(ran, [*state["effects"], *state["dropped"]])
     effects = {}
     dropped = {}
+    # Writes that nobody sent are reported already, and may have any text.
     for text, how in state["dropped"].items():
+        if text not in history.asked.writes:
+            continue
         _, item, data = text.split(" ", 2)
         if item != "probe":
             dropped[(item, int(data))] = how
     for text, count in state["effects"].items():
+        if text not in history.asked.writes:
+            continue
         _, item, data = text.split(" ", 2)
         if item == "probe":
             continue
-        effects[(item, int(data))] = count
+        key = (item, int(data))
+        effects[key] = effects.get(key, 0) + count
     for item, writes in history.acknowledged.items():
         problems += [f"lost {item} = {n}, acknowledged at {at - started:.3f}"
                      for n, at in writes if (item, n) not in effects]
@@ -103,6 +112,8 @@
     problems += [f"ran {count} times {key}" for key, count in effects.items() if count != 1]
     if history.count() < LEAST_WRITES:
         problems.append(f"only {history.count()} writes were acknowledged")
+    if len(ran) < history.count():
+        problems.append(f"upstreams reported only {len(ran)} statements")
     return problems
 
 
@@ -116,6 +127,7 @@
     watcher = RouteWatcher(fleet, history, random.Random(draw.random()))
     faults = kind(fleet, history, draw)
     state = {"effects": {}, "dropped": {}, "promotions": 0}
+    ran = []
     tasks = []
     try:
         await fleet.start()
@@ -126,26 +138,26 @@
             await tour(faults)
         else:
             await play_faults(faults, seconds)
-        await heal(fleet)
+        await heal(fleet, history.asked)
         for worker in [*callers, watcher]:
             worker.stops = True
         await asyncio.wait_for(asyncio.gather(*tasks), LONG)
         if "fireflycart_sessions" not in fleet.metrics(0):
             history.problems.append("no metrics page")
-        state = await fleet.admin("state")
+        state, ran = await fleet.admin("state"), await fleet.admin("ran")
     except (TimeoutError, RuntimeError) as error:
         history.problems.append(str(error) or type(error).__name__)
         for task in tasks:
             task.cancel()
         with contextlib.suppress(RuntimeError):
-            state = await fleet.admin("state")
+            state, ran = await fleet.admin("state"), await fleet.admin("ran")
     finally:
         await fleet.close()
-    problems = check(history, state, faults.started)
+    problems = check(history, state, ran, faults.started)
     with open(f"{logs}/run.txt", "w", encoding="utf-8") as record:
         record.write("\n".join([*faults.log, *problems]) + "\n")
     return problems, (f"acknowledged {history.count()}, refused {len(history.refused)}, "
-                      f"unknown {history.unknown}, reads {history.reads}, "
+                      f"unknown {history.unknown}, reads {history.reads}, ran {len(ran)}, "
                       f"promotions {state['promotions']}, faults {len(faults.log)}"
                       + faults.summary())
 
@@ -201,12 +213,19 @@
     parser.add_argument("--islands", action="store_true",
                         help="with --severed: every split takes replicas along, and "
                              "their entries lapse")
+    parser.add_argument("--without", default="", metavar="FAULT,FAULT",
+                        help="random faults that are left out, see soak/faults.py")
     arguments = parser.parse_args()
+    Faults.left_out = frozenset(filter(None, arguments.without.split(",")))
+    unknown = Faults.left_out.difference(UNPLANNED, PLANNED)
+    if unknown:
+        parser.error(f"no such faults: {' '.join(sorted(unknown))}")
     SeveredFaults.islands_only = arguments.islands
     if not 1 <= arguments.jobs <= 8:
         parser.error(f"jobs {arguments.jobs} is not allowed; allowed are 1 to 8")
     if arguments.tour:
-        return 0 if asyncio.run(play_and_report(arguments.build, 0, "tour", None)) else 1
+        passed = asyncio.run(play_and_report(arguments.build, arguments.network, "tour", None))
+        return 0 if passed else 1
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     numbers = range(arguments.network, arguments.network + arguments.jobs)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,7 +9,9 @@
 import itertools
 import time
 
+from .asked import Asked, Sender
 from .fleet import FIRST_ROUTES, PORTS
+from .operations import OddOperations
 
 PROMISES = {"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGNODE", "TOOMANY"}
 # Routes of the stand-in's configuration, and their maximum age in seconds.
@@ -31,6 +33,7 @@
 
     def __init__(self):
         self.problems = []
+        self.asked = Asked()
         self.acknowledged = {}   # Item: list of (number, time), ascending.
         self.refused = set()     # (item, number): nothing of it may be kept.
         self.unknown = 0
@@ -50,16 +53,17 @@
 class Session:
     """One connection that speaks the line protocol."""
 
-    def __init__(self, reader, writer):
+    def __init__(self, reader, writer, asked):
         self.reader = reader
         self.writer = writer
+        self.sender = Sender(asked)
         self.state = "I"  # As the last answer gave it.
 
     @classmethod
-    async def open(cls, address, database):
+    async def open(cls, address, database, asked):
         """Starts a session; raises Failed with the code of a refusal."""
         connecting = asyncio.open_connection(*address)
-        session = cls(*await asyncio.wait_for(connecting, ANSWER_LIMIT))
+        session = cls(*await asyncio.wait_for(connecting, ANSWER_LIMIT), asked)
         try:
             session.writer.write(f"START {database} soak\r\n".encode())
             word, rest = await session.line()
@@ -80,7 +84,18 @@
 
     async def query(self, statement_id, text):
         """Runs one statement; returns its rows and signature."""
-        self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
+        self.send([(statement_id, text)])
+        return await self.answer()
+
+    def send(self, queries):
+        """Sends statements, each as its id and text, in one write."""
+        for statement_id, text in queries:
+            self.sender.sends(statement_id, text)
+        lines = [f"QUERY {statement_id} {text}\r\n" for statement_id, text in queries]
+        self.writer.write("".join(lines).encode())
+
+    async def answer(self):
+        """The answer to the next statement, as its rows and signature."""
         rows, signature, code = [], "", None
         while True:
             word, rest = await self.line()
@@ -92,6 +107,7 @@
                 code = rest.split(" ")[0]
             elif word == "READY":
                 self.state = rest.split(" ")[0]
+                self.sender.was_answered(self.state)
                 if code is not None:
                     raise Failed(code)
                 return rows, signature
@@ -101,9 +117,11 @@
         self.writer.close()
 
 
-class Caller:
+class Caller(OddOperations):
     """Runs operations in one session after another until it is told to stop."""
 
+    failed = Failed
+
     def __init__(self, index, fleet, history, random):
         self.index = index
         self.fleet = fleet
@@ -131,7 +149,7 @@
             self.own, self.values = 0, {}
             address = (self.fleet.ip(self.vm), PORTS["session"])
             try:
-                session = await Session.open(address, self.database)
+                session = await Session.open(address, self.database, self.history.asked)
             except (OSError, Failed, asyncio.TimeoutError):
                 await asyncio.sleep(0.1)
                 continue
@@ -153,22 +171,38 @@
     async def operate(self, session, callers):
         """One operation of a random kind."""
         kind = self.random.random()
-        if kind < 0.35:
+        if kind < 0.28:
             await self.write(session, "")
-        elif kind < 0.50:
+        elif kind < 0.40:
             await self.write(session, "COMMIT")
-        elif kind < 0.58:
+        elif kind < 0.46:
             await self.write(session, "ROLLBACK")
-        elif kind < 0.60:
+        elif kind < 0.48:
             await self.write(session, "LEAVE")
-        elif kind < 0.70:
+        elif kind < 0.56:
             await self.set_value(session)
+        elif kind < 0.61:
+            await self.prepare(session)
+        elif kind < 0.63:
+            await self.forget(session)
+        elif kind < 0.68:
+            await self.pipeline(session)
+        elif kind < 0.72:
+            await self.read_transaction(session, callers)
+        elif kind < 0.74:
+            await self.leave(session)
+        elif kind < 0.76:
+            await self.odd_read(session, self.random.choice(callers).item)
         else:
-            await self.read(session, self.random.choice(callers).item)
+            await self.read(session, self.random.choice(callers).item, time.monotonic())
+
+    def next_id(self):
+        """A new id of a statement."""
+        return f"{self.index}-{next(self.ids)}"
 
     async def query(self, session, text):
         """Runs a statement and checks that its answer is its own."""
-        statement_id = f"{self.index}-{next(self.ids)}"
+        statement_id = self.next_id()
         sent = time.monotonic()
         starts = self.fleet.daemons[self.vm].starts
         try:
@@ -177,17 +211,28 @@
             if time.monotonic() - sent > CUT_AFTER:
                 self.history.cuts.append((self.vm, starts, time.monotonic()))
             raise
-        needs_upstream = text.split(" ")[0] in ("READ", "WRITE", "COMMIT")
+        self.check_signature(statement_id, text, signature)
+        return rows
+
+    def check_signature(self, statement_id, text, signature):
+        """Checks that the upstream answered this statement."""
+        needs_upstream = text.split(" ")[0] in ("READ", "WRITE", "EXEC", "COMMIT")
         if needs_upstream and signature != f"sig.{statement_id}":
             self.history.problems.append(f"{statement_id} {text}: signature {signature}")
-        return rows
+
+    async def set_up(self, session, text):
+        """Changes the session's state; after a refusal, it is not known."""
+        try:
+            await self.query(session, text)
+        except Failed as error:
+            raise ConnectionError("the state is not known") from error
 
     async def write(self, session, end):
         """Writes the next number, alone or in a transaction with this end."""
         number = next(self.numbers)
-        statements = [f"WRITE {self.item} {number}"]
+        statements = [self.write_text(session, number)]
         if end:
-            statements = ["BEGIN", f"READ {self.item}", *statements, end]
+            statements = ["BEGIN", self.read_text(session, self.item), *statements, end]
         effective = "COMMIT" if end else statements[0]
         was_sent = False
         try:
@@ -202,6 +247,10 @@
         if not was_sent:
             self.history.refused.add((self.item, number))
             return
+        self.on_acknowledged_write(number)
+
+    def on_acknowledged_write(self, number):
+        """Notes a write that was acknowledged."""
         now = time.monotonic()
         self.history.acknowledged.setdefault(self.item, []).append((number, now))
         self.own = number
@@ -218,10 +267,7 @@
     async def set_value(self, session):
         """Sets a session value and reads it back from an upstream."""
         name, value = self.random.choice("uvw"), str(next(self.ids))
-        try:
-            await self.query(session, f"SET {name} {value}")
-        except Failed as error:
-            raise ConnectionError("the value may be set") from error
+        await self.set_up(session, f"SET {name} {value}")
         self.values[name] = value
         for known, expected in self.values.items():
             rows = await self.query(session, f"READ @{known}")
@@ -229,14 +275,17 @@
                 self.history.problems.append(
                     f"caller {self.index}: value {known} is {rows}, not {expected}")
 
-    async def read(self, session, item):
-        """Reads an item and checks its age."""
-        before = time.monotonic()
+    async def read(self, session, item, before):
+        """Reads an item and checks its age, as of that time."""
         floor = self.history.newest(item, before - MAX_AGE[self.database])
         if item == self.item and self.database == "own_writes":
             floor = max(floor, self.own)
-        rows = await self.query(session, f"READ {item}")
+        text = self.read_text(session, item)
+        rows = await self.query(session, text)
         self.history.reads += 1
+        if len(rows) != 1 or not (rows == ["-"] or rows[0].strip(" ").isdigit()):
+            self.history.problems.append(f"caller {self.index}: {text} gave {rows}")
+            return
         number = 0 if rows == ["-"] else int(rows[0])
         if number < floor:
             self.history.problems.append(
@@ -276,7 +325,7 @@
         """Whether the VM knows the route; None if it did not say."""
         try:
             address = (self.fleet.ip(vm), PORTS["session"])
-            session = await Session.open(address, f"v{number}")
+            session = await Session.open(address, f"v{number}", self.history.asked)
         except Failed as refusal:
             return False if refusal.code == "NODB" else None
         except (OSError, asyncio.TimeoutError):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -14,6 +14,8 @@
 class Faults:
     """Injects faults into a fleet."""
 
+    left_out = frozenset()  # Names of random faults that are not played.
+
     def __init__(self, fleet, history, random):
         self.fleet = fleet
         self.history = history
@@ -209,6 +211,18 @@
         self.note(f"break {count} answers")
         await self.fleet.admin(f"break?{count}")
 
+    async def refuse_set_up(self):
+        """Upstreams refuse to set values, to prepare or to reset, several times."""
+        count = self.random.randint(1, 6)
+        self.note(f"refuse {count} set-ups")
+        await self.fleet.admin(f"refuse_set_up?{count}")
+
+    async def refuse_rollbacks(self):
+        """Upstreams refuse rollbacks; the transactions stay open."""
+        count = self.random.randint(1, 3)
+        self.note(f"refuse {count} rollbacks")
+        await self.fleet.admin(f"refuse_rollbacks?{count}")
+
     async def store_down(self):
         """The store refuses everything."""
         self.note("store down")
@@ -250,21 +264,24 @@
 
 
 UNPLANNED = ("delay", "reset", "cut_one_way", "cut", "mute", "isolate", "pause", "kill",
-             "kill_all", "crash", "dark", "break_answers", "store_down",
-             "store_restored", "compact", "odd_entries")
+             "kill_all", "crash", "dark", "break_answers", "refuse_set_up",
+             "refuse_rollbacks", "store_down", "store_restored", "compact",
+             "odd_entries")
 PLANNED = ("stop", "hup", "drain", "routes")
 
 
 async def random_faults(faults, seconds):
     """Starts faults for so long, in series and overlapping; waits for all."""
+    unplanned, planned = ([name for name in names if name not in faults.left_out]
+                          for names in (UNPLANNED, PLANNED))
     tasks = []
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         if faults.random.random() < 0.65:
-            name = faults.random.choice(UNPLANNED)
+            name = faults.random.choice(unplanned)
             tasks.append(asyncio.create_task(faults.unplanned_fault(name)))
         else:
-            name = faults.random.choice(PLANNED)
+            name = faults.random.choice(planned)
             tasks.append(asyncio.create_task(getattr(faults, name)()))
         await faults.lasts(0.1, 2)
     await asyncio.gather(*tasks)
