Database model: a position before a write is refused before it is compared

AFTER before an EXEC that writes was answered BEHIND where the log lacked the position, which a proxy takes for a reason to try again; the protocol allows the prefix only before reads and BEGIN. It is now answered BAD whatever the log holds, as the line parser does for WRITE.

--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -196,6 +196,11 @@
     if (in_transaction) connection->state = TransactionState::kFailed;
     return Failed(outcome, connection->state);
   };
+  if (command.kind == CommandKind::kExecute && command.after.known()) {
+    auto found = connection->prepared.find(command.name);
+    bool writes = found != connection->prepared.end() && found->second.writes;
+    if (writes) return fail(Outcome::kBadRequest);
+  }
   size_t applied = AppliedOf(upstream, now);
   LogPosition position =
       applied == 0 ? LogPosition() : upstream.log[applied - 1].position;
@@ -222,9 +227,6 @@
     if (found == connection->prepared.end()) {
       return fail(Outcome::kNoStatement);
     }
-    if (found->second.writes && command.after.known()) {
-      return fail(Outcome::kBadRequest);
-    }
     ran.is_prepared = true;
     ran.prepared = found->second;
     ran.text = command.arguments;
