--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -196,6 +196,11 @@
     if (in_transaction) connection->state = TransactionState::kFailed;
     return Failed(outcome, connection->state);
   };
+  if (command.kind == CommandKind::kExecute && command.after.known()) {
+    auto found = connection->prepared.find(command.name);
+    bool writes = found != connection->prepared.end() && found->second.writes;
+    if (writes) return fail(Outcome::kBadRequest);
+  }
   size_t applied = AppliedOf(upstream, now);
   LogPosition position =
       applied == 0 ? LogPosition() : upstream.log[applied - 1].position;
