--- a/tools/soak.py
+++ b/tools/soak.py
@@ -145,7 +145,8 @@
         if "fireflycart_sessions" not in fleet.metrics(0):
             history.problems.append("no metrics page")
         state, ran = await fleet.admin("state"), await fleet.admin("ran")
-    except (TimeoutError, RuntimeError) as error:
+    except Exception as error:  # pylint: disable=broad-except
+        # Also an error of this program, so that it fails this run and no other hangs.
         history.problems.append(str(error) or type(error).__name__)
         for task in tasks:
             task.cancel()
