Sessions: statements behind a refused BEGIN do not run on their own

Callers that send a whole transaction in one write saw its WRITE committed outside the transaction if the BEGIN was refused, even if they sent ROLLBACK behind it.

Cause: a refused BEGIN left the session in state I, so the next line, which the caller had sent already, was taken for a statement of its own.

The tests Begin_Malformed_StatementsBehindItAreNotRun and Begin_WithoutRoute_StatementsBehindItAreNotRun failed before.

Now the transaction counts as failed: the answer ends with state E, which the protocol has for this, and everything up to COMMIT or ROLLBACK is refused. A caller that waits for its answers closes the session then, as after any operation that ends outside I. A session that a stopping VM closes with the refusal runs nothing more anyway. Not covered: BUSY for lack of current keys leaves the session in I, as Statement_KeysOutOfDate_RefusedAsBusyUntilCurrent requires.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -223,6 +223,17 @@
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
+  // What a caller has sent behind a BEGIN must not run without the transaction.
+  // A session that a stopping VM closes runs nothing more, and one that lacks
+  // current keys goes on as soon as there are some.
+  bool fails_transaction = session->begins && outcome != Outcome::kBusy &&
+                           stop_stage_ == StopStage::kNone &&
+                           session->state == TransactionState::kNone;
+  if (fails_transaction) {
+    session->state = TransactionState::kFailed;
+    session->is_begun = false;
+    session->is_aborted_by_stop = false;
+  }
   AnswerLast(number, session, MakeAnswer(outcome, detail), context);
 }
 
@@ -242,6 +253,9 @@
   Session* session = &found->second;
   session->statement = statement.id;
   session->received_at = context->now();
+  session->begins = statement.kind == StatementKind::kBegin ||
+                    statement.kind == StatementKind::kBeginReadOnly ||
+                    statement.means_begin;
   if (statement.kind == StatementKind::kMalformed) {
     Refuse(number, session, Outcome::kBadRequest, statement.text, context);
     return;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -7,7 +7,8 @@
 //   sessions.OnReply(session, reply, &context);    // from the group's owner
 //
 // Statements that need no upstream are answered locally. A transaction begins
-// at an upstream only when its first statement is sent.
+// at an upstream only when its first statement is sent. If its begin is
+// refused, it has failed: the caller may have sent its statements already.
 //
 // Every statement that was accepted is answered, also by a VM that stops.
 //
@@ -104,6 +105,7 @@
     TransactionKind transaction_kind = TransactionKind::kNone;
     uint64_t transaction_number = 0;  // Of the current or last one.
     bool is_begun = false;  // Its first statement was sent to the owner.
+    bool begins = false;    // The last statement is to begin a transaction.
     bool has_written = false;
     bool is_aborted_by_stop = false;
     Route route;           // Of the current transaction or statement.
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -99,10 +99,11 @@
 struct CallerStatement {
   StatementId id;
   StatementKind kind = StatementKind::kMalformed;
-  std::string text;        // kRead, kWrite, kCommit: the statement unchanged.
-  std::string name;        // Name of the session value or prepared statement.
-  std::string arguments;   // Session value, or the text after the name.
-  PreparedShape prepared;  // kPrepare.
+  std::string text;          // kRead, kWrite, kCommit: the statement unchanged.
+  std::string name;          // Name of the session value or prepared statement.
+  std::string arguments;     // Session value, or the text after the name.
+  PreparedShape prepared;    // kPrepare.
+  bool means_begin = false;  // kMalformed: probably to begin a transaction.
 };
 
 // Lower-case name of a state in logs.
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -1,4 +1,5 @@
-// Tests of sessions that end while the VM stops.
+// Tests of sessions that end while the VM stops, and of what follows a refused
+// begin of a transaction.
 
 #include "fireflycart/core/proxy/session_manager.h"
 
@@ -28,6 +29,7 @@
   void Route(SessionNumber session, StatementCall call) override {
     (void)session;
     (void)call;
+    routed++;
   }
   void RouteEndTransaction(const EndTransactionCall& call) override {
     (void)call;
@@ -40,6 +42,10 @@
   const RouteTable& routes() const override { return table_; }
   bool HasCurrentKeys() const override { return true; }
 
+  int routed = 0;
+  void RemoveRoute() { table_.routes.clear(); }
+  void AddRoute() { table_.routes[kDatabase].database = kDatabase; }
+
  private:
   RouteTable table_;
   SessionManager* sessions_ = nullptr;
@@ -49,6 +55,9 @@
 class SessionManagerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionManagerTest);
   CPPUNIT_TEST(Ended_WithQueuedStatementWhileDraining_LeavesNothing);
+  CPPUNIT_TEST(Begin_Malformed_StatementsBehindItAreNotRun);
+  CPPUNIT_TEST(Begin_WithoutRoute_StatementsBehindItAreNotRun);
+  CPPUNIT_TEST(Begin_RefusedWhileDraining_SessionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,6 +79,73 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions.size());
     CPPUNIT_ASSERT(!sessions.IsAwaitingClose(context.now()));
   }
+
+  void Begin_Malformed_StatementsBehindItAreNotRun() {
+    StartSession();
+    CPPUNIT_ASSERT(SendMalformedBegin() == Outcome::kBadRequest);
+    ExpectNothingRunsUntilTheEnd();
+  }
+
+  // The route is back before the statements that were sent behind.
+  void Begin_WithoutRoute_StatementsBehindItAreNotRun() {
+    StartSession();
+    router_.RemoveRoute();
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kNoDatabase);
+    router_.AddRoute();
+    ExpectNothingRunsUntilTheEnd();
+  }
+
+  void Begin_RefusedWhileDraining_SessionIsClosed() {
+    StartSession();
+    sessions_.StartDraining(&context_);
+    CPPUNIT_ASSERT(SendMalformedBegin() == Outcome::kBadRequest);
+    CPPUNIT_ASSERT(
+        std::get<AnswerStatement>(effects_.back()).answer.closes_session);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions_.size());
+  }
+
+ private:
+  void StartSession() {
+    context_.Begin(TimePoint::FromMillis(1000), &effects_);
+    router_.Connect(&sessions_, &context_);
+    sessions_.OnStarted(kSession, kDatabase, KeyDigest(), &context_);
+  }
+
+  Outcome SendStatement(const CallerStatement& statement) {
+    sessions_.OnStatement(kSession, statement, &context_);
+    return std::get<AnswerStatement>(effects_.back()).answer.outcome;
+  }
+
+  Outcome Send(StatementKind kind) {
+    CallerStatement statement;
+    statement.id = StatementId("s1");
+    statement.kind = kind;
+    return SendStatement(statement);
+  }
+
+  Outcome SendMalformedBegin() {
+    CallerStatement begin;
+    begin.id = StatementId("s1");
+    begin.means_begin = true;
+    return SendStatement(begin);
+  }
+
+  void ExpectNothingRunsUntilTheEnd() {
+    for (StatementKind kind : {StatementKind::kWrite, StatementKind::kRead}) {
+      CPPUNIT_ASSERT(Send(kind) == Outcome::kBadRequest);
+      const auto& answer = std::get<AnswerStatement>(effects_.back()).answer;
+      CPPUNIT_ASSERT(TransactionState::kFailed == answer.state);
+    }
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT_EQUAL(0, router_.routed);
+    Send(StatementKind::kWrite);
+    CPPUNIT_ASSERT_EQUAL(1, router_.routed);
+  }
+
+  ProxyEffects effects_;
+  ProxyContext context_{VmId("vm-0"), 1, 1};
+  CancellingRouter router_;
+  SessionManager sessions_{&router_, kStateLimit};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionManagerTest);
