Sessions: a repeated first statement opens a transaction of its own

A caller could get DONE for a COMMIT that commits a part of its transaction only, and an upstream's connection stayed in a transaction for good.

Cause: a first statement whose call broke is sent again, perhaps to the same owner, while its first copy is still on its way there (an owner that froze reads it when it goes on). Both copies carried the same number, so the owner kept one record for two transactions: if the older copy began later or again, COMMIT went to its connection.

Repeat_OfFirstStatement_OpensAnotherTransaction failed before.

Now the session counts a repeat as another transaction. The older copy, if it runs at all, is a transaction that nobody commits.

--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -465,6 +465,7 @@
     return;
   }
   if (result.action == Forwarder::Action::kRetry) {
+    session_manager_.OnRepeat(result.session, &result.call);
     RouteToOwner(result.session, std::move(result.call));
   } else {
     session_manager_.OnReply(result.session, std::move(result.reply),
--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -525,6 +525,12 @@
   }
 }
 
+void SessionManager::OnRepeat(SessionNumber number, StatementCall* call) {
+  auto found = sessions_.find(number);
+  if (found == sessions_.end() || !call->opens_transaction) return;
+  call->transaction_number = ++found->second.transaction_number;
+}
+
 void SessionManager::OnEnded(SessionNumber number, ProxyContext* context) {
   auto found = sessions_.find(number);
   if (found == sessions_.end()) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -63,6 +63,10 @@
   void OnEnded(SessionNumber session, ProxyContext* context);
   void OnReply(SessionNumber session, StatementReply reply,
                ProxyContext* context);
+  // Called before the session's open statement is sent again. If it opens a
+  // transaction, that one gets another number: the first copy may be on its
+  // way, even to the same owner, and must not open the same one.
+  void OnRepeat(SessionNumber session, StatementCall* call);
   // Called when routes arrived: answers the sessions that are waiting for them.
   void OnRoutes(ProxyContext* context);
   void OnWake(ProxyContext* context);
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace fireflycart::proxy {
 namespace {
@@ -28,11 +30,10 @@
 
   void Route(SessionNumber session, StatementCall call) override {
     (void)session;
-    (void)call;
-    routed++;
+    calls.push_back(std::move(call));
   }
   void RouteEndTransaction(const EndTransactionCall& call) override {
-    (void)call;
+    ended.push_back(call);
   }
   void RouteCancelQueued(const CancelQueuedCall& call) override {
     StatementReply reply;
@@ -42,7 +43,8 @@
   const RouteTable& routes() const override { return table_; }
   bool HasCurrentKeys() const override { return true; }
 
-  int routed = 0;
+  std::vector<StatementCall> calls;
+  std::vector<EndTransactionCall> ended;
   void RemoveRoute() { table_.routes.clear(); }
   void AddRoute() { table_.routes[kDatabase].database = kDatabase; }
 
@@ -58,6 +60,7 @@
   CPPUNIT_TEST(Begin_Malformed_StatementsBehindItAreNotRun);
   CPPUNIT_TEST(Begin_WithoutRoute_StatementsBehindItAreNotRun);
   CPPUNIT_TEST(Begin_RefusedWhileDraining_SessionIsClosed);
+  CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -104,6 +107,31 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions_.size());
   }
 
+  void Repeat_OfFirstStatement_OpensAnotherTransaction() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementCall repeated = router_.calls.front();
+    sessions_.OnRepeat(kSession, &repeated);
+    CPPUNIT_ASSERT(repeated.opens_transaction);
+    CPPUNIT_ASSERT(repeated.transaction_number !=
+                   router_.calls.front().transaction_number);
+    // What follows belongs to the repeated one.
+    StatementReply done;
+    done.outcome = Outcome::kDone;
+    sessions_.OnReply(kSession, done, &context_);
+    Send(StatementKind::kWrite);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         router_.calls.back().transaction_number);
+    StatementCall continuing = router_.calls.back();
+    sessions_.OnRepeat(kSession, &continuing);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         continuing.transaction_number);
+    sessions_.OnEnded(kSession, &context_);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         router_.ended.back().transaction_number);
+  }
+
  private:
   void StartSession() {
     context_.Begin(TimePoint::FromMillis(1000), &effects_);
@@ -137,9 +165,9 @@
       CPPUNIT_ASSERT(TransactionState::kFailed == answer.state);
     }
     CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
-    CPPUNIT_ASSERT_EQUAL(0, router_.routed);
+    CPPUNIT_ASSERT(router_.calls.empty());
     Send(StatementKind::kWrite);
-    CPPUNIT_ASSERT_EQUAL(1, router_.routed);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
   }
 
   ProxyEffects effects_;
