Sessions: BEGIN inside a transaction rolls the transaction back

A caller that sent 'BEGIN, WRITE a 1, rollback, BEGIN, WRITE a 2, COMMIT' in one write got both writes committed, though it meant to roll back the first.

Cause: a BEGIN inside a transaction was refused with BAD and the transaction stayed open, so what was meant for the next one joined it.

Begin_InTransaction_TransactionIsRolledBack failed before.

Whoever begins again takes the earlier transaction for ended, so the session no longer knows what belongs to it: it rolls the transaction back, answers with state E, and refuses everything up to COMMIT or ROLLBACK.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -223,6 +223,10 @@
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
+  // A caller that begins again takes the earlier transaction for ended.
+  if (session->begins && session->state == TransactionState::kOpen) {
+    AbortTransaction(number, session, context);
+  }
   // What a caller has sent behind a BEGIN must not run without the transaction.
   // A session that a stopping VM closes runs nothing more, and one that lacks
   // current keys goes on as soon as there are some.
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(Ended_WithQueuedStatementWhileDraining_LeavesNothing);
   CPPUNIT_TEST(Begin_Malformed_StatementsBehindItAreNotRun);
   CPPUNIT_TEST(Begin_WithoutRoute_StatementsBehindItAreNotRun);
+  CPPUNIT_TEST(Begin_InTransaction_TransactionIsRolledBack);
   CPPUNIT_TEST(Begin_RefusedWhileDraining_SessionIsClosed);
   CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
@@ -98,6 +99,21 @@
     ExpectNothingRunsUntilTheEnd();
   }
 
+  // The caller takes the earlier transaction for ended.
+  void Begin_InTransaction_TransactionIsRolledBack() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementReply done;
+    done.outcome = Outcome::kDone;
+    sessions_.OnReply(kSession, done, &context_);
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kBadRequest);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.ended.size());
+    CPPUNIT_ASSERT(Send(StatementKind::kWrite) == Outcome::kBadRequest);
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
   void Begin_RefusedWhileDraining_SessionIsClosed() {
     StartSession();
     sessions_.StartDraining(&context_);
