--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -1,10 +1,13 @@
-// Tests of sessions that end while the VM stops.
+// Tests of sessions that end while the VM stops, and of what follows a refused
+// begin of a transaction.
 
 #include "fireflycart/core/proxy/session_manager.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace fireflycart::proxy {
 namespace {
@@ -27,10 +30,10 @@
 
   void Route(SessionNumber session, StatementCall call) override {
     (void)session;
-    (void)call;
+    calls.push_back(std::move(call));
   }
   void RouteEndTransaction(const EndTransactionCall& call) override {
-    (void)call;
+    ended.push_back(call);
   }
   void RouteCancelQueued(const CancelQueuedCall& call) override {
     StatementReply reply;
@@ -40,6 +43,11 @@
   const RouteTable& routes() const override { return table_; }
   bool HasCurrentKeys() const override { return true; }
 
+  std::vector<StatementCall> calls;
+  std::vector<EndTransactionCall> ended;
+  void RemoveRoute() { table_.routes.clear(); }
+  void AddRoute() { table_.routes[kDatabase].database = kDatabase; }
+
  private:
   RouteTable table_;
   SessionManager* sessions_ = nullptr;
@@ -49,6 +57,11 @@
 class SessionManagerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionManagerTest);
   CPPUNIT_TEST(Ended_WithQueuedStatementWhileDraining_LeavesNothing);
+  CPPUNIT_TEST(Begin_Malformed_StatementsBehindItAreNotRun);
+  CPPUNIT_TEST(Begin_WithoutRoute_StatementsBehindItAreNotRun);
+  CPPUNIT_TEST(Begin_InTransaction_TransactionIsRolledBack);
+  CPPUNIT_TEST(Begin_RefusedWhileDraining_SessionIsClosed);
+  CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,6 +83,113 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions.size());
     CPPUNIT_ASSERT(!sessions.IsAwaitingClose(context.now()));
   }
+
+  void Begin_Malformed_StatementsBehindItAreNotRun() {
+    StartSession();
+    CPPUNIT_ASSERT(SendMalformedBegin() == Outcome::kBadRequest);
+    ExpectNothingRunsUntilTheEnd();
+  }
+
+  // The route is back before the statements that were sent behind.
+  void Begin_WithoutRoute_StatementsBehindItAreNotRun() {
+    StartSession();
+    router_.RemoveRoute();
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kNoDatabase);
+    router_.AddRoute();
+    ExpectNothingRunsUntilTheEnd();
+  }
+
+  // The caller takes the earlier transaction for ended.
+  void Begin_InTransaction_TransactionIsRolledBack() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementReply done;
+    done.outcome = Outcome::kDone;
+    sessions_.OnReply(kSession, done, &context_);
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kBadRequest);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.ended.size());
+    CPPUNIT_ASSERT(Send(StatementKind::kWrite) == Outcome::kBadRequest);
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
+  void Begin_RefusedWhileDraining_SessionIsClosed() {
+    StartSession();
+    sessions_.StartDraining(&context_);
+    CPPUNIT_ASSERT(SendMalformedBegin() == Outcome::kBadRequest);
+    CPPUNIT_ASSERT(
+        std::get<AnswerStatement>(effects_.back()).answer.closes_session);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions_.size());
+  }
+
+  void Repeat_OfFirstStatement_OpensAnotherTransaction() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementCall repeated = router_.calls.front();
+    sessions_.OnRepeat(kSession, &repeated);
+    CPPUNIT_ASSERT(repeated.opens_transaction);
+    CPPUNIT_ASSERT(repeated.transaction_number !=
+                   router_.calls.front().transaction_number);
+    // What follows belongs to the repeated one.
+    StatementReply done;
+    done.outcome = Outcome::kDone;
+    sessions_.OnReply(kSession, done, &context_);
+    Send(StatementKind::kWrite);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         router_.calls.back().transaction_number);
+    StatementCall continuing = router_.calls.back();
+    sessions_.OnRepeat(kSession, &continuing);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         continuing.transaction_number);
+    sessions_.OnEnded(kSession, &context_);
+    CPPUNIT_ASSERT_EQUAL(repeated.transaction_number,
+                         router_.ended.back().transaction_number);
+  }
+
+ private:
+  void StartSession() {
+    context_.Begin(TimePoint::FromMillis(1000), &effects_);
+    router_.Connect(&sessions_, &context_);
+    sessions_.OnStarted(kSession, kDatabase, KeyDigest(), &context_);
+  }
+
+  Outcome SendStatement(const CallerStatement& statement) {
+    sessions_.OnStatement(kSession, statement, &context_);
+    return std::get<AnswerStatement>(effects_.back()).answer.outcome;
+  }
+
+  Outcome Send(StatementKind kind) {
+    CallerStatement statement;
+    statement.id = StatementId("s1");
+    statement.kind = kind;
+    return SendStatement(statement);
+  }
+
+  Outcome SendMalformedBegin() {
+    CallerStatement begin;
+    begin.id = StatementId("s1");
+    begin.means_begin = true;
+    return SendStatement(begin);
+  }
+
+  void ExpectNothingRunsUntilTheEnd() {
+    for (StatementKind kind : {StatementKind::kWrite, StatementKind::kRead}) {
+      CPPUNIT_ASSERT(Send(kind) == Outcome::kBadRequest);
+      const auto& answer = std::get<AnswerStatement>(effects_.back()).answer;
+      CPPUNIT_ASSERT(TransactionState::kFailed == answer.state);
+    }
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT(router_.calls.empty());
+    Send(StatementKind::kWrite);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
+  ProxyEffects effects_;
+  ProxyContext context_{VmId("vm-0"), 1, 1};
+  CancellingRouter router_;
+  SessionManager sessions_{&router_, kStateLimit};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionManagerTest);
