Sessions: a BEGIN refused for lack of current keys fails its transaction too

A caller that sends a transaction in one write got BUSY for its BEGIN, a promise that nothing is kept, and if the keys became current between two lines, the WRITE behind it was committed on its own.

Now it fails as after any other refusal: state E, and nothing runs up to COMMIT or ROLLBACK. That part of Statement_KeysOutOfDate_RefusedAsBusyUntilCurrent moves to a test of its own, which asks for more: the WRITE behind the BEGIN does not run, and after ROLLBACK a READ does.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -228,10 +228,8 @@
     AbortTransaction(number, session, context);
   }
   // What a caller has sent behind a BEGIN must not run without the transaction.
-  // A session that a stopping VM closes runs nothing more, and one that lacks
-  // current keys goes on as soon as there are some.
-  bool fails_transaction = session->begins && outcome != Outcome::kBusy &&
-                           stop_stage_ == StopStage::kNone &&
+  // A session that a stopping VM closes runs nothing more.
+  bool fails_transaction = session->begins && stop_stage_ == StopStage::kNone &&
                            session->state == TransactionState::kNone;
   if (fails_transaction) {
     session->state = TransactionState::kFailed;
--- a/fireflycart/core/proxy/testing/session_keys_test.cc
+++ b/fireflycart/core/proxy/testing/session_keys_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(Statement_KeyReturned_Runs);
   CPPUNIT_TEST(Start_KeysOutOfDate_RefusedAsBusyExceptPublic);
   CPPUNIT_TEST(Statement_KeysOutOfDate_RefusedAsBusyUntilCurrent);
+  CPPUNIT_TEST(Begin_KeysOutOfDate_StatementsBehindItAreNotRun);
   CPPUNIT_TEST(Commit_KeysOutOfDate_AbortsTransaction);
   CPPUNIT_TEST(Refusal_AnyKey_IsNotLogged);
   CPPUNIT_TEST_SUITE_END();
@@ -195,13 +196,25 @@
     Start(kDatabase, kKey);
     router_.has_current_keys = false;
     CPPUNIT_ASSERT(Send(StatementKind::kRead) == Outcome::kBusy);
-    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kBusy);
     CPPUNIT_ASSERT(router_.calls.empty());
     router_.has_current_keys = true;
     Send(StatementKind::kRead);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
   }
 
+  // The caller may have sent the rest of the transaction already.
+  void Begin_KeysOutOfDate_StatementsBehindItAreNotRun() {
+    Start(kDatabase, kKey);
+    router_.has_current_keys = false;
+    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kBusy);
+    router_.has_current_keys = true;
+    CPPUNIT_ASSERT(Send(StatementKind::kWrite) == Outcome::kBadRequest);
+    CPPUNIT_ASSERT(Send(StatementKind::kRollback) == Outcome::kDone);
+    CPPUNIT_ASSERT(router_.calls.empty());
+    Send(StatementKind::kRead);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+  }
+
   void Commit_KeysOutOfDate_AbortsTransaction() {
     StartTransaction();
     router_.has_current_keys = false;
