Test: writes in transactions that their upstream has ended are refused though kept (fails)

An upstream ends a transaction; the next write in it runs alone and is committed, and its answer is lost or its connection breaks. The caller gets ABORTED.

The random test can also let callers prepare, upstreams refuse and end transactions, and check that no work is left at the end.

--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -31,6 +31,16 @@
           "Also let connections go silent, entries of upstreams go missing, "
           "replacements be disturbed, and links hold up what was sent; runs "
           "three times as long. The other faults of a seed stay the same.");
+ABSL_FLAG(bool, leaks, false, "Check that no work is left at the end.");
+ABSL_FLAG(bool, prepares, false,
+          "Callers also prepare statements. Changes what a seed does.");
+ABSL_FLAG(bool, refusals, false,
+          "Upstreams also refuse set-ups and rollbacks. The other faults of a "
+          "seed stay the same.");
+ABSL_FLAG(bool, ended_transactions, false,
+          "Upstreams also end transactions on their own. The other faults of a "
+          "seed stay the same.");
+ABSL_FLAG(bool, nearby, false, "VMs of other data centres serve reads.");
 ABSL_FLAG(int, data_centres, 0,
           "Data centres of the VMs and upstreams; 0: none is named.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
@@ -53,6 +63,7 @@
         restore_random_(seed),
         release_random_(seed),
         silence_random_(seed),
+        refusal_random_(seed),
         world_(Options(), seed) {}
 
   // Returns the first violation of an invariant; empty if there is none.
@@ -65,6 +76,7 @@
       if (absl::GetFlag(FLAGS_restores)) RestoreStoreAtTimes();
       if (absl::GetFlag(FLAGS_releases)) StepRelease();
       if (has_silences) StepSilence();
+      StepRefusal();
       RunDisturbed(Duration::Millis(static_cast<int64_t>(Random(900))));
     }
     RepairAll();
@@ -76,7 +88,30 @@
     world_.CheckEffects();
     if (!world_.problem().empty()) return world_.problem();
     if (world_.counts().done - before < 100) return "service did not resume";
-    return "";
+    return absl::GetFlag(FLAGS_leaks) ? Leaks() : "";
+  }
+
+  // What is left of work once all callers have paused.
+  std::string Leaks() {
+    world_.PauseCallers(true);
+    world_.Run(Duration::Seconds(12));
+    std::string leaks;
+    for (int vm = 0; vm < 4; vm++) {
+      if (world_.vm(vm) == nullptr) continue;
+      proxy::ConnectionCounts counts = world_.vm(vm)->gauges().connections;
+      const proxy::GroupOwner* owner =
+          world_.vm(vm)->FindOwner(GroupId("ledger"));
+      size_t works = owner == nullptr ? 0 : owner->work_count();
+      size_t transactions = owner == nullptr ? 0 : owner->open_transactions();
+      if (counts.pinned + counts.busy == 0 && works + transactions == 0) {
+        continue;
+      }
+      leaks += " vm-" + std::to_string(vm) + " pinned " +
+               std::to_string(counts.pinned) + " busy " +
+               std::to_string(counts.busy) + " works " + std::to_string(works) +
+               " transactions " + std::to_string(transactions);
+    }
+    return leaks.empty() ? "" : "left:" + leaks;
   }
 
   void PrintCounts() {
@@ -100,6 +135,8 @@
     options.vms = 4;
     options.callers = 16;
     options.data_centres = absl::GetFlag(FLAGS_data_centres);
+    options.prepares = absl::GetFlag(FLAGS_prepares);
+    options.proxy.set_reads_nearby(absl::GetFlag(FLAGS_nearby));
     options.database.promote_time =
         Duration::Millis(300 + static_cast<int64_t>(Random(800)));
     options.database.apply_lag =
@@ -258,6 +295,18 @@
     }
   }
 
+  // Draws from numbers of its own.
+  void StepRefusal() {
+    if (absl::GetFlag(FLAGS_refusals)) {
+      world_.database().RefuseSetUp(static_cast<int>(refusal_random_() % 4));
+      world_.database().RefuseRollbacks(
+          static_cast<int>(refusal_random_() % 3));
+      world_.database().RefuseBusy(static_cast<int>(refusal_random_() % 4));
+    }
+    if (!absl::GetFlag(FLAGS_ended_transactions)) return;
+    if (refusal_random_() % 2 == 0) world_.database().EndTransactions();
+  }
+
   void MuteOne(int vm, const UpstreamId& upstream) {
     Note("mute vm-" + std::to_string(vm) + " " + upstream.value());
     world_.MuteConnections(vm, upstream);
@@ -435,6 +484,7 @@
   std::mt19937_64 restore_random_;
   std::mt19937_64 release_random_;
   std::mt19937_64 silence_random_;
+  std::mt19937_64 refusal_random_;
   std::multimap<TimePoint, std::function<void()>> actions_;
   bool disturbs_failover_ = false;  // The next one that starts.
   size_t read_lines_ = 0;           // Of the world's log.
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -21,6 +21,9 @@
   CPPUNIT_TEST(SetUp_RefusedToReader_ReadBehindItDoesNotRun);
   CPPUNIT_TEST(Rollback_Refused_TransactionIsNotPassedOn);
   CPPUNIT_TEST(Transaction_EndedByUpstream_RestOfItDoesNotRun);
+  CPPUNIT_TEST(Transaction_EndedAndConnectionBroken_WriteIsNotRefused);
+  CPPUNIT_TEST(Transaction_EndedAndAnswerLost_WriteIsNotRefused);
+  CPPUNIT_TEST(SetUp_RefusedForSeconds_ServiceResumes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,6 +67,47 @@
     ExpectNothingUnasked();
   }
 
+  // The write ran alone and was committed; no answer said so.
+  void Transaction_EndedAndConnectionBroken_WriteIsNotRefused() {
+    for (int i = 0; i < 200; i++) {
+      world_->database().EndTransactions();
+      world_->database().BreakAnswers(1);
+      world_->Run(Duration::Millis(20));
+    }
+    world_->Run(Duration::Seconds(2));
+    ExpectNothingUnasked();
+  }
+
+  void Transaction_EndedAndAnswerLost_WriteIsNotRefused() {
+    for (int i = 0; i < 200; i++) {
+      world_->database().EndTransactions();
+      world_->database().LoseAnswers(1);
+      world_->Run(Duration::Millis(20));
+    }
+    world_->Run(Duration::Seconds(4));
+    ExpectNothingUnasked();
+  }
+
+  // Nothing is left of the set-ups that were refused for so long.
+  void SetUp_RefusedForSeconds_ServiceResumes() {
+    world_->database().RefuseSetUp(1000000);
+    world_->Run(Duration::Seconds(2));
+    world_->database().RefuseSetUp(0);
+    world_->Run(Duration::Seconds(1));
+    int before = world_->counts().done;
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT(world_->counts().done - before > 100);
+    ExpectNothingUnasked();
+    world_->PauseCallers(true);
+    world_->Run(Duration::Seconds(4));
+    for (int vm = 0; vm < 3; vm++) {
+      proxy::ProxyGauges gauges = world_->vm(vm)->gauges();
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.connections.pinned);
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.connections.busy);
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.owner_statements);
+    }
+  }
+
  private:
   void MakeWorld(SessionWorldOptions options) {
     options.prepares = true;
