--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -20,7 +20,12 @@
   CPPUNIT_TEST(SetUp_Refused_StatementBehindItDoesNotRun);
   CPPUNIT_TEST(SetUp_RefusedToReader_ReadBehindItDoesNotRun);
   CPPUNIT_TEST(Rollback_Refused_TransactionIsNotPassedOn);
+  CPPUNIT_TEST(Rollback_Refused_ConnectionIsNotLeftOpen);
+  CPPUNIT_TEST(SetUp_NeverAnswered_WriteIsRefused);
   CPPUNIT_TEST(Transaction_EndedByUpstream_RestOfItDoesNotRun);
+  CPPUNIT_TEST(Transaction_EndedAndConnectionBroken_WriteIsNotRefused);
+  CPPUNIT_TEST(Transaction_EndedAndAnswerLost_WriteIsNotRefused);
+  CPPUNIT_TEST(SetUp_RefusedForSeconds_ServiceResumes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,6 +61,37 @@
     ExpectNothingUnasked();
   }
 
+  // Its state is known not to be idle, so it would be neither used nor closed.
+  void Rollback_Refused_ConnectionIsNotLeftOpen() {
+    for (int i = 0; i < 20; i++) {
+      world_->database().RefuseRollbacks(2);
+      world_->Run(Duration::Millis(200));
+    }
+    world_->database().RefuseRollbacks(0);
+    ExpectNothingLeft();
+  }
+
+  // The connections to the primary go silent, and some of them while they are
+  // set up: what waits behind these has not been sent.
+  void SetUp_NeverAnswered_WriteIsRefused() {
+    int refused = 0;
+    for (int i = 0; i < 60; i++) {
+      for (int vm = 0; vm < 3; vm++) {
+        world_->MuteConnections(vm, world_->primary());
+      }
+      world_->Run(Duration::Millis(1500));
+      for (const std::string& line : world_->TakeLog()) {
+        if (line.find("set_up_timeout") == std::string::npos) continue;
+        CPPUNIT_ASSERT_MESSAGE(line, line.find("busy") != std::string::npos);
+        refused++;
+      }
+    }
+    world_->Run(Duration::Seconds(4));
+    CPPUNIT_ASSERT(refused > 0);
+    world_->CheckEffects();
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->problem());
+  }
+
   void Transaction_EndedByUpstream_RestOfItDoesNotRun() {
     for (int i = 0; i < 200; i++) {
       world_->database().EndTransactions();
@@ -64,7 +100,52 @@
     ExpectNothingUnasked();
   }
 
+  // The write ran alone and was committed; no answer said so.
+  void Transaction_EndedAndConnectionBroken_WriteIsNotRefused() {
+    for (int i = 0; i < 200; i++) {
+      world_->database().EndTransactions();
+      world_->database().BreakAnswers(1);
+      world_->Run(Duration::Millis(20));
+    }
+    world_->Run(Duration::Seconds(2));
+    ExpectNothingUnasked();
+  }
+
+  void Transaction_EndedAndAnswerLost_WriteIsNotRefused() {
+    for (int i = 0; i < 200; i++) {
+      world_->database().EndTransactions();
+      world_->database().LoseAnswers(1);
+      world_->Run(Duration::Millis(20));
+    }
+    world_->Run(Duration::Seconds(4));
+    ExpectNothingUnasked();
+  }
+
+  // Nothing is left of the set-ups that were refused for so long.
+  void SetUp_RefusedForSeconds_ServiceResumes() {
+    world_->database().RefuseSetUp(1000000);
+    world_->Run(Duration::Seconds(2));
+    world_->database().RefuseSetUp(0);
+    world_->Run(Duration::Seconds(1));
+    int before = world_->counts().done;
+    world_->Run(Duration::Seconds(2));
+    CPPUNIT_ASSERT(world_->counts().done - before > 100);
+    ExpectNothingUnasked();
+    ExpectNothingLeft();
+  }
+
  private:
+  void ExpectNothingLeft() {
+    world_->PauseCallers(true);
+    world_->Run(Duration::Seconds(4));
+    for (int vm = 0; vm < 3; vm++) {
+      proxy::ProxyGauges gauges = world_->vm(vm)->gauges();
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.connections.pinned);
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.connections.busy);
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, gauges.owner_statements);
+    }
+  }
+
   void MakeWorld(SessionWorldOptions options) {
     options.prepares = true;
     // What arrives in one write has run before its first answer is read.
