Group owner: a write in a transaction that got no answer is unknown

Cause: a connection that is lost, or a deadline that passes, was taken to roll back the transaction of the statement that was sent. If the upstream had ended the transaction by itself, the write ran alone and was committed, and no answer could say so.

Now such a write is unknown, as the COMMIT of a transaction that wrote. A caller may still repeat the operation, since it has not sent COMMIT.

Evidence: Transaction_EndedAndConnectionBroken_WriteIsNotRefused and Transaction_EndedAndAnswerLost_WriteIsNotRefused failed before and pass now.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -358,8 +358,8 @@
       Requeue(work, Duration(), context);
       return;
     }
-    bool is_outcome_unknown = work->call.access == Access::kCommit &&
-                              was_sent && !IsReadOnly(*work, has_written);
+    // A write may have run alone, if the upstream had ended the transaction.
+    bool is_outcome_unknown = was_sent && !IsReadOnly(*work, has_written);
     Fail(work, is_outcome_unknown ? Outcome::kUnknown : Outcome::kAborted,
          "connection_lost", context);
     return;
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -340,8 +340,11 @@
     }
     if (work->in_transaction()) {
       TransactionKey key = work->transaction();
-      bool is_outcome_unknown = work->call.access == Access::kCommit &&
-                                transactions_[key].has_written;
+      bool is_running = work->stage == WorkStage::kRunning;
+      bool is_outcome_unknown =
+          (work->call.access == Access::kCommit &&
+           transactions_[key].has_written) ||
+          (work->call.access == Access::kWrite && is_running);
       transactions_[key].running = StatementNumber();
       AbortTransaction(key, true, context);
       Fail(work, is_outcome_unknown ? Outcome::kUnknown : Outcome::kAborted,
