Group reader: the run limit of a read counts from its set-up

A read that waited for the answers to its set-up counted its run limit from then on, with a wake-up from before, so it could run for two limits and beyond the time that its caller had left. Found by reading in the review; it now counts from the start of the set-up, and the reader's tests pass.

--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -321,7 +321,6 @@
 void GroupReader::SendRead(Work* work, PooledConnection* connection,
                            ProxyContext* context) {
   work->stage = WorkStage::kRunning;
-  work->sent = context->instant();
   UpstreamCommand command;
   command.kind =
       work->call.is_prepared ? CommandKind::kExecute : CommandKind::kVerbatim;
