Group owner: a refusal outside a transaction holds whatever state comes with it

Now the connection is closed and the refusal counts: the statement is repeated, or refused with a promise.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -29,6 +29,12 @@
 // Delay before a retry after an upstream reported that it is not the primary.
 constexpr Duration kNotPrimaryRetryDelay = Duration::Millis(20);
 
+// The upstream says that the statement has not run.
+bool IsRefusal(Outcome outcome) {
+  return outcome == Outcome::kBusy || outcome == Outcome::kNoStatement ||
+         outcome == Outcome::kBehind || outcome == Outcome::kReadOnly;
+}
+
 bool IsReadOnly(const Work& work, bool has_written) {
   return work.call.access == Access::kRead ||
          (work.call.access == Access::kCommit && !has_written);
@@ -81,11 +87,20 @@
 }
 
 // A write of a transaction that the upstream has ended ran alone, and may have
-// been committed. For all else it is as if the answer had not come.
+// been committed. Outside transactions a refusal holds. For all else it is as
+// if the answer had not come.
 void GroupOwner::OnUnexpectedState(ConnectionId id, const SentCommand& command,
                                    const UpstreamAnswer& answer,
                                    ProxyContext* context) {
   Work* work = FindWork(command.work);
+  bool is_refused = work != nullptr && command.is_statement() &&
+                    !work->in_transaction() && IsRefusal(answer.outcome);
+  if (is_refused) {
+    UpstreamId upstream = pool_.Find(id)->upstream;
+    pool_.Close(id, context);
+    OnStatementOrBeginFailed(work, upstream, answer, context);
+    return;
+  }
   bool may_be_kept =
       work != nullptr && command.is_statement() && work->in_transaction() &&
       work->call.access == Access::kWrite && answer.outcome == Outcome::kDone;
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -181,6 +181,10 @@
     return;
   }
   if (!answer.has_status) answer.state = connection->state;
+  bool is_refused = answer.outcome != Outcome::kDone;
+  if (reports_failed_states_ && is_refused) {
+    answer.state = TransactionState::kFailed;
+  }
   outputs->push_back(DatabaseOutput{id, false, false, answer});
 }
 
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -118,6 +118,8 @@
   void BreakAnswers(int count) { answers_to_break_ = count; }
   // That many coming statements are refused: all slots are busy.
   void RefuseBusy(int count) { busy_answers_ = count; }
+  // Refusals outside transactions report a failed one.
+  void ReportFailedStates() { reports_failed_states_ = true; }
   // That many coming commands that set values, prepare or reset are refused.
   void RefuseSetUp(int count) { set_ups_to_refuse_ = count; }
   // That many coming rollbacks are refused; the transactions stay open.
@@ -233,6 +235,7 @@
   int answers_to_lose_ = 0;
   int answers_to_break_ = 0;
   int busy_answers_ = 0;
+  bool reports_failed_states_ = false;
   int set_ups_to_refuse_ = 0;
   int rollbacks_to_refuse_ = 0;
   int behind_answers_ = 0;
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(Transaction_EndedByUpstream_RestOfItDoesNotRun);
   CPPUNIT_TEST(Transaction_EndedAndConnectionBroken_WriteIsNotRefused);
   CPPUNIT_TEST(Transaction_EndedAndAnswerLost_WriteIsNotRefused);
+  CPPUNIT_TEST(Statement_RefusedInUnexpectedState_IsRepeated);
   CPPUNIT_TEST(SetUp_RefusedForSeconds_ServiceResumes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +122,16 @@
     ExpectNothingUnasked();
   }
 
+  void Statement_RefusedInUnexpectedState_IsRepeated() {
+    world_->database().ReportFailedStates();
+    for (int i = 0; i < 40; i++) {
+      world_->database().RefuseBusy(2);
+      world_->Run(Duration::Millis(50));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, world_->counts().unknown);
+    ExpectNothingUnasked();
+  }
+
   // Nothing is left of the set-ups that were refused for so long.
   void SetUp_RefusedForSeconds_ServiceResumes() {
     world_->database().RefuseSetUp(1000000);
