--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -336,7 +336,8 @@
   }
   if (!is_as_sent) Report("a statement ran changed: " + name);
   if (expected.in_transaction == ran.in_transaction) return;
-  // The upstream ended the transaction, which nobody could know before.
+  // The upstream ended the transaction by itself, and its answer to this
+  // statement is the first to say so.
   if (ran.has_lost_transaction && !ran.in_transaction) return;
   Report(name + (ran.in_transaction ? " ran in a transaction"
                                     : " ran outside its transaction"));
