--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -98,6 +98,7 @@
 // been removed while the session was open.
 bool SessionManager::RefuseUnauthenticated(SessionNumber number,
                                            Session* session,
+                                           const CallerStatement& statement,
                                            ProxyContext* context) {
   const RouteTable& table = router_->routes();
   auto found = table.routes.find(session->database);
@@ -111,14 +112,15 @@
   if (is_begun && tenant != session->tenant) is_valid = false;
   if (NeedsKey(route) && !router_->HasCurrentKeys()) {
     if (is_open) AbortTransaction(number, session, context);
-    Refuse(number, session, is_begun ? Outcome::kAborted : Outcome::kBusy,
-           kOldKeys, context);
+    Refuse(number, session, statement,
+           is_begun ? Outcome::kAborted : Outcome::kBusy, kOldKeys, context);
     return true;
   }
   session->tenant = tenant;
   if (is_valid) return false;
   if (is_open) AbortTransaction(number, session, context);
-  Refuse(number, session, Outcome::kNotAuthenticated, kNoValidKey, context);
+  Refuse(number, session, statement, Outcome::kNotAuthenticated, kNoValidKey,
+         context);
   return true;
 }
 
@@ -215,11 +217,12 @@
 }
 
 void SessionManager::Refuse(SessionNumber number, Session* session,
-                            Outcome outcome, const std::string& detail,
-                            ProxyContext* context) {
+                            const CallerStatement& statement, Outcome outcome,
+                            const std::string& detail, ProxyContext* context) {
   context->Log(LogLevel::kInfo, kPart, "statement_refused",
                {{"id", session->statement.value()},
                 {"database", session->database},
+                {"kind", StatementKindName(statement.kind)},
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
@@ -259,21 +262,23 @@
                     statement.kind == StatementKind::kBeginReadOnly ||
                     statement.means_begin;
   if (statement.kind == StatementKind::kMalformed) {
-    Refuse(number, session, Outcome::kBadRequest, statement.text, context);
+    Refuse(number, session, statement, Outcome::kBadRequest, statement.text,
+           context);
     return;
   }
   if (RefuseWhileStopping(number, session, statement, context)) return;
   bool ends_transaction = statement.kind == StatementKind::kRollback ||
                           statement.kind == StatementKind::kCommit;
   if (session->state == TransactionState::kFailed && !ends_transaction) {
-    Refuse(number, session, Outcome::kBadRequest, "transaction has failed",
-           context);
+    Refuse(number, session, statement, Outcome::kBadRequest,
+           "transaction has failed", context);
     return;
   }
   bool only_ends =
       ends_transaction && (session->state == TransactionState::kFailed ||
                            statement.kind == StatementKind::kRollback);
-  if (!only_ends && RefuseUnauthenticated(number, session, context)) return;
+  if (!only_ends && RefuseUnauthenticated(number, session, statement, context))
+    return;
   if (TryAnswerLocally(number, session, statement, context)) return;
   Forward(number, session, statement, context);
 }
@@ -283,13 +288,13 @@
                                          ProxyContext* context) {
   if (stop_stage_ < StopStage::kRefusing) return false;
   if (session->state == TransactionState::kNone) {
-    Refuse(number, session, Outcome::kBusy, kStopping, context);
+    Refuse(number, session, statement, Outcome::kBusy, kStopping, context);
     return true;
   }
   bool ends_transaction = statement.kind == StatementKind::kRollback ||
                           statement.kind == StatementKind::kCommit;
   if (!session->is_aborted_by_stop || ends_transaction) return false;
-  Refuse(number, session, Outcome::kAborted, kStopping, context);
+  Refuse(number, session, statement, Outcome::kAborted, kStopping, context);
   return true;
 }
 
@@ -300,32 +305,32 @@
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
-      BeginTransaction(number, session,
-                       statement.kind == StatementKind::kBeginReadOnly,
-                       context);
+      BeginTransaction(number, session, statement, context);
       return true;
     case StatementKind::kRollback:
-      RollBack(number, session, context);
+      RollBack(number, session, statement, context);
       return true;
     case StatementKind::kCommit:
       if (!in_transaction) {
-        Refuse(number, session, Outcome::kBadRequest, "no transaction",
-               context);
+        Refuse(number, session, statement, Outcome::kBadRequest,
+               "no transaction", context);
         return true;
       }
       if (session->state != TransactionState::kFailed) return false;
       session->state = TransactionState::kNone;
       session->transaction_kind = TransactionKind::kNone;
-      Refuse(number, session, Outcome::kAborted, "transaction has failed",
-             context);
+      Refuse(number, session, statement, Outcome::kAborted,
+             "transaction has failed", context);
       return true;
     case StatementKind::kSetValue:
       if (KeepValue(session, statement)) break;
-      Refuse(number, session, Outcome::kBusy, kStateTooLarge, context);
+      Refuse(number, session, statement, Outcome::kBusy, kStateTooLarge,
+             context);
       return true;
     case StatementKind::kPrepare:
       if (KeepPrepared(session, statement)) break;
-      Refuse(number, session, Outcome::kBusy, kStateTooLarge, context);
+      Refuse(number, session, statement, Outcome::kBusy, kStateTooLarge,
+             context);
       return true;
     case StatementKind::kForget: {
       auto found = session->prepared.find(statement.name);
@@ -343,7 +348,8 @@
             EndTransactionCall{session->route.group, KeyOf(number, context),
                                session->transaction_number});
       }
-      Refuse(number, session, Outcome::kNoStatement, statement.name, context);
+      Refuse(number, session, statement, Outcome::kNoStatement, statement.name,
+             context);
       return true;
     default:
       return false;
@@ -395,6 +401,7 @@
 }
 
 bool SessionManager::FindRoute(SessionNumber number, Session* session,
+                               const CallerStatement& statement,
                                ProxyContext* context) {
   const RouteTable& table = router_->routes();
   auto found = table.routes.find(session->database);
@@ -402,22 +409,24 @@
     session->route = found->second;
     return true;
   }
-  Refuse(number, session, Outcome::kNoDatabase, session->database, context);
+  Refuse(number, session, statement, Outcome::kNoDatabase, session->database,
+         context);
   return false;
 }
 
 void SessionManager::BeginTransaction(SessionNumber number, Session* session,
-                                      bool is_read_only,
+                                      const CallerStatement& statement,
                                       ProxyContext* context) {
   if (session->state != TransactionState::kNone) {
-    Refuse(number, session, Outcome::kBadRequest, "already in a transaction",
-           context);
+    Refuse(number, session, statement, Outcome::kBadRequest,
+           "already in a transaction", context);
     return;
   }
-  if (!FindRoute(number, session, context)) return;
+  if (!FindRoute(number, session, statement, context)) return;
   session->state = TransactionState::kOpen;
-  session->transaction_kind =
-      is_read_only ? TransactionKind::kReadOnly : TransactionKind::kReadWrite;
+  session->transaction_kind = statement.kind == StatementKind::kBeginReadOnly
+                                  ? TransactionKind::kReadOnly
+                                  : TransactionKind::kReadWrite;
   session->transaction_number++;
   session->is_begun = false;
   session->has_written = false;
@@ -426,9 +435,11 @@
 }
 
 void SessionManager::RollBack(SessionNumber number, Session* session,
+                              const CallerStatement& statement,
                               ProxyContext* context) {
   if (session->state == TransactionState::kNone) {
-    Refuse(number, session, Outcome::kBadRequest, "no transaction", context);
+    Refuse(number, session, statement, Outcome::kBadRequest, "no transaction",
+           context);
     return;
   }
   if (session->state == TransactionState::kOpen && session->is_begun) {
@@ -445,7 +456,8 @@
                              const CallerStatement& statement,
                              ProxyContext* context) {
   bool in_transaction = session->state != TransactionState::kNone;
-  if (!in_transaction && !FindRoute(number, session, context)) return;
+  if (!in_transaction && !FindRoute(number, session, statement, context))
+    return;
   const Route& route = session->route;
   StatementCall call;
   call.group = route.group;
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -139,20 +139,24 @@
   void AbortTransaction(SessionNumber number, Session* session,
                         ProxyContext* context);
   static Outcome OutcomeIfUnanswered(const Session& session);
-  void Refuse(SessionNumber number, Session* session, Outcome outcome,
+  void Refuse(SessionNumber number, Session* session,
+              const CallerStatement& statement, Outcome outcome,
               const std::string& detail, ProxyContext* context);
   bool TryAnswerLocally(SessionNumber number, Session* session,
                         const CallerStatement& statement,
                         ProxyContext* context);
   void BeginTransaction(SessionNumber number, Session* session,
-                        bool is_read_only, ProxyContext* context);
-  void RollBack(SessionNumber number, Session* session, ProxyContext* context);
+                        const CallerStatement& statement,
+                        ProxyContext* context);
+  void RollBack(SessionNumber number, Session* session,
+                const CallerStatement& statement, ProxyContext* context);
   // Keeps a value or a prepared statement; false if the quota forbids it.
   bool KeepValue(Session* session, const CallerStatement& statement);
   bool KeepPrepared(Session* session, const CallerStatement& statement);
   bool ChargeChange(Session* session, size_t old_bytes, size_t bytes);
   void Erase(SessionNumber number);
-  bool FindRoute(SessionNumber number, Session* session, ProxyContext* context);
+  bool FindRoute(SessionNumber number, Session* session,
+                 const CallerStatement& statement, ProxyContext* context);
   // True if callers need a key on the route.
   bool NeedsKey(const Route& route) const;
   // True if the caller may use the route now; sets *tenant to whose caller it
@@ -162,6 +166,7 @@
   // Refuses a statement whose caller has no valid key, or no longer, or may
   // have none, and ends its transaction; false if the statement may proceed.
   bool RefuseUnauthenticated(SessionNumber number, Session* session,
+                             const CallerStatement& statement,
                              ProxyContext* context);
   void Forward(SessionNumber number, Session* session,
                const CallerStatement& statement, ProxyContext* context);
--- a/fireflycart/core/proxy/statement.cc
+++ b/fireflycart/core/proxy/statement.cc
@@ -38,6 +38,34 @@
   return "unknown";
 }
 
+const char* StatementKindName(StatementKind kind) {
+  switch (kind) {
+    case StatementKind::kBegin:
+      return "begin";
+    case StatementKind::kBeginReadOnly:
+      return "begin_read";
+    case StatementKind::kCommit:
+      return "commit";
+    case StatementKind::kRollback:
+      return "rollback";
+    case StatementKind::kRead:
+      return "read";
+    case StatementKind::kWrite:
+      return "write";
+    case StatementKind::kSetValue:
+      return "set";
+    case StatementKind::kPrepare:
+      return "prepare";
+    case StatementKind::kExecute:
+      return "execute";
+    case StatementKind::kForget:
+      return "forget";
+    case StatementKind::kMalformed:
+      return "malformed";
+  }
+  return "malformed";
+}
+
 const char* TransactionStateName(TransactionState state) {
   switch (state) {
     case TransactionState::kNone:
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -85,6 +85,9 @@
   kMalformed,
 };
 
+// Lower-case name of a kind in logs.
+const char* StatementKindName(StatementKind kind);
+
 // A prepared statement, as the caller's PREPARE defines it.
 struct PreparedShape {
   bool writes = false;
--- a/fireflycart/daemon/session_daemon.cc
+++ b/fireflycart/daemon/session_daemon.cc
@@ -101,6 +101,7 @@
   metrics_server_ =
       StartHttpServer(MakeServerOptions(sessions.metrics_address), this);
   WaitForSignal();
+  LogProgram();
   is_processing_ = true;
   Perform(reducer_.Start(clock_.Now()));
   is_processing_ = false;
@@ -194,6 +195,14 @@
   PerformOne(record);
 }
 
+void SessionDaemon::LogProgram() {
+  proxy::WriteRecord record;
+  record.part = kLogPart;
+  record.event = "program";
+  record.fields = {{"revision", FIREFLYCART_REVISION}};
+  PerformOne(record);
+}
+
 void SessionDaemon::LogChangedSettings() {
   proxy::WriteRecord record;
   record.part = kLogPart;
--- a/fireflycart/daemon/session_daemon.h
+++ b/fireflycart/daemon/session_daemon.h
@@ -81,6 +81,8 @@
 
   void ScheduleWakeUp();
   void WaitForSignal();
+  // Names the revision of the sources, since a fleet may run two of them.
+  void LogProgram();
   void LogChangedSettings();
 
   Settings settings_;
