Tests: what is sent behind a refused set-up runs as something else (fail)

A caller that sends ahead means its statements to run with the SET, PREPARE or FORGET before them. If the proxy refuses that one, they run with the former value or shape, and a COMMIT behind a malformed statement commits the rest of the transaction; if the refusal was BUSY, that breaks its promise.

--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -1,5 +1,5 @@
 // Tests of sessions that end while the VM stops, and of what follows a refused
-// begin of a transaction.
+// begin of a transaction or a refused set-up.
 
 #include "fireflycart/core/proxy/session_manager.h"
 
@@ -15,6 +15,10 @@
 constexpr char kDatabase[] = "ledger";
 constexpr size_t kStateLimit = size_t{1} << 20;
 const SessionNumber kSession(4);
+// Of a session value or a prepared statement.
+constexpr char kName[] = "n";
+// More than a session may keep.
+const std::string kTooLarge(size_t{4} << 20, 'x');
 
 // Answers a cancelled statement at once, as an owner on the same VM does.
 class CancellingRouter : public StatementRouter {
@@ -61,6 +65,9 @@
   CPPUNIT_TEST(Begin_WithoutRoute_StatementsBehindItAreNotRun);
   CPPUNIT_TEST(Begin_InTransaction_TransactionIsRolledBack);
   CPPUNIT_TEST(Begin_RefusedWhileDraining_SessionIsClosed);
+  CPPUNIT_TEST(Set_TooLarge_NothingRunsUntilItIsSet);
+  CPPUNIT_TEST(Prepare_TooLarge_FormerShapeDoesNotRun);
+  CPPUNIT_TEST(Set_TooLargeInTransaction_TransactionFails);
   CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
 
@@ -123,6 +130,50 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, sessions_.size());
   }
 
+  void Set_TooLarge_NothingRunsUntilItIsSet() {
+    StartSession();
+    CPPUNIT_ASSERT(SendSet("1") == Outcome::kDone);
+    CPPUNIT_ASSERT(SendSet(kTooLarge) == Outcome::kBusy);
+    for (StatementKind kind : {StatementKind::kRead, StatementKind::kWrite}) {
+      CPPUNIT_ASSERT(Send(kind) == Outcome::kAborted);
+    }
+    CPPUNIT_ASSERT(router_.calls.empty());
+    CPPUNIT_ASSERT(SendSet("2") == Outcome::kDone);
+    Send(StatementKind::kRead);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         router_.calls.front().values.at(kName));
+  }
+
+  void Prepare_TooLarge_FormerShapeDoesNotRun() {
+    StartSession();
+    CPPUNIT_ASSERT(SendPrepare("q") == Outcome::kDone);
+    CPPUNIT_ASSERT(SendPrepare(kTooLarge) == Outcome::kBusy);
+    CallerStatement execute;
+    execute.kind = StatementKind::kExecute;
+    execute.name = kName;
+    CPPUNIT_ASSERT(SendStatement(execute) == Outcome::kNoStatement);
+    CPPUNIT_ASSERT(SendPrepare("q2") == Outcome::kDone);
+    sessions_.OnStatement(kSession, execute, &context_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("q2"),
+                         router_.calls.front().prepared.shape);
+  }
+
+  // BUSY says that nothing of the transaction is kept.
+  void Set_TooLargeInTransaction_TransactionFails() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementReply done;
+    done.outcome = Outcome::kDone;
+    sessions_.OnReply(kSession, done, &context_);
+    CPPUNIT_ASSERT(SendSet(kTooLarge) == Outcome::kBusy);
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) == Outcome::kAborted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.ended.size());
+  }
+
   void Repeat_OfFirstStatement_OpensAnotherTransaction() {
     StartSession();
     Send(StatementKind::kBegin);
@@ -167,6 +218,24 @@
     return SendStatement(statement);
   }
 
+  Outcome SendSet(const std::string& value) {
+    CallerStatement set;
+    set.id = StatementId("s1");
+    set.kind = StatementKind::kSetValue;
+    set.name = kName;
+    set.arguments = value;
+    return SendStatement(set);
+  }
+
+  Outcome SendPrepare(const std::string& shape) {
+    CallerStatement prepare;
+    prepare.id = StatementId("s1");
+    prepare.kind = StatementKind::kPrepare;
+    prepare.name = kName;
+    prepare.prepared.shape = shape;
+    return SendStatement(prepare);
+  }
+
   Outcome SendMalformedBegin() {
     CallerStatement begin;
     begin.id = StatementId("s1");
