Line codec: what a malformed statement probably means, for all set-ups

What callers saw: ERR BAD for 'AFTER 3.1 BEGIN', 'BEGIN;' or a line 'BEGIN' without QUERY, and their writes behind it ran alone, since only a text whose first word is BEGIN was taken for one.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -258,9 +258,9 @@
   Session* session = &found->second;
   session->statement = statement.id;
   session->received_at = context->now();
-  session->begins = statement.kind == StatementKind::kBegin ||
-                    statement.kind == StatementKind::kBeginReadOnly ||
-                    statement.means_begin;
+  StatementKind intended = statement.intended_kind();
+  session->begins = intended == StatementKind::kBegin ||
+                    intended == StatementKind::kBeginReadOnly;
   if (statement.kind == StatementKind::kMalformed) {
     Refuse(number, session, statement, Outcome::kBadRequest, statement.text,
            context);
--- a/fireflycart/core/proxy/statement.h
+++ b/fireflycart/core/proxy/statement.h
@@ -102,11 +102,17 @@
 struct CallerStatement {
   StatementId id;
   StatementKind kind = StatementKind::kMalformed;
-  std::string text;          // kRead, kWrite, kCommit: the statement unchanged.
-  std::string name;          // Name of the session value or prepared statement.
-  std::string arguments;     // Session value, or the text after the name.
-  PreparedShape prepared;    // kPrepare.
-  bool means_begin = false;  // kMalformed: probably to begin a transaction.
+  // What a malformed statement probably was to be; kMalformed if unknown.
+  StatementKind meant = StatementKind::kMalformed;
+  std::string text;        // kRead, kWrite, kCommit: the statement unchanged.
+  std::string name;        // Of the session value or prepared statement; may be
+                           // empty if the statement is malformed.
+  std::string arguments;   // Session value, or the text after the name.
+  PreparedShape prepared;  // kPrepare.
+
+  StatementKind intended_kind() const {
+    return kind == StatementKind::kMalformed ? meant : kind;
+  }
 };
 
 // Lower-case name of a state in logs.
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -239,7 +239,7 @@
   Outcome SendMalformedBegin() {
     CallerStatement begin;
     begin.id = StatementId("s1");
-    begin.means_begin = true;
+    begin.meant = StatementKind::kBegin;
     return SendStatement(begin);
   }
 
