Sessions: a refused PREPARE or FORGET leaves no statement under its name

What callers saw: PREPARE s1 refused with BAD (an empty shape) or BUSY (too large), and the EXEC s1 that they had sent behind it DONE, with the rows or the write of what s1 had been before: a READ that ran as a WRITE, also inside transactions.

Cause: the session kept the former statement under the name. Whether the caller has seen the refusal cannot be told, so only a refusal of the EXEC is safe.

Now a PREPARE or FORGET that is refused, whatever the reason, forgets the name, or all names if the text does not tell which; EXEC is NOSTMT until the name is prepared again.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -6,6 +6,7 @@
 #include "fireflycart/core/proxy/session_manager.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -226,20 +227,43 @@
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
+  OnRefused(number, session, statement, context);
+  AnswerLast(number, session, MakeAnswer(outcome, detail), context);
+}
+
+// The caller may have sent further statements already, in the belief that this
+// one takes effect.
+void SessionManager::OnRefused(SessionNumber number, Session* session,
+                               const CallerStatement& statement,
+                               ProxyContext* context) {
+  switch (statement.intended_kind()) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      OnBeginRefused(number, session, context);
+      return;
+    case StatementKind::kPrepare:
+    case StatementKind::kForget:
+      ForgetPrepared(session, statement.name);
+      return;
+    default:
+      return;
+  }
+}
+
+void SessionManager::OnBeginRefused(SessionNumber number, Session* session,
+                                    ProxyContext* context) {
   // A caller that begins again takes the earlier transaction for ended.
-  if (session->begins && session->state == TransactionState::kOpen) {
+  if (session->state == TransactionState::kOpen) {
     AbortTransaction(number, session, context);
   }
-  // What a caller has sent behind a BEGIN must not run without the transaction.
-  // A session that a stopping VM closes runs nothing more.
-  bool fails_transaction = session->begins && stop_stage_ == StopStage::kNone &&
+  // What was sent behind a BEGIN must not run without the transaction. A
+  // session that a stopping VM closes runs nothing more.
+  bool fails_transaction = stop_stage_ == StopStage::kNone &&
                            session->state == TransactionState::kNone;
-  if (fails_transaction) {
-    session->state = TransactionState::kFailed;
-    session->is_begun = false;
-    session->is_aborted_by_stop = false;
-  }
-  AnswerLast(number, session, MakeAnswer(outcome, detail), context);
+  if (!fails_transaction) return;
+  session->state = TransactionState::kFailed;
+  session->is_begun = false;
+  session->is_aborted_by_stop = false;
 }
 
 void SessionManager::OnStatement(SessionNumber number,
@@ -258,9 +282,6 @@
   Session* session = &found->second;
   session->statement = statement.id;
   session->received_at = context->now();
-  StatementKind intended = statement.intended_kind();
-  session->begins = intended == StatementKind::kBegin ||
-                    intended == StatementKind::kBeginReadOnly;
   if (statement.kind == StatementKind::kMalformed) {
     Refuse(number, session, statement, Outcome::kBadRequest, statement.text,
            context);
@@ -332,14 +353,9 @@
       Refuse(number, session, statement, Outcome::kBusy, kStateTooLarge,
              context);
       return true;
-    case StatementKind::kForget: {
-      auto found = session->prepared.find(statement.name);
-      if (found == session->prepared.end()) break;
-      quota_.Return(&session->state_bytes,
-                    StateBytes(found->first, found->second.shape));
-      session->prepared.erase(found);
+    case StatementKind::kForget:
+      ForgetPrepared(session, statement.name);
       break;
-    }
     case StatementKind::kExecute:
       if (session->prepared.count(statement.name) != 0) return false;
       if (in_transaction) session->state = TransactionState::kFailed;
@@ -382,6 +398,18 @@
   return true;
 }
 
+void SessionManager::ForgetPrepared(Session* session, const std::string& name) {
+  auto first = session->prepared.begin();
+  auto last = session->prepared.end();
+  if (!name.empty())
+    std::tie(first, last) = session->prepared.equal_range(name);
+  for (auto it = first; it != last; ++it) {
+    quota_.Return(&session->state_bytes,
+                  StateBytes(it->first, it->second.shape));
+  }
+  session->prepared.erase(first, last);
+}
+
 bool SessionManager::ChargeChange(Session* session, size_t old_bytes,
                                   size_t bytes) {
   if (bytes > old_bytes) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -109,7 +109,6 @@
     TransactionKind transaction_kind = TransactionKind::kNone;
     uint64_t transaction_number = 0;  // Of the current or last one.
     bool is_begun = false;  // Its first statement was sent to the owner.
-    bool begins = false;    // The last statement is to begin a transaction.
     bool has_written = false;
     bool is_aborted_by_stop = false;
     Route route;           // Of the current transaction or statement.
@@ -142,6 +141,10 @@
   void Refuse(SessionNumber number, Session* session,
               const CallerStatement& statement, Outcome outcome,
               const std::string& detail, ProxyContext* context);
+  void OnRefused(SessionNumber number, Session* session,
+                 const CallerStatement& statement, ProxyContext* context);
+  void OnBeginRefused(SessionNumber number, Session* session,
+                      ProxyContext* context);
   bool TryAnswerLocally(SessionNumber number, Session* session,
                         const CallerStatement& statement,
                         ProxyContext* context);
@@ -153,6 +156,8 @@
   // Keeps a value or a prepared statement; false if the quota forbids it.
   bool KeepValue(Session* session, const CallerStatement& statement);
   bool KeepPrepared(Session* session, const CallerStatement& statement);
+  // Forgets a prepared statement, or all of them if the name is empty.
+  void ForgetPrepared(Session* session, const std::string& name);
   bool ChargeChange(Session* session, size_t old_bytes, size_t bytes);
   void Erase(SessionNumber number);
   bool FindRoute(SessionNumber number, Session* session,
