Sessions: nothing runs behind a refused SET until the value is set

What callers saw: SET tz refused (BAD without a value or in a failed transaction, BUSY if too large), and the reads and writes that they had sent behind it DONE, run with the former value or with none.

Cause: the session kept the former value. Whether the caller has seen the refusal cannot be told, so only a refusal of what follows is safe.

Now a value whose SET was refused is not set: reads, writes and EXEC are ABORTED, a promise that nothing of them is kept, until a SET of that name is done. If the text does not tell the name, or it cannot be kept, that is for the rest of the session. What was charged for the former value stays charged for the name.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -1,5 +1,7 @@
 // A session's values and prepared statements are stored here and sent with each
-// statement, so that the owner can set up any connection for it. A failed
+// statement, so that the owner can set up any connection for it. What a refusal
+// means for statements that were sent behind it is decided in OnRefused(): the
+// wire does not tell whether their caller has seen the refusal. A failed
 // statement fails its transaction: the owner rolls back at once, and the answer
 // carries the failed transaction state to the caller.
 
@@ -17,6 +19,7 @@
 constexpr char kStopping[] = "this VM is stopping";
 constexpr char kNoValidKey[] = "no valid key";
 constexpr char kOldKeys[] = "keys cannot be checked here, try another VM";
+constexpr char kValueRefused[] = "a session value was refused and is not set";
 constexpr char kStateTooLarge[] = "sessions keep too much already";
 constexpr size_t kMaxKeptIdBytes = 1024;
 
@@ -241,6 +244,9 @@
     case StatementKind::kBeginReadOnly:
       OnBeginRefused(number, session, context);
       return;
+    case StatementKind::kSetValue:
+      RefuseValue(session, statement.name);
+      return;
     case StatementKind::kPrepare:
     case StatementKind::kForget:
       ForgetPrepared(session, statement.name);
@@ -300,6 +306,14 @@
                            statement.kind == StatementKind::kRollback);
   if (!only_ends && RefuseUnauthenticated(number, session, statement, context))
     return;
+  bool needs_values = statement.kind == StatementKind::kRead ||
+                      statement.kind == StatementKind::kWrite ||
+                      statement.kind == StatementKind::kExecute;
+  if (needs_values && HasRefusedValues(*session)) {
+    Refuse(number, session, statement, Outcome::kAborted, kValueRefused,
+           context);
+    return;
+  }
   if (TryAnswerLocally(number, session, statement, context)) return;
   Forward(number, session, statement, context);
 }
@@ -374,15 +388,41 @@
   return true;
 }
 
+bool SessionManager::HasRefusedValues(const Session& session) {
+  return session.has_unnamed_refused_value || !session.refused_values.empty();
+}
+
+void SessionManager::RefuseValue(Session* session, const std::string& name) {
+  if (session->refused_values.count(name) != 0) return;
+  auto found = session->values.find(name);
+  if (found != session->values.end()) {
+    session->refused_values[name] = StateBytes(found->first, found->second);
+    session->values.erase(found);
+    return;
+  }
+  size_t bytes = StateBytes(name, "");
+  bool is_kept = !name.empty() && ChargeChange(session, 0, bytes);
+  if (is_kept) {
+    session->refused_values[name] = bytes;
+  } else {
+    session->has_unnamed_refused_value = true;
+  }
+}
+
 bool SessionManager::KeepValue(Session* session,
                                const CallerStatement& statement) {
   auto found = session->values.find(statement.name);
-  size_t old_bytes = found == session->values.end()
-                         ? 0
-                         : StateBytes(found->first, found->second);
+  auto refused = session->refused_values.find(statement.name);
+  size_t old_bytes = 0;
+  if (found != session->values.end()) {
+    old_bytes = StateBytes(found->first, found->second);
+  } else if (refused != session->refused_values.end()) {
+    old_bytes = refused->second;
+  }
   size_t bytes = StateBytes(statement.name, statement.arguments);
   if (!ChargeChange(session, old_bytes, bytes)) return false;
   session->values[statement.name] = statement.arguments;
+  session->refused_values.erase(statement.name);
   return true;
 }
 
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -7,8 +7,12 @@
 //   sessions.OnReply(session, reply, &context);    // from the group's owner
 //
 // Statements that need no upstream are answered locally. A transaction begins
-// at an upstream only when its first statement is sent. If its begin is
-// refused, it has failed: the caller may have sent its statements already.
+// at an upstream only when its first statement is sent.
+//
+// A caller may send statements without waiting for answers. So what depends on
+// a refused statement is refused as well: behind a BEGIN, all up to the end of
+// the transaction; behind a SET, all until the value is set; behind a PREPARE
+// or FORGET, the execution of that name until it is prepared.
 //
 // Every statement that was accepted is answered, also by a VM that stops.
 //
@@ -104,7 +108,11 @@
     TenantId tenant;  // Of the current statement; empty if none is needed.
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedShape> prepared;
-    size_t state_bytes = 0;  // Charged for both.
+    // Values whose last SET was refused, with what is charged for each. The
+    // caller may take them for set, so nothing runs until they are.
+    std::map<std::string, size_t> refused_values;
+    bool has_unnamed_refused_value = false;  // Nothing runs any more.
+    size_t state_bytes = 0;                  // Charged for all of these.
     TransactionState state = TransactionState::kNone;
     TransactionKind transaction_kind = TransactionKind::kNone;
     uint64_t transaction_number = 0;  // Of the current or last one.
@@ -153,6 +161,8 @@
                         ProxyContext* context);
   void RollBack(SessionNumber number, Session* session,
                 const CallerStatement& statement, ProxyContext* context);
+  static bool HasRefusedValues(const Session& session);
+  void RefuseValue(Session* session, const std::string& name);
   // Keeps a value or a prepared statement; false if the quota forbids it.
   bool KeepValue(Session* session, const CallerStatement& statement);
   bool KeepPrepared(Session* session, const CallerStatement& statement);
