Sessions: any refusal in a transaction fails it

What callers saw: a statement of a transaction refused as malformed, or a SET or PREPARE as BUSY, the state still T, and the COMMIT that they had sent behind it DONE: the transaction was committed without one of its statements. BUSY is a promise that nothing of the transaction is kept (rule REFUSED).

Cause: only a refused BEGIN, an EXEC of an unknown name and a refused key failed the transaction; each in its own place.

Now OnRefused() does it for every refusal in an open transaction: the owner rolls it back at once, the answer carries the state E, and a COMMIT is ABORTED.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -111,18 +111,16 @@
   TenantId tenant;
   bool is_valid = IsAuthenticated(*session, route, &tenant);
   // The transaction runs on a connection of the tenant that began it.
-  bool is_open = session->state == TransactionState::kOpen;
-  bool is_begun = is_open && session->is_begun;
+  bool is_begun =
+      session->state == TransactionState::kOpen && session->is_begun;
   if (is_begun && tenant != session->tenant) is_valid = false;
   if (NeedsKey(route) && !router_->HasCurrentKeys()) {
-    if (is_open) AbortTransaction(number, session, context);
     Refuse(number, session, statement,
            is_begun ? Outcome::kAborted : Outcome::kBusy, kOldKeys, context);
     return true;
   }
   session->tenant = tenant;
   if (is_valid) return false;
-  if (is_open) AbortTransaction(number, session, context);
   Refuse(number, session, statement, Outcome::kNotAuthenticated, kNoValidKey,
          context);
   return true;
@@ -235,14 +233,18 @@
 }
 
 // The caller may have sent further statements already, in the belief that this
-// one takes effect.
+// one takes effect. A COMMIT among them must not commit a transaction without
+// it.
 void SessionManager::OnRefused(SessionNumber number, Session* session,
                                const CallerStatement& statement,
                                ProxyContext* context) {
+  if (session->state == TransactionState::kOpen) {
+    AbortTransaction(number, session, context);
+  }
   switch (statement.intended_kind()) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
-      OnBeginRefused(number, session, context);
+      FailNewTransaction(session);
       return;
     case StatementKind::kSetValue:
       RefuseValue(session, statement.name);
@@ -256,17 +258,12 @@
   }
 }
 
-void SessionManager::OnBeginRefused(SessionNumber number, Session* session,
-                                    ProxyContext* context) {
-  // A caller that begins again takes the earlier transaction for ended.
-  if (session->state == TransactionState::kOpen) {
-    AbortTransaction(number, session, context);
-  }
-  // What was sent behind a BEGIN must not run without the transaction. A
-  // session that a stopping VM closes runs nothing more.
-  bool fails_transaction = stop_stage_ == StopStage::kNone &&
-                           session->state == TransactionState::kNone;
-  if (!fails_transaction) return;
+// What was sent behind a BEGIN must not run without the transaction. A session
+// that a stopping VM closes runs nothing more.
+void SessionManager::FailNewTransaction(Session* session) {
+  bool is_new = stop_stage_ == StopStage::kNone &&
+                session->state == TransactionState::kNone;
+  if (!is_new) return;
   session->state = TransactionState::kFailed;
   session->is_begun = false;
   session->is_aborted_by_stop = false;
@@ -372,12 +369,6 @@
       break;
     case StatementKind::kExecute:
       if (session->prepared.count(statement.name) != 0) return false;
-      if (in_transaction) session->state = TransactionState::kFailed;
-      if (in_transaction && session->is_begun) {
-        router_->RouteEndTransaction(
-            EndTransactionCall{session->route.group, KeyOf(number, context),
-                               session->transaction_number});
-      }
       Refuse(number, session, statement, Outcome::kNoStatement, statement.name,
              context);
       return true;
@@ -604,6 +595,7 @@
   AnswerLast(number, session, std::move(answer), context);
   if (stays_open && stop_stage_ >= StopStage::kRefusing) {
     AbortTransaction(number, session, context);
+    session->is_aborted_by_stop = true;
   }
 }
 
@@ -653,7 +645,9 @@
     Session& session = item.second;
     bool is_waiting =
         session.state == TransactionState::kOpen && !session.has_open_statement;
-    if (is_waiting) AbortTransaction(item.first, &session, context);
+    if (!is_waiting) continue;
+    AbortTransaction(item.first, &session, context);
+    session.is_aborted_by_stop = true;
   }
   CloseIdle(Duration(), context);
 }
@@ -666,7 +660,6 @@
                            session->transaction_number});
   }
   session->state = TransactionState::kFailed;
-  session->is_aborted_by_stop = true;
 }
 
 void SessionManager::CancelQueued(ProxyContext* context) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -10,9 +10,10 @@
 // at an upstream only when its first statement is sent.
 //
 // A caller may send statements without waiting for answers. So what depends on
-// a refused statement is refused as well: behind a BEGIN, all up to the end of
-// the transaction; behind a SET, all until the value is set; behind a PREPARE
-// or FORGET, the execution of that name until it is prepared.
+// a refused statement is refused as well: behind a BEGIN, and in a transaction,
+// all up to the end of the transaction; behind a SET, all until the value is
+// set; behind a PREPARE or FORGET, the execution of that name until it is
+// prepared.
 //
 // Every statement that was accepted is answered, also by a VM that stops.
 //
@@ -151,8 +152,7 @@
               const std::string& detail, ProxyContext* context);
   void OnRefused(SessionNumber number, Session* session,
                  const CallerStatement& statement, ProxyContext* context);
-  void OnBeginRefused(SessionNumber number, Session* session,
-                      ProxyContext* context);
+  void FailNewTransaction(Session* session);
   bool TryAnswerLocally(SessionNumber number, Session* session,
                         const CallerStatement& statement,
                         ProxyContext* context);
@@ -179,7 +179,7 @@
   bool IsAuthenticated(const Session& session, const Route& route,
                        TenantId* tenant) const;
   // Refuses a statement whose caller has no valid key, or no longer, or may
-  // have none, and ends its transaction; false if the statement may proceed.
+  // have none; false if the statement may proceed.
   bool RefuseUnauthenticated(SessionNumber number, Session* session,
                              const CallerStatement& statement,
                              ProxyContext* context);
