Sessions: a write in a transaction that the exit leaves unanswered is unknown

An upstream that has ended the transaction by itself runs the write alone and keeps it. The owner answers unknown for such a write since; the session's own answer at the exit did not.

Evidence: Exit_WriteInTransactionUnanswered_IsUnknown failed before for the write and passes now; a read is ABORTED as before.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -699,14 +699,19 @@
   }
 }
 
-// What is known of an open statement without the owner's reply.
+// What is known of an open statement without the owner's reply. A write in a
+// transaction may have run alone, if the upstream had ended the transaction.
 Outcome SessionManager::OutcomeIfUnanswered(const Session& session) {
-  bool in_transaction = session.state != TransactionState::kNone;
-  bool may_commit = session.access == Access::kCommit
-                        ? session.has_written
-                        : !in_transaction && session.access == Access::kWrite;
-  if (may_commit) return Outcome::kUnknown;
-  return in_transaction ? Outcome::kAborted : Outcome::kBusy;
+  switch (session.access) {
+    case Access::kWrite:
+      return Outcome::kUnknown;
+    case Access::kCommit:
+      return session.has_written ? Outcome::kUnknown : Outcome::kAborted;
+    case Access::kRead:
+      break;
+  }
+  return session.state == TransactionState::kNone ? Outcome::kBusy
+                                                  : Outcome::kAborted;
 }
 
 void SessionManager::LogUnanswered(TimePoint stop_requested,
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(Set_TooLarge_NothingRunsUntilItIsSet);
   CPPUNIT_TEST(Prepare_TooLarge_FormerShapeDoesNotRun);
   CPPUNIT_TEST(Set_TooLargeInTransaction_TransactionFails);
+  CPPUNIT_TEST(Exit_WriteInTransactionUnanswered_IsUnknown);
   CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.ended.size());
   }
 
+  // Its upstream may have ended the transaction, so that the write ran alone.
+  void Exit_WriteInTransactionUnanswered_IsUnknown() {
+    for (StatementKind kind : {StatementKind::kRead, StatementKind::kWrite}) {
+      SessionManager sessions(&router_, kStateLimit);
+      context_.Begin(TimePoint::FromMillis(1000), &effects_);
+      sessions.OnStarted(kSession, kDatabase, KeyDigest(), &context_);
+      CallerStatement statement;
+      for (StatementKind next : {StatementKind::kBegin, kind}) {
+        statement.kind = next;
+        sessions.OnStatement(kSession, statement, &context_);
+      }
+      sessions.AnswerAll(&context_);
+      Outcome outcome =
+          std::get<AnswerStatement>(effects_.back()).answer.outcome;
+      bool reads = kind == StatementKind::kRead;
+      CPPUNIT_ASSERT(outcome ==
+                     (reads ? Outcome::kAborted : Outcome::kUnknown));
+    }
+  }
+
   void Repeat_OfFirstStatement_OpensAnotherTransaction() {
     StartSession();
     Send(StatementKind::kBegin);
