Sessions: EXEC of a name whose change was refused is ABORTED

What callers saw: NOSTMT for an EXEC that they had sent behind a refused PREPARE or FORGET, though an earlier PREPARE of the name had been acknowledged.

Now such a name is remembered as refused, and its EXEC is ABORTED until it is prepared again; a name that was never prepared is NOSTMT as before. As refused names are kept for values and prepared statements alike, with what is charged for them, both move from the session manager to SessionState.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -1,4 +1,4 @@
-// A session's values and prepared statements are stored here and sent with each
+// A session's values and prepared statements are kept here and sent with each
 // statement, so that the owner can set up any connection for it. What a refusal
 // means for statements that were sent behind it is decided in OnRefused(): the
 // wire does not tell whether their caller has seen the refusal. A failed
@@ -8,7 +8,6 @@
 #include "fireflycart/core/proxy/session_manager.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -19,6 +18,8 @@
 constexpr char kStopping[] = "this VM is stopping";
 constexpr char kNoValidKey[] = "no valid key";
 constexpr char kOldKeys[] = "keys cannot be checked here, try another VM";
+constexpr char kPrepareRefused[] =
+    "a change of the prepared statement was refused";
 constexpr char kValueRefused[] = "a session value was refused and is not set";
 constexpr char kStateTooLarge[] = "sessions keep too much already";
 constexpr size_t kMaxKeptIdBytes = 1024;
@@ -30,11 +31,6 @@
   return answer;
 }
 
-// What keeping a name with its text takes.
-size_t StateBytes(const std::string& name, const std::string& text) {
-  return name.size() + text.size() + SessionStateQuota::kEntryOverhead;
-}
-
 }  // namespace
 
 SessionKey SessionManager::KeyOf(SessionNumber number,
@@ -247,11 +243,11 @@
       FailNewTransaction(session);
       return;
     case StatementKind::kSetValue:
-      RefuseValue(session, statement.name);
+      session->kept.OnSetRefused(statement.name, &quota_, sessions_.size());
       return;
     case StatementKind::kPrepare:
     case StatementKind::kForget:
-      ForgetPrepared(session, statement.name);
+      session->kept.OnPrepareRefused(statement.name);
       return;
     default:
       return;
@@ -306,7 +302,7 @@
   bool needs_values = statement.kind == StatementKind::kRead ||
                       statement.kind == StatementKind::kWrite ||
                       statement.kind == StatementKind::kExecute;
-  if (needs_values && HasRefusedValues(*session)) {
+  if (needs_values && session->kept.has_refused_values()) {
     Refuse(number, session, statement, Outcome::kAborted, kValueRefused,
            context);
     return;
@@ -334,6 +330,7 @@
                                       const CallerStatement& statement,
                                       ProxyContext* context) {
   bool in_transaction = session->state != TransactionState::kNone;
+  SessionState* kept = &session->kept;
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
@@ -355,22 +352,33 @@
              "transaction has failed", context);
       return true;
     case StatementKind::kSetValue:
-      if (KeepValue(session, statement)) break;
+      if (kept->SetValue(statement.name, statement.arguments, &quota_,
+                         sessions_.size())) {
+        break;
+      }
       Refuse(number, session, statement, Outcome::kBusy, kStateTooLarge,
              context);
       return true;
     case StatementKind::kPrepare:
-      if (KeepPrepared(session, statement)) break;
+      if (kept->Prepare(statement.name, statement.prepared, &quota_,
+                        sessions_.size())) {
+        break;
+      }
       Refuse(number, session, statement, Outcome::kBusy, kStateTooLarge,
              context);
       return true;
     case StatementKind::kForget:
-      ForgetPrepared(session, statement.name);
+      kept->Forget(statement.name, &quota_);
       break;
     case StatementKind::kExecute:
-      if (session->prepared.count(statement.name) != 0) return false;
-      Refuse(number, session, statement, Outcome::kNoStatement, statement.name,
-             context);
+      if (kept->FindPrepared(statement.name) != nullptr) return false;
+      if (kept->IsPrepareRefused(statement.name)) {
+        Refuse(number, session, statement, Outcome::kAborted, kPrepareRefused,
+               context);
+      } else {
+        Refuse(number, session, statement, Outcome::kNoStatement,
+               statement.name, context);
+      }
       return true;
     default:
       return false;
@@ -379,83 +387,11 @@
   return true;
 }
 
-bool SessionManager::HasRefusedValues(const Session& session) {
-  return session.has_unnamed_refused_value || !session.refused_values.empty();
-}
-
-void SessionManager::RefuseValue(Session* session, const std::string& name) {
-  if (session->refused_values.count(name) != 0) return;
-  auto found = session->values.find(name);
-  if (found != session->values.end()) {
-    session->refused_values[name] = StateBytes(found->first, found->second);
-    session->values.erase(found);
-    return;
-  }
-  size_t bytes = StateBytes(name, "");
-  bool is_kept = !name.empty() && ChargeChange(session, 0, bytes);
-  if (is_kept) {
-    session->refused_values[name] = bytes;
-  } else {
-    session->has_unnamed_refused_value = true;
-  }
-}
-
-bool SessionManager::KeepValue(Session* session,
-                               const CallerStatement& statement) {
-  auto found = session->values.find(statement.name);
-  auto refused = session->refused_values.find(statement.name);
-  size_t old_bytes = 0;
-  if (found != session->values.end()) {
-    old_bytes = StateBytes(found->first, found->second);
-  } else if (refused != session->refused_values.end()) {
-    old_bytes = refused->second;
-  }
-  size_t bytes = StateBytes(statement.name, statement.arguments);
-  if (!ChargeChange(session, old_bytes, bytes)) return false;
-  session->values[statement.name] = statement.arguments;
-  session->refused_values.erase(statement.name);
-  return true;
-}
-
-bool SessionManager::KeepPrepared(Session* session,
-                                  const CallerStatement& statement) {
-  auto found = session->prepared.find(statement.name);
-  size_t old_bytes = found == session->prepared.end()
-                         ? 0
-                         : StateBytes(found->first, found->second.shape);
-  size_t bytes = StateBytes(statement.name, statement.prepared.shape);
-  if (!ChargeChange(session, old_bytes, bytes)) return false;
-  session->prepared[statement.name] = statement.prepared;
-  return true;
-}
-
-void SessionManager::ForgetPrepared(Session* session, const std::string& name) {
-  auto first = session->prepared.begin();
-  auto last = session->prepared.end();
-  if (!name.empty())
-    std::tie(first, last) = session->prepared.equal_range(name);
-  for (auto it = first; it != last; ++it) {
-    quota_.Return(&session->state_bytes,
-                  StateBytes(it->first, it->second.shape));
-  }
-  session->prepared.erase(first, last);
-}
-
-bool SessionManager::ChargeChange(Session* session, size_t old_bytes,
-                                  size_t bytes) {
-  if (bytes > old_bytes) {
-    return quota_.Charge(&session->state_bytes, bytes - old_bytes,
-                         sessions_.size());
-  }
-  quota_.Return(&session->state_bytes, old_bytes - bytes);
-  return true;
-}
-
 void SessionManager::Erase(SessionNumber number) {
   auto found = sessions_.find(number);
   if (found == sessions_.end()) return;
   Session& session = found->second;
-  quota_.Return(&session.state_bytes, session.state_bytes);
+  session.kept.Release(&quota_);
   sessions_.erase(found);
 }
 
@@ -526,7 +462,7 @@
   call.opens_transaction = in_transaction && !session->is_begun;
   call.id = statement.id;
   call.tenant = session->tenant;
-  call.values = session->values;
+  call.values = session->kept.values();
   call.consistency = route.consistency;
   call.max_age = route.max_age;
   call.own_position = session->position;
@@ -540,7 +476,7 @@
     call.access = Access::kWrite;
   } else if (statement.kind == StatementKind::kExecute) {
     call.is_prepared = true;
-    call.prepared = session->prepared[statement.name];
+    call.prepared = *session->kept.FindPrepared(statement.name);
     call.access = call.prepared.writes ? Access::kWrite : Access::kRead;
     call.text = statement.arguments;
   }
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -30,6 +30,7 @@
 #include "fireflycart/core/proxy/peer_calls.h"
 #include "fireflycart/core/proxy/proxy_context.h"
 #include "fireflycart/core/proxy/route.h"
+#include "fireflycart/core/proxy/session_state.h"
 
 namespace fireflycart::proxy {
 
@@ -107,13 +108,7 @@
     std::string database;
     KeyDigest key;    // Empty if the caller sent none.
     TenantId tenant;  // Of the current statement; empty if none is needed.
-    std::map<std::string, std::string> values;
-    std::map<std::string, PreparedShape> prepared;
-    // Values whose last SET was refused, with what is charged for each. The
-    // caller may take them for set, so nothing runs until they are.
-    std::map<std::string, size_t> refused_values;
-    bool has_unnamed_refused_value = false;  // Nothing runs any more.
-    size_t state_bytes = 0;                  // Charged for all of these.
+    SessionState kept;
     TransactionState state = TransactionState::kNone;
     TransactionKind transaction_kind = TransactionKind::kNone;
     uint64_t transaction_number = 0;  // Of the current or last one.
@@ -161,14 +156,6 @@
                         ProxyContext* context);
   void RollBack(SessionNumber number, Session* session,
                 const CallerStatement& statement, ProxyContext* context);
-  static bool HasRefusedValues(const Session& session);
-  void RefuseValue(Session* session, const std::string& name);
-  // Keeps a value or a prepared statement; false if the quota forbids it.
-  bool KeepValue(Session* session, const CallerStatement& statement);
-  bool KeepPrepared(Session* session, const CallerStatement& statement);
-  // Forgets a prepared statement, or all of them if the name is empty.
-  void ForgetPrepared(Session* session, const std::string& name);
-  bool ChargeChange(Session* session, size_t old_bytes, size_t bytes);
   void Erase(SessionNumber number);
   bool FindRoute(SessionNumber number, Session* session,
                  const CallerStatement& statement, ProxyContext* context);
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -153,7 +153,7 @@
     CallerStatement execute;
     execute.kind = StatementKind::kExecute;
     execute.name = kName;
-    CPPUNIT_ASSERT(SendStatement(execute) == Outcome::kNoStatement);
+    CPPUNIT_ASSERT(SendStatement(execute) == Outcome::kAborted);
     CPPUNIT_ASSERT(SendPrepare("q2") == Outcome::kDone);
     sessions_.OnStatement(kSession, execute, &context_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, router_.calls.size());
