Group coordinator: a connection whose COMMIT failed is not used again

A caller of the HTTP interface whose statement came after another caller's failed COMMIT could run inside that caller's transaction, and commit it.

Cause: a COMMIT that the upstream refuses ended the transaction as clean, so its connection went back to the pool. A reply does not tell whether the upstream still has the transaction open.

Two more tests hold already: a statement that fails leaves its transaction open without it, and a ROLLBACK without an answer passes nothing on.

Closing the connection rolls back whatever is open there, so the answer `statement_failed` (did not run) is true.

--- a/fireflycart/core/group_coordinator.h
+++ b/fireflycart/core/group_coordinator.h
@@ -167,6 +167,7 @@
   void OnStatementDone(Work* work, const DataConnection& connection,
                        const UpstreamReply& reply);
   void OnStatementRefused(Work* work, const UpstreamReply& reply);
+  void OnStatementFailed(Work* work, const UpstreamReply& reply);
   void OnConnectionLost(const DataConnection& lost);
   void CompleteAcks();
   void CompleteReads();
--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -121,11 +121,7 @@
                                           const UpstreamReply& reply) {
   switch (reply.code) {
     case UpstreamCode::kFailed:
-      work->answer.result = reply.result;
-      if (work->request.type == RequestType::kCommit) {
-        EndTransaction(work->request.transaction, TransactionEnd::kClean);
-      }
-      Finish(work->id, Outcome::kNotRun, Reason::kStatementFailed);
+      OnStatementFailed(work, reply);
       return;
     case UpstreamCode::kBusyKey:
       StartResolving(work);
@@ -143,6 +139,17 @@
   Requeue(work);
 }
 
+// A reply does not tell whether the upstream still has a transaction open, so
+// a connection on which its end failed is closed, which rolls it back.
+void GroupCoordinator::OnStatementFailed(Work* work,
+                                         const UpstreamReply& reply) {
+  work->answer.result = reply.result;
+  if (work->request.type == RequestType::kCommit) {
+    EndTransaction(work->request.transaction, TransactionEnd::kBroken);
+  }
+  Finish(work->id, Outcome::kNotRun, Reason::kStatementFailed);
+}
+
 void GroupCoordinator::OnConnectionLost(const DataConnection& lost) {
   Work* work = FindWork(lost.work);
   if (work != nullptr) {
--- a/fireflycart/standins/testing/failure_fixture.h
+++ b/fireflycart/standins/testing/failure_fixture.h
@@ -127,6 +127,14 @@
     return request;
   }
 
+  Request MakeRollback(const TransactionId& id) const {
+    Request request = MakeRequest(Duration::Seconds(4));
+    request.type = RequestType::kRollback;
+    request.access = Access::kWrite;
+    request.transaction = id;
+    return request;
+  }
+
   void Send(int node, const Request& request, Answer* answer) {
     answer->outcome = Outcome::kUnknown;
     answer->reason = Reason::kNone;
--- /dev/null
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -0,0 +1,80 @@
+// Ends of transactions that the upstream refuses or does not answer: nothing of
+// a transaction may reach the next caller of its connection, nor be kept though
+// the caller was told that it is not.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "fireflycart/standins/testing/failure_fixture.h"
+
+namespace fireflycart {
+namespace {
+
+class TransactionEndTest : public FailureFixture {
+  CPPUNIT_TEST_SUITE(TransactionEndTest);
+  CPPUNIT_TEST(Commit_Refused_NextStatementRunsOutsideItsTransaction);
+  CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
+  CPPUNIT_TEST(Statement_Refused_TransactionStaysOpenWithoutIt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Commit_Refused_NextStatementRunsOutsideItsTransaction() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    Fault(a_, [](UpstreamFaults* f) { f->refuses_commit = true; });
+    Answer commit = Ask(Leader(), MakeCommit(id));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(commit.reason == Reason::kStatementFailed);
+    Fault(a_, [](UpstreamFaults* f) { f->refuses_commit = false; });
+    CheckConnectionsAreClean();
+    CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
+  }
+
+  void Rollback_AnswerLost_TransactionIsNotPassedOn() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    world_->group(0).SilenceConnections(a_);
+    Answer rollback = Ask(Leader(), MakeRollback(id));
+    CPPUNIT_ASSERT(rollback.outcome != Outcome::kNotRun);
+    Answer commit = Ask(Leader(), MakeCommit(id));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kNotRun);
+    CheckConnectionsAreClean();
+    CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
+  }
+
+  void Statement_Refused_TransactionStaysOpenWithoutIt() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    Request refused = MakeStep(id, "e2");
+    refused.statement = "append list";
+    Answer answer = Ask(Leader(), refused);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(answer.reason == Reason::kStatementFailed);
+    CPPUNIT_ASSERT(Ask(Leader(), MakeCommit(id)).outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), Value(Primary()));
+    CheckConnectionsAreClean();
+  }
+
+ private:
+  // Sends enough statements at once to use each connection to the primary.
+  void CheckConnectionsAreClean() {
+    constexpr int kStatements = 16;
+    std::vector<Answer> answers(kStatements);
+    for (int i = 0; i < kStatements; i++) {
+      Send(Leader(), MakeWrite("next" + std::to_string(i), kLong),
+           &answers[static_cast<size_t>(i)]);
+    }
+    world_->RunFor(Duration::Seconds(2));
+    for (const Answer& answer : answers) {
+      CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, world_->group(0).mixed_statements());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TransactionEndTest);
+
+}  // namespace
+}  // namespace fireflycart
--- a/fireflycart/standins/upstream_group_model.cc
+++ b/fireflycart/standins/upstream_group_model.cc
@@ -391,6 +391,7 @@
   if ((is_write || in_transaction) && !is_primary) {
     return MakeReply(*upstream, UpstreamCode::kNotPrimary);
   }
+  const UpstreamFaults& faults = upstream->faults;
   if (connection->in_transaction && !in_transaction) mixed_statements_++;
   switch (call.step) {
     case TransactionStep::kBegin:
@@ -398,12 +399,19 @@
       connection->in_transaction = true;
       connection->transaction_term = call.term;
       connection->operations.clear();
-      return MakeReply(*upstream, UpstreamCode::kOk);
+      return MakeReply(*upstream, faults.refuses_begin ? UpstreamCode::kFailed
+                                                       : UpstreamCode::kOk);
     case TransactionStep::kRollback:
+      if (faults.refuses_rollback) {
+        return MakeReply(*upstream, UpstreamCode::kFailed);
+      }
       connection->in_transaction = false;
       connection->operations.clear();
       return MakeReply(*upstream, UpstreamCode::kOk);
     case TransactionStep::kCommit: {
+      if (faults.refuses_commit) {
+        return MakeReply(*upstream, UpstreamCode::kFailed);
+      }
       bool valid = connection->in_transaction &&
                    connection->transaction_term == upstream->term;
       std::vector<std::string> operations = std::move(connection->operations);
--- a/fireflycart/standins/upstream_group_model.h
+++ b/fireflycart/standins/upstream_group_model.h
@@ -49,6 +49,11 @@
   bool replication_cut = false;  // Neither sends nor takes log entries.
   Duration apply_lag;            // Replaces the option if positive.
   Duration extra_service;        // Added to each statement.
+  // Answers each BEGIN, COMMIT or ROLLBACK as failed. The transaction is open
+  // afterwards.
+  bool refuses_begin = false;
+  bool refuses_commit = false;
+  bool refuses_rollback = false;
 };
 
 class UpstreamGroupModel {
