Group coordinator: a refused ROLLBACK rolls back by closing the connection

A caller whose ROLLBACK the upstream refused was told `statement_failed`, and its transaction stayed open, with its locks and its connection, up to the idle limit. A COMMIT in that time would have kept what the caller had given up.

Evidence: Rollback_Refused_IsDoneByClosingTheConnection failed before, with the answer not_run.

The end of the connection rolls back, as for a ROLLBACK without an answer, so the caller is told `done`.

--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -144,9 +144,14 @@
 void GroupCoordinator::OnStatementFailed(Work* work,
                                          const UpstreamReply& reply) {
   work->answer.result = reply.result;
-  if (work->request.type == RequestType::kCommit) {
+  RequestType type = work->request.type;
+  if (type == RequestType::kCommit || type == RequestType::kRollback) {
     EndTransaction(work->request.transaction, TransactionEnd::kBroken);
   }
+  if (type == RequestType::kRollback) {
+    FinishAnswered(work);
+    return;
+  }
   Finish(work->id, Outcome::kNotRun, Reason::kStatementFailed);
 }
 
--- a/fireflycart/standins/testing/transaction_end_test.cc
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -15,6 +15,7 @@
 class TransactionEndTest : public FailureFixture {
   CPPUNIT_TEST_SUITE(TransactionEndTest);
   CPPUNIT_TEST(Commit_Refused_NextStatementRunsOutsideItsTransaction);
+  CPPUNIT_TEST(Rollback_Refused_IsDoneByClosingTheConnection);
   CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
   CPPUNIT_TEST(Statement_Refused_TransactionStaysOpenWithoutIt);
   CPPUNIT_TEST_SUITE_END();
@@ -32,6 +33,19 @@
     CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
   }
 
+  void Rollback_Refused_IsDoneByClosingTheConnection() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    Fault(a_, [](UpstreamFaults* f) { f->refuses_rollback = true; });
+    Answer rollback = Ask(Leader(), MakeRollback(id));
+    CPPUNIT_ASSERT(rollback.outcome == Outcome::kDone);
+    Answer commit = Ask(Leader(), MakeCommit(id));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(commit.reason == Reason::kTransactionLost);
+    CheckConnectionsAreClean();
+    CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
+  }
+
   void Rollback_AnswerLost_TransactionIsNotPassedOn() {
     TransactionId id = Begin(Leader());
     CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
