Group coordinator: a connection whose BEGIN failed is not used again

If an upstream answered a BEGIN as failed and had a transaction open all the same (this one, or one that it kept from before), the next callers' statements ran inside it.

The connection is closed, which rolls back whatever is open there.

--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -140,11 +140,12 @@
 }
 
 // A reply does not tell whether the upstream still has a transaction open, so
-// a connection on which its end failed is closed, which rolls it back.
+// a connection on which its begin or end failed is closed, which rolls it back.
 void GroupCoordinator::OnStatementFailed(Work* work,
                                          const UpstreamReply& reply) {
   work->answer.result = reply.result;
   RequestType type = work->request.type;
+  if (type == RequestType::kBegin) links_.Close(work->connection, context_);
   if (type == RequestType::kCommit || type == RequestType::kRollback) {
     EndTransaction(work->request.transaction, TransactionEnd::kBroken);
   }
--- a/fireflycart/standins/testing/transaction_end_test.cc
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -15,6 +15,7 @@
 class TransactionEndTest : public FailureFixture {
   CPPUNIT_TEST_SUITE(TransactionEndTest);
   CPPUNIT_TEST(Commit_Refused_NextStatementRunsOutsideItsTransaction);
+  CPPUNIT_TEST(Begin_Refused_NextStatementRunsOutsideItsTransaction);
   CPPUNIT_TEST(Rollback_Refused_IsDoneByClosingTheConnection);
   CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
   CPPUNIT_TEST(Statement_Refused_TransactionStaysOpenWithoutIt);
@@ -33,6 +34,18 @@
     CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
   }
 
+  void Begin_Refused_NextStatementRunsOutsideItsTransaction() {
+    Fault(a_, [](UpstreamFaults* f) { f->refuses_begin = true; });
+    Request begin = MakeRequest(Duration::Seconds(2));
+    begin.type = RequestType::kBegin;
+    begin.access = Access::kWrite;
+    Answer answer = Ask(Leader(), begin);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(answer.reason == Reason::kStatementFailed);
+    Fault(a_, [](UpstreamFaults* f) { f->refuses_begin = false; });
+    CheckConnectionsAreClean();
+  }
+
   void Rollback_Refused_IsDoneByClosingTheConnection() {
     TransactionId id = Begin(Leader());
     CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
