Group coordinator: a COMMIT with a key that was stored closes its connection

A COMMIT that repeats a request id of an earlier request gets the earlier result and "nothing runs" (upstream_message.h). An upstream that takes this literally leaves the transaction open, and the next callers' statements ran inside it.

Such a COMMIT ends the transaction as broken: what was written in it is rolled back with the connection, and was not acknowledged.

--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -96,7 +96,11 @@
       FinishAnswered(work);
       return;
     case RequestType::kCommit:
-      EndTransaction(work->request.transaction, TransactionEnd::kClean);
+      // If the key was stored already, nothing ran, so the transaction may
+      // still be open.
+      EndTransaction(work->request.transaction, reply.replayed
+                                                    ? TransactionEnd::kBroken
+                                                    : TransactionEnd::kClean);
       break;
     case RequestType::kStatement:
       if (IsRead(work->request) && work->answer.from_replica &&
--- a/fireflycart/standins/testing/transaction_end_test.cc
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -15,6 +15,7 @@
 class TransactionEndTest : public FailureFixture {
   CPPUNIT_TEST_SUITE(TransactionEndTest);
   CPPUNIT_TEST(Commit_Refused_NextStatementRunsOutsideItsTransaction);
+  CPPUNIT_TEST(Commit_KeyStoredBefore_ConnectionIsClosed);
   CPPUNIT_TEST(Begin_Refused_NextStatementRunsOutsideItsTransaction);
   CPPUNIT_TEST(Rollback_Refused_IsDoneByClosingTheConnection);
   CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
@@ -34,6 +35,24 @@
     CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
   }
 
+  // "Nothing runs" if the key is stored, so the transaction may be open still.
+  void Commit_KeyStoredBefore_ConnectionIsClosed() {
+    CPPUNIT_ASSERT(Write(Leader(), "commit", kLong).outcome == Outcome::kDone);
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    // Another VM does not have the outcome in its cache.
+    world_->Crash(Leader(), false);
+    world_->RunFor(Duration::Seconds(3));
+    id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e2")).outcome == Outcome::kDone);
+    Fault(Primary(), [](UpstreamFaults* f) { f->keeps_repeated_open = true; });
+    Answer commit = Ask(Leader(), MakeCommit(id));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT(commit.replayed);
+    CheckConnectionsAreClean();
+    CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e2"));
+  }
+
   void Begin_Refused_NextStatementRunsOutsideItsTransaction() {
     Fault(a_, [](UpstreamFaults* f) { f->refuses_begin = true; });
     Request begin = MakeRequest(Duration::Seconds(2));
--- a/fireflycart/standins/upstream_group_model.cc
+++ b/fireflycart/standins/upstream_group_model.cc
@@ -412,6 +412,10 @@
       if (faults.refuses_commit) {
         return MakeReply(*upstream, UpstreamCode::kFailed);
       }
+      bool is_repeated = upstream->keys.count(call.key) != 0;
+      if (is_repeated && faults.keeps_repeated_open) {
+        return ExecuteWrite(upstream, call, {});
+      }
       bool valid = connection->in_transaction &&
                    connection->transaction_term == upstream->term;
       std::vector<std::string> operations = std::move(connection->operations);
--- a/fireflycart/standins/upstream_group_model.h
+++ b/fireflycart/standins/upstream_group_model.h
@@ -54,6 +54,8 @@
   bool refuses_begin = false;
   bool refuses_commit = false;
   bool refuses_rollback = false;
+  // A COMMIT whose key is stored runs nothing, so its transaction stays open.
+  bool keeps_repeated_open = false;
 };
 
 class UpstreamGroupModel {
