Group coordinator: a statement told not_run at its deadline is not committed

A caller was told `not_run` ("did not run and will not") for a statement of a transaction, and its COMMIT then kept that statement's write.

Cause: a statement that the upstream has run waits until a majority confirms the term. If its deadline comes first, its caller is told `not_run`, but the transaction was ended only for statements without an answer.

Evidence: Statement_RanButToldNotRun_IsNotCommitted failed before: with the replicas frozen for 150 ms the write was told not_run, and was there after COMMIT.

The transaction ends with the statement, so its connection is closed and COMMIT is told `transaction_lost`.

--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -225,11 +225,15 @@
         IsRead(work->request) || work->request.type == RequestType::kBegin ||
         work->request.type == RequestType::kTransactionStatement;
     TransactionId transaction = work->request.transaction;
-    bool unanswered = work->state == WorkState::kRunning;
+    // A statement that the upstream has run would be kept by a COMMIT, although
+    // its caller is told that it did not run.
+    bool ends_transaction =
+        work->state == WorkState::kRunning ||
+        work->request.type == RequestType::kTransactionStatement;
     CloseUnansweredConnection(*work);
     Finish(id, is_discarded ? Outcome::kNotRun : Outcome::kUnknown,
            Reason::kDeadline);
-    if (unanswered) EndTransaction(transaction, TransactionEnd::kBroken);
+    if (ends_transaction) EndTransaction(transaction, TransactionEnd::kBroken);
   }
 }
 
--- a/fireflycart/standins/testing/transaction_end_test.cc
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Rollback_Refused_IsDoneByClosingTheConnection);
   CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
   CPPUNIT_TEST(Statement_Refused_TransactionStaysOpenWithoutIt);
+  CPPUNIT_TEST(Statement_RanButToldNotRun_IsNotCommitted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -103,6 +104,26 @@
     CheckConnectionsAreClean();
   }
 
+  // The upstream has run the statement, but no majority confirms the term by
+  // the deadline.
+  void Statement_RanButToldNotRun_IsNotCommitted() {
+    TransactionId id = Begin(Leader());
+    for (const UpstreamId& replica : {b_, c_}) {
+      Fault(replica, [](UpstreamFaults* f) { f->frozen = true; });
+    }
+    Request step = MakeStep(id, "e1");
+    step.deadline = world_->now() + Duration::Millis(150);
+    Answer answer = Ask(Leader(), step);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    for (const UpstreamId& replica : {b_, c_}) {
+      Fault(replica, [](UpstreamFaults* f) { f->frozen = false; });
+    }
+    Answer commit = Ask(Leader(), MakeCommit(id));
+    CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e1"));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(commit.reason == Reason::kTransactionLost);
+  }
+
  private:
   // Sends enough statements at once to use each connection to the primary.
   void CheckConnectionsAreClean() {
