Group coordinator: a COMMIT found through its key ends its transaction

After a COMMIT without an answer that the look-up of its key found, the transaction stayed in the table without a connection, and no limit ended it. A later statement in it waited for its deadline instead of being refused.

Evidence: Commit_AnswerLost_TransactionIsEnded failed before, with the reason `deadline`.

Once the look-up has settled the COMMIT either way, its transaction ends.

--- a/fireflycart/core/group_control.cc
+++ b/fireflycart/core/group_control.cc
@@ -144,7 +144,10 @@
                   view_.QuorumPosition(term_) >= takeover_.first_entry();
     bool is_settled =
         absent || (reply.code == UpstreamCode::kOk && reply.replayed);
-    if (is_settled) CloseUnansweredConnection(work);
+    if (is_settled) {
+      CloseUnansweredConnection(work);
+      EndTransaction(work.request.transaction, TransactionEnd::kBroken);
+    }
     if (reply.code == UpstreamCode::kOk && reply.replayed) {
       work.written = reply.written;
       work.answer.result = reply.result;
@@ -157,7 +160,6 @@
       work.maybe_run = false;
       bool is_commit = work.request.type == RequestType::kCommit;
       if (is_commit) {
-        EndTransaction(work.request.transaction, TransactionEnd::kBroken);
         Finish(work.id, Outcome::kNotRun, Reason::kTransactionLost);
       } else {
         Requeue(&work);
--- a/fireflycart/standins/testing/transaction_end_test.cc
+++ b/fireflycart/standins/testing/transaction_end_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(TransactionEndTest);
   CPPUNIT_TEST(Commit_Refused_NextStatementRunsOutsideItsTransaction);
   CPPUNIT_TEST(Commit_KeyStoredBefore_ConnectionIsClosed);
+  CPPUNIT_TEST(Commit_AnswerLost_TransactionIsEnded);
   CPPUNIT_TEST(Begin_Refused_NextStatementRunsOutsideItsTransaction);
   CPPUNIT_TEST(Rollback_Refused_IsDoneByClosingTheConnection);
   CPPUNIT_TEST(Rollback_AnswerLost_TransactionIsNotPassedOn);
@@ -54,6 +55,22 @@
     CPPUNIT_ASSERT_EQUAL(0L, Count(Value(Primary()), "e2"));
   }
 
+  // Found through its key: the transaction is over for later statements, too.
+  void Commit_AnswerLost_TransactionIsEnded() {
+    TransactionId id = Begin(Leader());
+    CPPUNIT_ASSERT(Ask(Leader(), MakeStep(id, "e1")).outcome == Outcome::kDone);
+    Answer commit;
+    Send(Leader(), MakeCommit(id), &commit);
+    world_->RunFor(Duration::Millis(2));
+    world_->group(0).SilenceConnections(a_);
+    world_->RunFor(Duration::Seconds(3));
+    CPPUNIT_ASSERT(commit.outcome == Outcome::kDone);
+    Answer step = Ask(Leader(), MakeStep(id, "e2"));
+    CPPUNIT_ASSERT(step.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(step.reason == Reason::kTransactionLost);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), Value(Primary()));
+  }
+
   void Begin_Refused_NextStatementRunsOutsideItsTransaction() {
     Fault(a_, [](UpstreamFaults* f) { f->refuses_begin = true; });
     Request begin = MakeRequest(Duration::Seconds(2));
