Commit set: ids of members that are no names are refused

The ids of a recorded set are fields of the START line to an upstream. A row of another writer whose member has a line end in its id would have been sent as a line of its own.

Ids are checked as those of the upstreams' own entries are; the problem names the field, its value and what is allowed.

--- a/fireflycart/core/proxy/commit_set.cc
+++ b/fireflycart/core/proxy/commit_set.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fireflycart/core/bounded_json.h"
+#include "fireflycart/core/short_text.h"
 
 namespace fireflycart::proxy {
 
@@ -36,6 +37,12 @@
     parsed.position.term = UnsignedField(json, "position_term");
     parsed.position.number = UnsignedField(json, "position_number");
     for (const auto& item : ObjectField(json, "members").items()) {
+      if (!IsName(item.key())) {
+        throw BadDocument("members has the id " + ShortText(item.key()) +
+                          "; allowed are 1 to " +
+                          std::to_string(kMaxNameBytes) +
+                          " bytes of printable ASCII without blanks");
+      }
       CommitMember member;
       member.address = NameField(item.value(), "address");
       member.started_ms = IntegerField(item.value(), "started_ms", 0,
--- a/fireflycart/core/proxy/testing/commit_set_test.cc
+++ b/fireflycart/core/proxy/testing/commit_set_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(CommitSetTest);
   CPPUNIT_TEST(Format_AllFields_ParsesToTheSameSet);
   CPPUNIT_TEST(Parse_BadField_IsRefusedWithItsName);
+  CPPUNIT_TEST(Parse_MemberIsNoName_IsRefusedNamingIt);
   CPPUNIT_TEST(HasReplica_OtherStartTermOrPrimary_IsNone);
   CPPUNIT_TEST(Merge_TermsDiffer_KeepsTheLater);
   CPPUNIT_TEST(Merge_TermsEqual_KeepsMembersOfBoth);
@@ -66,6 +67,21 @@
     }
   }
 
+  // Ids of members are fields of the lines that are sent to upstreams.
+  void Parse_MemberIsNoName_IsRefusedNamingIt() {
+    for (const char* id : {"", "a b", "a\r\nQUERY - RESET", "a\tb"}) {
+      CommitSet set = Set(3);
+      set.Add(Record(id, 7));
+      CommitSet parsed = Set(1);
+      std::string problem;
+      CPPUNIT_ASSERT(!ParseCommitSet(FormatCommitSet(set), &parsed, &problem));
+      CPPUNIT_ASSERT_MESSAGE(problem,
+                             problem.find("members") != std::string::npos);
+      CPPUNIT_ASSERT(problem.find('\n') == std::string::npos);
+      CPPUNIT_ASSERT(parsed == Set(1));
+    }
+  }
+
   void HasReplica_OtherStartTermOrPrimary_IsNone() {
     CommitSet set = Set(3);
     CPPUNIT_ASSERT(set.HasReplica(Record("up-b", 6), 3));
