Metrics: names of groups and tenants cannot change the lines of the page

A group whose name holds a quote or a backslash made a page of metrics that a scraper refuses as a whole, or labels that the operator did not write. Names may hold any printable byte.

Cause: the group's name went into its label unescaped; a tenant's was escaped but for line feeds.

One function makes a label of a name, with the three escapes of the text format.

--- a/fireflycart/daemon/session_metrics.cc
+++ b/fireflycart/daemon/session_metrics.cc
@@ -5,6 +5,8 @@
 
 #include <sstream>
 
+#include "fireflycart/daemon/metric_label.h"
+
 namespace fireflycart {
 namespace {
 
@@ -48,21 +50,11 @@
        << "\n";
 }
 
-// The name of a tenant may contain quotes.
-std::string EscapeLabel(const std::string& text) {
-  std::string escaped;
-  for (char c : text) {
-    if (c == '"' || c == '\\') escaped += '\\';
-    escaped += c;
-  }
-  return escaped;
-}
-
 }  // namespace
 
 void SessionMetrics::Count(const proxy::CountStatement& effect) {
-  std::string labels = "group=\"" + effect.group.value() + "\",priority=\"" +
-                       std::to_string(effect.priority) + "\"";
+  std::string labels = MetricLabel("group", effect.group.value()) +
+                       ",priority=\"" + std::to_string(effect.priority) + "\"";
   statements_[labels + ",outcome=\"" + OutcomeName(effect.outcome) +
               "\",cause=\"" + effect.cause + "\""]++;
   if (effect.outcome == proxy::Outcome::kDone) {
@@ -126,8 +118,9 @@
   }
   out << "# TYPE fireflycart_refused_by_limit_total counter\n";
   for (const auto& item : gauges.refused_by_limit) {
-    out << "fireflycart_refused_by_limit_total{tenant=\""
-        << EscapeLabel(item.first.value()) << "\"} " << item.second << "\n";
+    out << "fireflycart_refused_by_limit_total{"
+        << MetricLabel("tenant", item.first.value()) << "} " << item.second
+        << "\n";
   }
   return out.str();
 }
