Metrics: callers cannot add lines with kinds that are not configured

On the HTTP interface each caller chooses the text of `kind`. It went unescaped into a label, so a kind with a line feed added lines of the caller's own to the page of metrics, and each new kind one more line for good, though its request was refused.

Evidence: Metrics_OddKind_IsEscaped and Metrics_KindNotConfigured_IsNotNamed failed before.

The label is escaped. A request that was refused before its kind was looked up is counted under an empty kind, so the page names configured kinds only.

--- a/fireflycart/daemon/metrics.cc
+++ b/fireflycart/daemon/metrics.cc
@@ -4,17 +4,37 @@
 
 #include <sstream>
 
+#include "fireflycart/daemon/metric_label.h"
+
 namespace fireflycart {
+namespace {
+
+// False if the request was refused before its kind was looked up, so that
+// callers cannot add lines to the page with kinds of their own.
+bool IsKindConfigured(Reason reason) {
+  switch (reason) {
+    case Reason::kUnknownKind:
+    case Reason::kUnknownGroup:
+    case Reason::kIsolated:
+    case Reason::kNoConfiguration:
+    case Reason::kStopping:
+      return false;
+    default:
+      return true;
+  }
+}
+
+}  // namespace
 
 void Metrics::Record(const KindId& kind, const Answer& answer, Duration took) {
   std::lock_guard<std::mutex> lock(mutex_);
-  std::string labels = "kind=\"" + kind.value() + "\",outcome=\"" +
-                       OutcomeText(answer.outcome) + "\",reason=\"" +
-                       ReasonText(answer.reason) + "\"";
-  answers_[labels]++;
+  std::string kind_label =
+      MetricLabel("kind", IsKindConfigured(answer.reason) ? kind.value() : "");
+  answers_[kind_label + ",outcome=\"" + OutcomeText(answer.outcome) +
+           "\",reason=\"" + ReasonText(answer.reason) + "\""]++;
   if (answer.from_replica) replica_reads_++;
   if (answer.outcome != Outcome::kDone) return;
-  latency_by_kind_[kind.value()].Add(took);
+  latency_by_kind_[kind_label].Add(took);
 }
 
 std::string Metrics::Render(const Gauges& gauges) const {
@@ -29,8 +49,7 @@
       << "fireflycart_replica_reads_total " << replica_reads_ << "\n"
       << "# TYPE fireflycart_latency_ms histogram\n";
   for (const auto& item : latency_by_kind_) {
-    std::string kind = "kind=\"" + item.first + "\"";
-    item.second.Render("fireflycart_latency_ms", kind, &out);
+    item.second.Render("fireflycart_latency_ms", item.first, &out);
   }
   out << "# TYPE fireflycart_pending_requests gauge\n"
       << "fireflycart_pending_requests " << gauges.pending_requests << "\n"
--- a/fireflycart/daemon/metrics.h
+++ b/fireflycart/daemon/metrics.h
@@ -28,7 +28,7 @@
 
  private:
   mutable std::mutex mutex_;
-  std::map<std::string, LatencyHistogram> latency_by_kind_;
+  std::map<std::string, LatencyHistogram> latency_by_kind_;  // By the label.
   std::map<std::string, uint64_t> answers_;  // By the rendered labels.
   uint64_t replica_reads_ = 0;
 };
--- a/fireflycart/daemon/testing/metrics_test.cc
+++ b/fireflycart/daemon/testing/metrics_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST_SUITE(MetricsTest);
   CPPUNIT_TEST(SessionMetrics_OddGroup_IsEscaped);
   CPPUNIT_TEST(SessionMetrics_OddTenant_IsEscaped);
+  CPPUNIT_TEST(Metrics_OddKind_IsEscaped);
+  CPPUNIT_TEST(Metrics_KindNotConfigured_IsNotNamed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,6 +49,36 @@
     CPPUNIT_ASSERT(!Has(page, kOddName));
   }
 
+  void Metrics_OddKind_IsEscaped() {
+    Answer answer;
+    answer.outcome = Outcome::kDone;
+    Metrics metrics;
+    metrics.Record(KindId(kOddName), answer, Duration::Millis(3));
+    std::string page = metrics.Render(Gauges());
+    std::string label = std::string("{kind=\"") + kEscapedName + "\",";
+    CPPUNIT_ASSERT(Has(page, "fireflycart_answers_total" + label));
+    CPPUNIT_ASSERT(Has(page, "fireflycart_latency_ms_bucket" + label));
+    CPPUNIT_ASSERT(!Has(page, kOddName));
+  }
+
+  // Callers could add any number of lines otherwise.
+  void Metrics_KindNotConfigured_IsNotNamed() {
+    Metrics metrics;
+    for (Reason reason :
+         {Reason::kUnknownKind, Reason::kUnknownGroup, Reason::kIsolated,
+          Reason::kNoConfiguration, Reason::kStopping}) {
+      Answer answer;
+      answer.outcome = Outcome::kNotRun;
+      answer.reason = reason;
+      metrics.Record(KindId("invented"), answer, Duration());
+    }
+    std::string page = metrics.Render(Gauges());
+    CPPUNIT_ASSERT(!Has(page, "invented"));
+    CPPUNIT_ASSERT(Has(page,
+                       "fireflycart_answers_total{kind=\"\",outcome=\"not_run\""
+                       ",reason=\"unknown_kind\"} 1\n"));
+  }
+
  private:
   static std::string Render(const SessionMetrics& metrics,
                             const proxy::ProxyGauges& gauges) {
