Logs: a field has at most 1,024 bytes of its value

A caller could hide log lines of the daemon: a refused statement of 1 MiB went into `detail`. A line beyond 256 KiB is dropped, and of several large ones only those that fit into a buffer of this size; other lines compete for its rest.

Evidence: Record_LargeField_IsWrittenCut and Record_LargeField_OthersAreWritten failed before: no line for 1 MiB, and 4 of 5 of 128 KiB dropped. Record_OddField_IsOneLineWithItsFields holds already: quotes, line ends, NUL and bytes that are not UTF-8 stay within their field.

A longer value is cut and followed by its size.

--- a/fireflycart/daemon/logging.h
+++ b/fireflycart/daemon/logging.h
@@ -9,6 +9,7 @@
 #ifndef FIREFLYCART_DAEMON_LOGGING_H_
 #define FIREFLYCART_DAEMON_LOGGING_H_
 
+#include <cstddef>
 #include <string>
 
 #include "fireflycart/core/effect.h"
@@ -35,6 +36,8 @@
 // are dropped if standard output is read too slowly, since the daemon never
 // blocks on it; the field dropped of a later line has their number.
 constexpr int kMaxRecordsPerSecond = 25;
+// Longer values of fields are cut, as some are texts of callers.
+constexpr size_t kMaxLoggedValueBytes = 1024;
 
 void StartStructuredLogging(const std::string& lowest_level, const VmId& vm);
 
--- a/fireflycart/daemon/structured_log.cc
+++ b/fireflycart/daemon/structured_log.cc
@@ -76,6 +76,13 @@
   return true;
 }
 
+// Other lines are dropped while a large one waits for standard output.
+std::string Shortened(const std::string& value) {
+  if (value.size() <= kMaxLoggedValueBytes) return value;
+  return value.substr(0, kMaxLoggedValueBytes) + "... (" +
+         std::to_string(value.size()) + " bytes)";
+}
+
 }  // namespace
 
 void StartStructuredLogging(const std::string& lowest_level, const VmId& vm) {
@@ -110,7 +117,7 @@
       {"part", record.part},
       {"event", record.event}};
   for (const proxy::LogField& field : record.fields) {
-    json[field.name] = field.value;
+    json[field.name] = Shortened(field.value);
   }
   if (rate.left_out > 0) json["left_out"] = rate.left_out;
   if (output.dropped > 0) json["dropped"] = output.dropped;
