Caller interface: two callers' request ids never make the same key

A write of caller `a/b` with the request id `c` was taken for a repeat of the write of caller `a` with `b/c`: it was answered as done and replayed, with the other caller's result, and never ran.

Cause: the key was made of both texts, joined by a slash that either may hold.

Evidence: RequestId_CallersWithSlashes_KeysDiffer failed before, 6 keys for 8 requests. Statement_EscapedBytes_PassedOnAsTheyAre and Statement_NotUtf8_IsRefused hold already.

Slash and percent sign are escaped in the caller's name, so the first slash ends it. Keys of other callers stay as they are, as upstreams keep them (RequestId_CallerWithoutSlash_KeyIsBothJoined). A caller whose name holds one of the two and that repeats a request over the change of versions has a new key: its earlier attempt is not found.

--- a/fireflycart/daemon/caller_api.cc
+++ b/fireflycart/daemon/caller_api.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/str_replace.h"
 #include "fireflycart/core/bounded_json.h"
 #include "fireflycart/net/json_types.h"
 
@@ -151,6 +152,15 @@
   if (ms) call->request.deadline = now + Duration::Millis(*ms);
 }
 
+// Upstreams keep the keys, so they stay as they are for the callers that have
+// none of the escaped characters.
+RequestKey MakeRequestKey(const CallerId& caller, const std::string& id) {
+  // Only the slash between the two remains up to the id.
+  std::string escaped =
+      absl::StrReplaceAll(caller.value(), {{"%", "%25"}, {"/", "%2F"}});
+  return RequestKey(escaped + "/" + id);
+}
+
 // Fields that all requests share.
 void ReadCommonFields(BodyReader* reader, TimePoint now, CallerCall* call) {
   Request& request = call->request;
@@ -162,7 +172,7 @@
   }
   std::string id = reader->ReadText("request_id", kMaxIdBytes, false);
   if (!id.empty()) {
-    request.key = RequestKey(request.caller.value() + "/" + id);
+    request.key = MakeRequestKey(request.caller, id);
   }
   request.sent_before = reader->ReadBool("sent_before", false);
   ReadDeadline(reader, now, call);
