Explain: texts of callers cannot pass for other fields or lines

`fireflycart explain` prints values of log fields as they are. A caller's statement text in `detail` could show an outcome that the log does not have, a second line, or control sequences that the operator's terminal runs.

Evidence: Value_OfCaller_CannotPassForFieldOrLine failed before: a detail with blanks, `outcome=done`, a line feed and an escape byte was printed as two lines.

A value that is no name, or holds a quote or an equals sign, is printed as a JSON string in ASCII. Other values look as before.

--- a/fireflycart/ctl/explain.cc
+++ b/fireflycart/ctl/explain.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "fireflycart/core/short_text.h"
 #include "fireflycart/ctl/commands.h"
 
 namespace fireflycart {
@@ -35,12 +36,22 @@
   return found == line.end() ? "" : Text(*found);
 }
 
+// Values are texts of callers in part. One that could pass for another field or
+// line, or that a terminal would interpret, is printed as a JSON string.
+std::string PrintedValue(const json& value) {
+  std::string text = Text(value);
+  bool is_plain =
+      IsName(text) && text.find_first_of("\"=") == std::string::npos;
+  if (is_plain || !value.is_string()) return text;
+  return value.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
 std::string Format(const json& line) {
   std::string text = Field(line, "time_ms") + " " + Field(line, "vm") + " " +
                      Field(line, "part") + "." + Field(line, "event");
   for (const auto& item : line.items()) {
     if (HeaderFields().count(item.key()) != 0) continue;
-    text += " " + item.key() + "=" + Text(item.value());
+    text += " " + item.key() + "=" + PrintedValue(item.value());
   }
   return text;
 }
--- a/fireflycart/ctl/testing/explain_test.cc
+++ b/fireflycart/ctl/testing/explain_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST_SUITE(ExplainTest);
   CPPUNIT_TEST(Request_Logged_LinesInOrderThenContext);
   CPPUNIT_TEST(Request_NotLogged_NoLines);
+  CPPUNIT_TEST(Value_OfCaller_CannotPassForFieldOrLine);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,6 +48,22 @@
     std::istringstream logs(kLogs);
     CPPUNIT_ASSERT(ExplainRequest("r9", &logs).empty());
   }
+
+  void Value_OfCaller_CannotPassForFieldOrLine() {
+    std::istringstream logs(
+        R"({"time_ms":5000,"vm":"vm-1","part":"entry","event":"refused",)"
+        R"("database":"x=y","detail":"a outcome=done\n5001 vm-1\u001b[2J",)"
+        R"("empty":"","id":"r1","outcome":"bad","quoted":"\"",)"
+        R"("word":"b\u00fc"})");
+    std::vector<std::string> lines = ExplainRequest("r1", &logs);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, lines.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            R"(5000 vm-1 entry.refused database="x=y" )"
+            R"(detail="a outcome=done\n5001 vm-1\u001b[2J" empty="" id=r1 )"
+            R"(outcome=bad quoted="\"" word="b\u00fc")"),
+        lines[0]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExplainTest);
