Messages between VMs: texts that would end a line are refused

The port for other VMs takes calls from anyone that reaches it. A statement, name or value with CR LF in such a call went to an upstream as two lines, of which the second was a command that no caller sent; a row with CR LF went to a caller as two messages.

Evidence: Statement_TextWithLineEnd_IsRefused, Statement_NameWithBlank_IsRefused, Reply_RowWithLineEnd_IsRefused and Snapshot_NameWithLineEnd_IsRefused failed before. Statement_OddTexts_DecodedAsSent holds already: bytes that are not UTF-8, control bytes and a text of 1 MiB arrive as sent.

Lines of callers and upstreams cannot hold CR, LF and NUL, so a message with one of them is of no VM in order; decoding refuses it, naming field, value and what is allowed. Names with blanks are refused the same way.

--- a/fireflycart/net/proxy_codec.cc
+++ b/fireflycart/net/proxy_codec.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "fireflycart/core/short_text.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -55,6 +57,24 @@
   size_t next_ = 0;
 };
 
+// Throws Error if the text could end a line of the wire protocol, on which it
+// is sent to an upstream or a caller. The lines of callers and upstreams hold
+// none of these bytes.
+void CheckLineText(const char* field, const std::string& text) {
+  static const std::string* const ends = new std::string("\r\n\0", 3);
+  if (text.find_first_of(*ends) == std::string::npos) return;
+  throw Error(ErrorCode::kProtocol, std::string("decode ") + field,
+              ShortText(text), "allowed are texts without CR, LF and NUL");
+}
+
+// The same for a text that is followed by other fields of its line.
+void CheckLineField(const char* field, const std::string& text) {
+  CheckLineText(field, text);
+  if (text.find(' ') == std::string::npos) return;
+  throw Error(ErrorCode::kProtocol, std::string("decode ") + field,
+              ShortText(text), "allowed are texts without blanks");
+}
+
 Json ToJson(const LogPosition& p) { return Pack(p.term, p.number); }
 void FromJson(const Json& json, LogPosition* p) {
   Unpacker(json).Take(&p->term).Take(&p->number);
@@ -81,6 +101,7 @@
       .Take(&r->target)
       .Take(&r->priority)
       .TakeOptional(&r->is_public);
+  CheckLineField("group of a route", r->group.value());
 }
 
 Json ToJson(const GroupSpec& g) {
@@ -104,6 +125,8 @@
       .Take(&u->leaving)
       .Take(&u->is_primary)
       .Take(&u->started_ms);
+  CheckLineField("id of an upstream", u->id.value());
+  CheckLineField("group of an upstream", u->group.value());
 }
 
 Json ToJson(const VmRecord& v) {
@@ -328,6 +351,15 @@
   FromJson(fields.Next(), &c->own_position);
   fields.Take(&c->priority).Take(&c->target_left).Take(&c->time_left);
   fields.TakeOptional(&c->tenant).TakeOptional(&c->at_reader);
+  CheckLineField("group of a statement", c->group.value());
+  CheckLineField("tenant of a statement", c->tenant.value());
+  CheckLineField("id of a statement", c->id.value());
+  CheckLineText("text of a statement", c->text);
+  CheckLineText("shape of a statement", c->prepared.shape);
+  for (const auto& item : c->values) {
+    CheckLineField("name of a session value", item.first);
+    CheckLineText("session value", item.second);
+  }
 }
 
 Json ToJson(const StatementReply& r) {
@@ -345,6 +377,8 @@
   FromJson(fields.Next(), &r->position);
   fields.Take(&r->is_misdirected).Take(&r->is_leaving);
   fields.TakeOptional(&r->is_for_owner);
+  for (const std::string& row : r->rows) CheckLineText("row", row);
+  CheckLineText("signature", r->signature);
 }
 
 Json ToJson(const EndTransactionCall& c) {
--- a/fireflycart/net/testing/proxy_codec_test.cc
+++ b/fireflycart/net/testing/proxy_codec_test.cc
@@ -6,8 +6,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 #include "fireflycart/core/error.h"
+#include "fireflycart/net/peer_codec.h"
 
 namespace fireflycart::proxy {
 namespace {
@@ -47,7 +49,12 @@
   CPPUNIT_TEST(Statement_OfVersionWithoutTenants_HasNone);
   CPPUNIT_TEST(Statement_ForReader_IsDecoded);
   CPPUNIT_TEST(Statement_OfEarlierVersion_IsForOwner);
+  CPPUNIT_TEST(Statement_OddTexts_DecodedAsSent);
+  CPPUNIT_TEST(Statement_TextWithLineEnd_IsRefused);
+  CPPUNIT_TEST(Statement_NameWithBlank_IsRefused);
   CPPUNIT_TEST(Reply_OfReader_IsDecoded);
+  CPPUNIT_TEST(Reply_RowWithLineEnd_IsRefused);
+  CPPUNIT_TEST(Snapshot_NameWithLineEnd_IsRefused);
   CPPUNIT_TEST(Evidence_Decoded_HasAllFields);
   CPPUNIT_TEST_SUITE_END();
 
@@ -307,7 +314,84 @@
     CPPUNIT_ASSERT(reply.read_service == sent.read_service);
   }
 
+  void Statement_OddTexts_DecodedAsSent() {
+    const std::string odd = "\xe4\xff\x1b\t \"\\ \xc3\xa4 ";
+    StatementCall sent;
+    sent.id = StatementId("\xe4");
+    sent.text = odd + std::string(size_t{1} << 20, 'x');
+    sent.prepared.shape = odd;
+    sent.values = {{"\xe4", odd}, {"b", ""}};
+    PeerCallBody body =
+        DecodePeerCall(EncodePeerCall(PeerCallBody(sent)), "vm-2");
+    const auto& call = std::get<StatementCall>(body);
+    CPPUNIT_ASSERT(call.id == sent.id);
+    CPPUNIT_ASSERT(call.text == sent.text);
+    CPPUNIT_ASSERT_EQUAL(odd, call.prepared.shape);
+    CPPUNIT_ASSERT(call.values == sent.values);
+  }
+
+  // The receiver would send what follows the line end as a command of its own.
+  void Statement_TextWithLineEnd_IsRefused() {
+    for (const std::string& odd : LineEnds()) {
+      std::vector<StatementCall> calls(4);
+      calls[0].text = "READ a" + odd;
+      calls[1].prepared.shape = "a" + odd;
+      calls[2].values["a"] = "b" + odd;
+      calls[3].id = StatementId("a" + odd);
+      for (const StatementCall& call : calls) {
+        StatementCall decoded;
+        CPPUNIT_ASSERT_THROW(FromJson(ToJson(call), &decoded), Error);
+      }
+    }
+  }
+
+  void Statement_NameWithBlank_IsRefused() {
+    std::vector<StatementCall> calls(4);
+    calls[0].id = StatementId("a b");
+    calls[1].values["a b"] = "c";
+    calls[2].tenant = TenantId("a b");
+    calls[3].group = GroupId("a b");
+    for (const StatementCall& call : calls) {
+      StatementCall decoded;
+      CPPUNIT_ASSERT_THROW(FromJson(ToJson(call), &decoded), Error);
+    }
+  }
+
+  void Reply_RowWithLineEnd_IsRefused() {
+    for (const std::string& odd : LineEnds()) {
+      std::vector<StatementReply> replies(2);
+      replies[0].rows = {"a", "b" + odd};
+      replies[1].signature = "c" + odd;
+      for (const StatementReply& reply : replies) {
+        StatementReply decoded;
+        CPPUNIT_ASSERT_THROW(FromJson(ToJson(reply), &decoded), Error);
+      }
+    }
+  }
+
+  void Snapshot_NameWithLineEnd_IsRefused() {
+    for (const std::string& odd : LineEnds()) {
+      std::vector<UpstreamRecord> records(2);
+      records[0].id = UpstreamId("a" + odd);
+      records[1].group = GroupId("a" + odd);
+      for (const UpstreamRecord& record : records) {
+        SnapshotReply reply = MakeSnapshot();
+        reply.upstreams.records[record.id] = record;
+        SnapshotReply decoded;
+        CPPUNIT_ASSERT_THROW(FromJson(ToJson(reply), &decoded), Error);
+      }
+      SnapshotReply reply = MakeSnapshot();
+      reply.routes.routes["a"].group = GroupId("a" + odd);
+      SnapshotReply decoded;
+      CPPUNIT_ASSERT_THROW(FromJson(ToJson(reply), &decoded), Error);
+    }
+  }
+
  private:
+  static std::vector<std::string> LineEnds() {
+    return {"\r\nQUERY - RESET", "\n", "\r", std::string(1, '\0')};
+  }
+
   static SnapshotReply MakeTenants() {
     SnapshotReply reply = MakeSnapshot();
     reply.routes.version = 7;
