--- a/fireflycart/core/group_replies.cc
+++ b/fireflycart/core/group_replies.cc
@@ -96,7 +96,11 @@
       FinishAnswered(work);
       return;
     case RequestType::kCommit:
-      EndTransaction(work->request.transaction, TransactionEnd::kClean);
+      // If the key was stored already, nothing ran, so the transaction may
+      // still be open.
+      EndTransaction(work->request.transaction, reply.replayed
+                                                    ? TransactionEnd::kBroken
+                                                    : TransactionEnd::kClean);
       break;
     case RequestType::kStatement:
       if (IsRead(work->request) && work->answer.from_replica &&
@@ -121,11 +125,7 @@
                                           const UpstreamReply& reply) {
   switch (reply.code) {
     case UpstreamCode::kFailed:
-      work->answer.result = reply.result;
-      if (work->request.type == RequestType::kCommit) {
-        EndTransaction(work->request.transaction, TransactionEnd::kClean);
-      }
-      Finish(work->id, Outcome::kNotRun, Reason::kStatementFailed);
+      OnStatementFailed(work, reply);
       return;
     case UpstreamCode::kBusyKey:
       StartResolving(work);
@@ -143,6 +143,23 @@
   Requeue(work);
 }
 
+// A reply does not tell whether the upstream still has a transaction open, so
+// a connection on which its begin or end failed is closed, which rolls it back.
+void GroupCoordinator::OnStatementFailed(Work* work,
+                                         const UpstreamReply& reply) {
+  work->answer.result = reply.result;
+  RequestType type = work->request.type;
+  if (type == RequestType::kBegin) links_.Close(work->connection, context_);
+  if (type == RequestType::kCommit || type == RequestType::kRollback) {
+    EndTransaction(work->request.transaction, TransactionEnd::kBroken);
+  }
+  if (type == RequestType::kRollback) {
+    FinishAnswered(work);
+    return;
+  }
+  Finish(work->id, Outcome::kNotRun, Reason::kStatementFailed);
+}
+
 void GroupCoordinator::OnConnectionLost(const DataConnection& lost) {
   Work* work = FindWork(lost.work);
   if (work != nullptr) {
@@ -208,11 +225,15 @@
         IsRead(work->request) || work->request.type == RequestType::kBegin ||
         work->request.type == RequestType::kTransactionStatement;
     TransactionId transaction = work->request.transaction;
-    bool unanswered = work->state == WorkState::kRunning;
+    // A statement that the upstream has run would be kept by a COMMIT, although
+    // its caller is told that it did not run.
+    bool ends_transaction =
+        work->state == WorkState::kRunning ||
+        work->request.type == RequestType::kTransactionStatement;
     CloseUnansweredConnection(*work);
     Finish(id, is_discarded ? Outcome::kNotRun : Outcome::kUnknown,
            Reason::kDeadline);
-    if (unanswered) EndTransaction(transaction, TransactionEnd::kBroken);
+    if (ends_transaction) EndTransaction(transaction, TransactionEnd::kBroken);
   }
 }
 
