Group owner: a connection that lacks a shape is closed

What callers saw: after an upstream had answered NOSTMT in a transaction, the next EXEC on the same connection got NOSTMT again, so another transaction was aborted for nothing.

Cause: the transaction was rolled back and its connection returned to the pool, which still recorded the names that the upstream had just denied. The same held for NOSTMT to a statement that had timed out meanwhile: no work was left to close the connection.

Evidence: NoStatement_InTransaction_ConnectionIsClosed and NoStatement_AfterItsTimeout_ConnectionIsClosed failed before. They drive a GroupOwner in virtual time, with upstreams that the test answers for.

Now NOSTMT closes its connection in any case, which also rolls back.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -308,7 +308,8 @@
   }
   if (answer.outcome == Outcome::kReadOnly) next_status_ = context->now();
   transactions_[key].running = StatementNumber();
-  AbortTransaction(key, is_commit, context);
+  bool lacks_shape = answer.outcome == Outcome::kNoStatement;
+  AbortTransaction(key, is_commit || lacks_shape, context);
   Fail(work, outcome, "failed_in_transaction", context);
 }
 
--- a/fireflycart/core/proxy/group_owner.cc
+++ b/fireflycart/core/proxy/group_owner.cc
@@ -265,6 +265,9 @@
       OnSetUpAnswer(event.connection, command, event.answer, context);
     } else if (Work* work = FindWork(command.work)) {
       OnStatementAnswer(work, command, event.answer, context);
+    } else if (event.answer.outcome == Outcome::kNoStatement) {
+      // The statement has ended; the connection lacks names of others, too.
+      CloseAfter(event.connection, command, context);
     }
   }
   Reevaluate(context);
--- /dev/null
+++ b/fireflycart/core/proxy/testing/group_owner_test.cc
@@ -0,0 +1,251 @@
+// Tests of what the owner of a group answers for statements of transactions,
+// and of the connections that it keeps. The upstreams answer status requests
+// and the commands of the proxy itself at once; the test answers statements.
+
+#include "fireflycart/core/proxy/group_owner.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fireflycart::proxy {
+namespace {
+
+const UpstreamId kPrimary("up-a");
+const UpstreamId kReplica("up-b");
+constexpr uint64_t kTerm = 1;
+constexpr Duration kTimeout = Duration::Millis(1000);
+constexpr Duration kIdleLimit = Duration::Seconds(3);
+
+// A statement that was sent to an upstream.
+struct Sent {
+  ConnectionId connection;
+  UpstreamCommand command;
+};
+
+class GroupOwnerTest : public CppUnit::TestFixture,
+                       private StatementReplyHandler {
+  CPPUNIT_TEST_SUITE(GroupOwnerTest);
+  CPPUNIT_TEST(NoStatement_InTransaction_ConnectionIsClosed);
+  CPPUNIT_TEST(NoStatement_AfterItsTimeout_ConnectionIsClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    std::vector<UpstreamRecord> records;
+    for (const UpstreamId& id : {kPrimary, kReplica}) {
+      UpstreamRecord record;
+      record.id = id;
+      record.group = GroupId("ledger");
+      record.address = id.value();
+      record.slots = 4;
+      record.is_primary = id == kPrimary;
+      records.push_back(record);
+    }
+    Begin();
+    owner_.SetTransactionIdleTimeout(kIdleLimit);
+    owner_.SetUpstreams(records, &context_);
+    owner_.SetAssigned(true, &context_);
+    Run(Duration::Seconds(1));
+  }
+
+  void NoStatement_InTransaction_ConnectionIsClosed() {
+    Submit(Execute(), 1);
+    Answer(Outcome::kNoStatement, TransactionState::kFailed);
+    ExpectReply(Outcome::kAborted);
+    CPPUNIT_ASSERT(IsClosed(sent_.back().connection));
+  }
+
+  void NoStatement_AfterItsTimeout_ConnectionIsClosed() {
+    Submit(Execute(), 0);
+    Run(kTimeout + Duration::Millis(100));
+    ExpectReply(Outcome::kUnknown);
+    Answer(Outcome::kNoStatement, TransactionState::kNone);
+    CPPUNIT_ASSERT(IsClosed(sent_.back().connection));
+  }
+
+ private:
+  static StatementCall Read() {
+    StatementCall call;
+    call.access = Access::kRead;
+    call.text = "READ k";
+    return call;
+  }
+  static StatementCall Write(const std::string& text) {
+    StatementCall call;
+    call.access = Access::kWrite;
+    call.text = text;
+    return call;
+  }
+  static StatementCall Execute() {
+    StatementCall call = Write("k 1");
+    call.is_prepared = true;
+    call.prepared = PreparedShape{true, "q"};
+    return call;
+  }
+  static StatementCall Commit() {
+    StatementCall call;
+    call.access = Access::kCommit;
+    call.text = "COMMIT";
+    return call;
+  }
+
+  SessionKey Session() const {
+    return SessionKey{VmId("vm-1"), 1, SessionNumber(4)};
+  }
+
+  // Submits the statement, which opens the transaction if it is the first one
+  // with that number; 0: outside transactions.
+  void Submit(StatementCall call, uint64_t transaction) {
+    call.group = GroupId("ledger");
+    call.session = Session();
+    if (transaction != 0) {
+      call.transaction = TransactionKind::kReadWrite;
+      call.transaction_number = transaction;
+      call.opens_transaction =
+          opened_.insert(transaction).second && call.access != Access::kCommit;
+    }
+    call.id = StatementId("s" + std::to_string(++last_id_));
+    call.consistency = ReadConsistency::kBoundedStaleness;
+    call.max_age = Duration::Seconds(2);
+    call.time_left = kTimeout;
+    call.target_left = kTimeout;
+    Begin();
+    owner_.Submit(call, WorkOrigin(), &context_);
+    Run(Duration::Millis(10));
+  }
+
+  void End(uint64_t transaction) {
+    Begin();
+    owner_.EndTransaction(TransactionKey{Session(), transaction}, &context_);
+    Run(Duration::Millis(4));
+  }
+
+  void Answer(Outcome outcome, TransactionState state) {
+    AnswerTo(sent_.back(), outcome, state);
+  }
+
+  void AnswerTo(const Sent& sent, Outcome outcome, TransactionState state) {
+    UpstreamAnswer answer;
+    answer.outcome = outcome;
+    answer.state = state;
+    answer.signature = "sig";
+    answer.position = LogPosition{kTerm, 1};
+    Begin();
+    owner_.OnAnswered(UpstreamAnswered{sent.connection, answer}, &context_);
+    Run(Duration::Millis(4));
+  }
+
+  void ExpectReply(Outcome outcome) {
+    CPPUNIT_ASSERT(!replies_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string(OutcomeName(outcome)),
+                         std::string(OutcomeName(replies_.back().outcome)));
+  }
+
+  bool IsClosed(ConnectionId connection) const {
+    return upstream_of_.count(connection) == 0;
+  }
+
+  void Begin() { context_.Begin(now_, &effects_); }
+
+  void Run(Duration time) {
+    TimePoint end = now_ + time;
+    while (now_ < end) {
+      Perform();
+      now_ = now_ + Duration::Millis(1);
+      Begin();
+      owner_.SetListTime(now_);
+      owner_.OnWake(&context_);
+    }
+    Perform();
+  }
+
+  // Answers what the last events caused; the answers may cause more.
+  void Perform() {
+    while (!effects_.empty()) {
+      ProxyEffects effects;
+      effects.swap(effects_);
+      for (const ProxyEffect& effect : effects) {
+        if (const auto* open = std::get_if<OpenUpstream>(&effect)) {
+          upstream_of_[open->connection] = open->upstream;
+          Begin();
+          owner_.OnOpened(UpstreamOpened{open->connection, LogPosition()},
+                          &context_);
+        } else if (const auto* close = std::get_if<CloseUpstream>(&effect)) {
+          upstream_of_.erase(close->connection);
+        } else if (const auto* send = std::get_if<SendUpstream>(&effect)) {
+          for (const UpstreamCommand& command : send->commands) {
+            Execute(send->connection, command);
+          }
+        }
+      }
+    }
+  }
+
+  void Execute(ConnectionId connection, const UpstreamCommand& command) {
+    if (upstream_of_.count(connection) == 0) return;
+    UpstreamAnswer answer;
+    answer.position = LogPosition{kTerm, 1};
+    TransactionState& state = states_[connection];
+    switch (command.kind) {
+      case CommandKind::kVerbatim:
+      case CommandKind::kExecute:
+        sent_.push_back(Sent{connection, command});
+        return;
+      case CommandKind::kBegin:
+      case CommandKind::kBeginReadOnly:
+        state = TransactionState::kOpen;
+        break;
+      case CommandKind::kRollback:
+        state = TransactionState::kNone;
+        rollbacks_[connection]++;
+        break;
+      case CommandKind::kReset:
+      case CommandKind::kSetValue:
+      case CommandKind::kPrepare:
+        break;
+      default:
+        answer.has_status = true;
+        answer.status.is_primary = upstream_of_[connection] == kPrimary;
+        answer.status.term = kTerm;
+        answer.status.received = answer.position;
+    }
+    answer.state = state;
+    Begin();
+    owner_.OnAnswered(UpstreamAnswered{connection, answer}, &context_);
+  }
+
+  void OnStatementDone(const WorkOrigin& origin,
+                       StatementReply reply) override {
+    (void)origin;
+    replies_.push_back(std::move(reply));
+  }
+
+  static GroupSpec Spec() {
+    GroupSpec spec;
+    spec.id = GroupId("ledger");
+    spec.max_connections = 16;
+    return spec;
+  }
+
+  TimePoint now_ = TimePoint::FromMillis(1000);
+  ProxyContext context_{VmId("vm-0"), 1, 1};
+  ProxyEffects effects_;
+  GroupOwner owner_{Spec(), this};
+  std::map<ConnectionId, UpstreamId> upstream_of_;  // Open connections.
+  std::map<ConnectionId, TransactionState> states_;
+  std::map<ConnectionId, int> rollbacks_;
+  std::set<uint64_t> opened_;
+  std::vector<Sent> sent_;
+  std::vector<StatementReply> replies_;
+  int last_id_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupOwnerTest);
+
+}  // namespace
+}  // namespace fireflycart::proxy
