Forwarder: a write in a transaction whose call was lost is unknown

What callers saw: ABORTED, a promise that nothing is kept, for a write in a transaction whose owner stalled or was lost, though the write was committed. The first write of a transaction was sent to another owner instead, so it could be kept twice.

Cause: the call's loss was taken to mean that the transaction is rolled back. A stalled owner sends the write on when it resumes. If the upstream has ended the transaction by then, the write runs alone and is committed. The owner itself answers "unknown" for such a write already.

Evidence: Transaction_EndedWhileOwnerStalls_WriteIsNotRefused and Transaction_EndedAndOwnerKilled_WriteIsNotRefused failed before with "write was refused but took effect", as did Reply_CallOfTransactionsWriteBroken_ OutcomeIsUnknown and Reply_CallOfFirstWriteBroken_IsNotRepeated. That a first write is kept twice is by reading, no run showed it.

Now a write that was sent is unknown in a transaction, too, and is not sent again. Callers repeat the whole operation, since its COMMIT was not sent. Reads, and what was not sent, are answered as before.

--- a/fireflycart/core/proxy/forwarder.cc
+++ b/fireflycart/core/proxy/forwarder.cc
@@ -91,25 +91,21 @@
   bool in_transaction = call.transaction != TransactionKind::kNone;
   bool was_sent = error != PeerCallError::kNotSent;
   bool can_reroute = !in_transaction || call.opens_transaction;
-  bool is_safe_to_retry = !was_sent || call.access == Access::kRead ||
-                          (in_transaction && call.access == Access::kWrite);
   bool has_time = spent < call.time_left;
   int attempts = ++attempts_[open_call.session];
-  if (can_reroute && is_safe_to_retry && has_time && attempts < kMaxAttempts) {
+  bool may_have_effect = was_sent && call.access != Access::kRead;
+  bool may_retry = can_reroute && !may_have_effect && has_time;
+  if (may_retry && attempts < kMaxAttempts) {
     result.action = Action::kRetry;
     result.call = WithoutSpentTime(std::move(call), spent);
     return result;
   }
   result.action = Action::kAnswer;
   result.reply.detail = "owner " + open_call.vm.value() + " lost";
-  if (in_transaction && call.access != Access::kCommit) {
-    result.reply.outcome = Outcome::kAborted;
-  } else if (!was_sent) {
-    result.reply.outcome = in_transaction ? Outcome::kAborted : Outcome::kBusy;
-  } else if (call.access == Access::kRead) {
-    result.reply.outcome = Outcome::kBusy;
-  } else {
+  if (may_have_effect) {
     result.reply.outcome = Outcome::kUnknown;
+  } else {
+    result.reply.outcome = in_transaction ? Outcome::kAborted : Outcome::kBusy;
   }
   attempts_.erase(open_call.session);
   context->Log(LogLevel::kWarning, kPart, "owner_lost",
--- a/fireflycart/core/proxy/testing/forwarder_test.cc
+++ b/fireflycart/core/proxy/testing/forwarder_test.cc
@@ -15,6 +15,12 @@
   CPPUNIT_TEST_SUITE(ForwarderTest);
   CPPUNIT_TEST(Reply_Misdirected_IsRetriedAndVmIsNotLost);
   CPPUNIT_TEST(Reply_CallOfWriteBroken_OutcomeIsUnknownAndVmIsLost);
+  CPPUNIT_TEST(Reply_CallOfTransactionsWriteBroken_OutcomeIsUnknown);
+  CPPUNIT_TEST(Reply_CallOfTransactionsWriteNotSent_IsAborted);
+  CPPUNIT_TEST(Reply_CallOfTransactionsReadBroken_IsAborted);
+  CPPUNIT_TEST(Reply_CallOfFirstWriteBroken_IsNotRepeated);
+  CPPUNIT_TEST(Reply_CallOfFirstWriteNotSent_IsRepeated);
+  CPPUNIT_TEST(Reply_CallOfFirstReadBroken_IsRepeated);
   CPPUNIT_TEST(Reply_OfReaderThatDidNotServe_IsSentToOwner);
   CPPUNIT_TEST(Reply_CallOfReaderBroken_IsSentToOwner);
   CPPUNIT_TEST_SUITE_END();
@@ -48,6 +54,48 @@
     CPPUNIT_ASSERT(result.has_call_failed);
   }
 
+  // The upstream may have ended the transaction, so that the write ran alone.
+  void Reply_CallOfTransactionsWriteBroken_OutcomeIsUnknown() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kWrite, false, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kAnswer);
+    CPPUNIT_ASSERT(result.reply.outcome == Outcome::kUnknown);
+  }
+
+  void Reply_CallOfTransactionsWriteNotSent_IsAborted() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kWrite, false, PeerCallError::kNotSent);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kAnswer);
+    CPPUNIT_ASSERT(result.reply.outcome == Outcome::kAborted);
+  }
+
+  void Reply_CallOfTransactionsReadBroken_IsAborted() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kRead, false, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kAnswer);
+    CPPUNIT_ASSERT(result.reply.outcome == Outcome::kAborted);
+  }
+
+  // It would be written twice if it has run alone.
+  void Reply_CallOfFirstWriteBroken_IsNotRepeated() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kWrite, true, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kAnswer);
+    CPPUNIT_ASSERT(result.reply.outcome == Outcome::kUnknown);
+  }
+
+  void Reply_CallOfFirstWriteNotSent_IsRepeated() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kWrite, true, PeerCallError::kNotSent);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
+  }
+
+  void Reply_CallOfFirstReadBroken_IsRepeated() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kRead, true, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
+  }
+
   void Reply_OfReaderThatDidNotServe_IsSentToOwner() {
     SendToReader();
     context_.Begin(TimePoint::FromMillis(1030), &effects_);
@@ -73,6 +121,19 @@
   }
 
  private:
+  Forwarder::Result LoseCallInTransaction(Access access, bool opens,
+                                          PeerCallError error) {
+    StatementCall call;
+    call.transaction = TransactionKind::kReadWrite;
+    call.opens_transaction = opens;
+    call.access = access;
+    call.time_left = Duration::Millis(800);
+    forwarder_.Send(kSession, call, kOwner, "address", &context_);
+    call_ = std::get<CallPeer>(effects_.back()).call;
+    return forwarder_.OnReply(PeerReplied{call_, error, PeerReplyBody()},
+                              &context_);
+  }
+
   void SendToReader() {
     StatementCall call;
     call.access = Access::kRead;
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(Transaction_EndedByUpstream_RestOfItDoesNotRun);
   CPPUNIT_TEST(Transaction_EndedAndConnectionBroken_WriteIsNotRefused);
   CPPUNIT_TEST(Transaction_EndedAndAnswerLost_WriteIsNotRefused);
+  CPPUNIT_TEST(Transaction_EndedWhileOwnerStalls_WriteIsNotRefused);
+  CPPUNIT_TEST(Transaction_EndedAndOwnerKilled_WriteIsNotRefused);
   CPPUNIT_TEST(Statement_RefusedInUnexpectedState_IsRepeated);
   CPPUNIT_TEST(SetUp_RefusedForSeconds_ServiceResumes);
   CPPUNIT_TEST_SUITE_END();
@@ -122,6 +124,32 @@
     ExpectNothingUnasked();
   }
 
+  // The owner sends the write on when it goes on; by then the VM of its session
+  // has given the call up.
+  void Transaction_EndedWhileOwnerStalls_WriteIsNotRefused() {
+    for (int i = 0; i < 10; i++) {
+      world_->FreezeVm(OwnerIndex(), Duration::Millis(1400));
+      world_->Run(Duration::Millis(700));
+      world_->database().EndTransactions();
+      world_->Run(Duration::Millis(2300));
+    }
+    world_->Run(Duration::Seconds(4));
+    ExpectNothingUnasked();
+  }
+
+  void Transaction_EndedAndOwnerKilled_WriteIsNotRefused() {
+    for (int i = 0; i < 40; i++) {
+      int owner = OwnerIndex();
+      world_->database().EndTransactions();
+      world_->Run(Duration::Millis(2 + i % 4));
+      world_->KillVm(owner);
+      world_->Run(Duration::Millis(300));
+      world_->StartVm(owner);
+      world_->Run(Duration::Millis(1700));
+    }
+    ExpectNothingUnasked();
+  }
+
   void Statement_RefusedInUnexpectedState_IsRepeated() {
     world_->database().ReportFailedStates();
     for (int i = 0; i < 40; i++) {
@@ -146,6 +174,11 @@
   }
 
  private:
+  int OwnerIndex() const {
+    std::string owner = world_->owner().value();
+    return owner.empty() ? 0 : owner.back() - '0';
+  }
+
   void ExpectNothingLeft() {
     world_->PauseCallers(true);
     world_->Run(Duration::Seconds(4));
