Group owner: a write that runs while its transaction ends is unknown

What callers saw: at the exit of a VM, ABORTED for a write or COMMIT that the VM had sent to an upstream, though it may be kept. The owner answers the running statement of a transaction that is ended, before the session decides what is known of it.

Cause: AbortTransaction() took the running statement to be rolled back with its connection. A COMMIT may have been performed, and a write ran alone if the upstream had ended the transaction by itself.

Evidence: End_DuringWrite_OutcomeIsUnknown and End_DuringCommitOfWrites_OutcomeIsUnknown failed before with "aborted"; End_DuringRead_IsAborted holds the rest.

Now such a statement is unknown if it was sent and does not only read, as when its connection is lost.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -320,7 +320,10 @@
   Transaction transaction = found->second;
   transactions_.erase(found);
   if (Work* running = FindWork(transaction.running)) {
-    Fail(running, Outcome::kAborted, "transaction_ended", context);
+    bool may_be_kept = running->stage == WorkStage::kRunning &&
+                       !IsReadOnly(*running, transaction.has_written);
+    Fail(running, may_be_kept ? Outcome::kUnknown : Outcome::kAborted,
+         "transaction_ended", context);
   }
   PooledConnection* connection = pool_.Find(transaction.connection);
   if (connection == nullptr) return;
--- a/fireflycart/core/proxy/testing/group_owner_test.cc
+++ b/fireflycart/core/proxy/testing/group_owner_test.cc
@@ -32,6 +32,9 @@
   CPPUNIT_TEST_SUITE(GroupOwnerTest);
   CPPUNIT_TEST(NoStatement_InTransaction_ConnectionIsClosed);
   CPPUNIT_TEST(NoStatement_AfterItsTimeout_ConnectionIsClosed);
+  CPPUNIT_TEST(End_DuringWrite_OutcomeIsUnknown);
+  CPPUNIT_TEST(End_DuringRead_IsAborted);
+  CPPUNIT_TEST(End_DuringCommitOfWrites_OutcomeIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +71,29 @@
     CPPUNIT_ASSERT(IsClosed(sent_.back().connection));
   }
 
+  // The upstream may have ended the transaction by itself, so that the write
+  // runs alone.
+  void End_DuringWrite_OutcomeIsUnknown() {
+    Submit(Write("WRITE k 1"), 1);
+    End(1);
+    ExpectReply(Outcome::kUnknown);
+    CPPUNIT_ASSERT(IsClosed(sent_.back().connection));
+  }
+
+  void End_DuringRead_IsAborted() {
+    Submit(Read(), 1);
+    End(1);
+    ExpectReply(Outcome::kAborted);
+  }
+
+  void End_DuringCommitOfWrites_OutcomeIsUnknown() {
+    Submit(Write("WRITE k 1"), 1);
+    Answer(Outcome::kDone, TransactionState::kOpen);
+    Submit(Commit(), 1);
+    End(1);
+    ExpectReply(Outcome::kUnknown);
+  }
+
  private:
   static StatementCall Read() {
     StatementCall call;
