Group owner: a write that timed out outside its transaction is unknown

What callers saw: ABORTED for a write in a transaction that its upstream had ended by itself and then answered with TIMEOUT, though that write may be kept.

Cause: a failed write in a transaction was taken to be rolled back. TIMEOUT means that it ran, and the state in the answer (none) that it ran alone. Only answers of success were checked for the state.

Evidence: Write_TimedOutAtUpstreamOutsideTransaction_OutcomeIsUnknown failed before with "aborted"; Write_TimedOutAtUpstreamInTransaction_IsAborted holds the other case.

Now such a write is unknown, like a COMMIT without a result.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -301,7 +301,10 @@
       outcome == Outcome::kTimeout || outcome == Outcome::kUnknown;
   bool is_commit = work->call.access == Access::kCommit;
   bool has_written = transactions_[key].has_written;
-  if (is_commit && has_no_result && has_written) {
+  // Outside the transaction, a write ran alone.
+  bool may_be_kept = !IsReadOnly(*work, has_written) &&
+                     (is_commit || answer.state == TransactionState::kNone);
+  if (has_no_result && may_be_kept) {
     outcome = Outcome::kUnknown;
   } else if (outcome != Outcome::kFailed) {
     outcome = Outcome::kAborted;
--- a/fireflycart/core/proxy/testing/group_owner_test.cc
+++ b/fireflycart/core/proxy/testing/group_owner_test.cc
@@ -35,6 +35,8 @@
   CPPUNIT_TEST(End_DuringWrite_OutcomeIsUnknown);
   CPPUNIT_TEST(End_DuringRead_IsAborted);
   CPPUNIT_TEST(End_DuringCommitOfWrites_OutcomeIsUnknown);
+  CPPUNIT_TEST(Write_TimedOutAtUpstreamOutsideTransaction_OutcomeIsUnknown);
+  CPPUNIT_TEST(Write_TimedOutAtUpstreamInTransaction_IsAborted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +96,18 @@
     ExpectReply(Outcome::kUnknown);
   }
 
+  void Write_TimedOutAtUpstreamOutsideTransaction_OutcomeIsUnknown() {
+    Submit(Write("WRITE k 1"), 1);
+    Answer(Outcome::kTimeout, TransactionState::kNone);
+    ExpectReply(Outcome::kUnknown);
+  }
+
+  void Write_TimedOutAtUpstreamInTransaction_IsAborted() {
+    Submit(Write("WRITE k 1"), 1);
+    Answer(Outcome::kTimeout, TransactionState::kFailed);
+    ExpectReply(Outcome::kAborted);
+  }
+
  private:
   static StatementCall Read() {
     StatementCall call;
