Tests: to which transaction a statement belongs, and how often it ran

The simulated world now reports a statement that ran in another transaction than its own or out of the order in which it was sent, COMMIT included, and anything but a read or the first read of a transaction that ran more than once. A statement that is refused for lack of the lead is compared as before and does not count as run. session_unasked and all random tests have the check.

A transaction that nobody ends, since its owner stalled and the VM of its session gave it up, stays alone on its connection until the idle limit, and a first statement that was sent twice is committed only in the transaction that its session went on with (GroupOwnerTest, session_unasked).

--- a/fireflycart/core/proxy/testing/group_owner_test.cc
+++ b/fireflycart/core/proxy/testing/group_owner_test.cc
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(End_DuringCommitOfWrites_OutcomeIsUnknown);
   CPPUNIT_TEST(Write_TimedOutAtUpstreamOutsideTransaction_OutcomeIsUnknown);
   CPPUNIT_TEST(Write_TimedOutAtUpstreamInTransaction_IsAborted);
+  CPPUNIT_TEST(FirstStatement_SentTwice_CommitGoesToItsOwnTransaction);
+  CPPUNIT_TEST(Transaction_NeverEnded_IsRolledBackBeforeItsConnectionIsUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,6 +110,48 @@
     ExpectReply(Outcome::kAborted);
   }
 
+  // Its call broke, and the repeat counts as another transaction.
+  void FirstStatement_SentTwice_CommitGoesToItsOwnTransaction() {
+    Submit(Read(), 1);
+    Sent earlier = sent_.back();
+    Submit(Read(), 2);
+    Sent later = sent_.back();
+    CPPUNIT_ASSERT(earlier.connection != later.connection);
+    AnswerTo(earlier, Outcome::kDone, TransactionState::kOpen);
+    AnswerTo(later, Outcome::kDone, TransactionState::kOpen);
+    Submit(Write("WRITE k 1"), 2);
+    CPPUNIT_ASSERT_EQUAL(later.connection, sent_.back().connection);
+    Answer(Outcome::kDone, TransactionState::kOpen);
+    Submit(Commit(), 2);
+    CPPUNIT_ASSERT_EQUAL(later.connection, sent_.back().connection);
+    Answer(Outcome::kDone, TransactionState::kNone);
+    ExpectReply(Outcome::kDone);
+    Run(kIdleLimit + Duration::Millis(100));
+    CPPUNIT_ASSERT_EQUAL(1, rollbacks_[earlier.connection]);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, owner_.open_transactions());
+  }
+
+  // The VM of its session believes that it failed with its owner, so it sends
+  // no end of it.
+  void Transaction_NeverEnded_IsRolledBackBeforeItsConnectionIsUsed() {
+    Submit(Write("WRITE k 1"), 1);
+    ConnectionId left = sent_.back().connection;
+    Answer(Outcome::kDone, TransactionState::kOpen);
+    TimePoint limit = now_ + kIdleLimit + Duration::Millis(500);
+    while (rollbacks_[left] == 0) {
+      CPPUNIT_ASSERT(now_ < limit);
+      Submit(Read(), 0);
+      CPPUNIT_ASSERT(sent_.back().connection != left);
+      Answer(Outcome::kDone, TransactionState::kNone);
+      Submit(Commit(), 2);
+      ExpectReply(Outcome::kAborted);
+      Run(Duration::Millis(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, owner_.open_transactions());
+    Submit(Commit(), 1);
+    ExpectReply(Outcome::kAborted);
+  }
+
  private:
   static StatementCall Read() {
     StatementCall call;
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -240,21 +240,29 @@
   ran.values = connection->values;
   ran.in_transaction = in_transaction;
   ran.has_lost_transaction = connection->has_lost_transaction;
-  connection->has_lost_transaction = false;
-  observer_->OnRun(ran);
-  UpstreamAnswer answer;
+  ran.transaction = connection->transaction;
+  bool commits = text == "COMMIT";
+  bool writes = StartsWith(text, "WRITE ");
   bool lost_lead =
       in_transaction && !connection->is_read_only && !upstream.is_primary;
-  if (text == "COMMIT") {
-    std::vector<std::string> writes = std::move(connection->writes);
+  bool commits_nothing = commits && connection->writes.empty();
+  ran.is_refused =
+      (lost_lead && !commits_nothing) || (writes && !upstream.is_primary);
+  observer_->OnRun(ran);
+  if (connection->has_lost_transaction || commits) connection->transaction = 0;
+  connection->has_lost_transaction = false;
+  if (ran.is_refused) {
+    if (commits) connection->writes.clear();
+    return fail(Outcome::kReadOnly);
+  }
+  UpstreamAnswer answer;
+  if (commits) {
+    std::vector<std::string> committed = std::move(connection->writes);
     connection->writes.clear();
-    if (lost_lead && !writes.empty()) return fail(Outcome::kReadOnly);
     connection->state = TransactionState::kNone;
-    return Commit(connection, command, std::move(writes), now);
+    return Commit(connection, command, std::move(committed), now);
   }
-  if (lost_lead) return fail(Outcome::kReadOnly);
-  if (StartsWith(text, "WRITE ")) {
-    if (!upstream.is_primary) return fail(Outcome::kReadOnly);
+  if (writes) {
     if (!in_transaction) return Commit(connection, command, {text}, now);
     connection->writes.push_back(text);
   } else {
@@ -383,10 +391,12 @@
       connection->state = TransactionState::kOpen;
       connection->is_read_only = reads;
       connection->has_lost_transaction = false;
+      connection->transaction = ++last_transaction_;
       return answer;
     }
     case CommandKind::kRollback:
       connection->state = TransactionState::kNone;
+      connection->transaction = 0;
       connection->writes.clear();
       return answer;
     case CommandKind::kReset:
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -61,6 +61,10 @@
   // The upstream has ended the transaction of the connection since the last
   // statement, see DatabaseModel::EndTransactions().
   bool has_lost_transaction = false;
+  // Number that the group gave the open transaction, or the one that was ended;
+  // 0: none.
+  uint64_t transaction = 0;
+  bool is_refused = false;  // For lack of the lead, so that it did not run.
 };
 
 struct DatabaseOutput {
@@ -178,6 +182,7 @@
     proxy::TransactionState state = proxy::TransactionState::kNone;
     bool is_read_only = false;
     bool has_lost_transaction = false;
+    uint64_t transaction = 0;         // The open one or the one that was lost.
     std::vector<std::string> writes;  // Of the open transaction.
     std::deque<proxy::UpstreamCommand> commands;
     TimePoint ready_at;  // The first command is done then.
@@ -232,6 +237,7 @@
   };
   std::vector<Promotion> promotions_;
   std::vector<DatabaseOutput> opened_;
+  uint64_t last_transaction_ = 0;
   int answers_to_lose_ = 0;
   int answers_to_break_ = 0;
   int busy_answers_ = 0;
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -31,6 +31,16 @@
          statement.kind == StatementKind::kExecute;
 }
 
+// The VMs answer all other kinds.
+bool RunsAtUpstream(const CallerStatement& statement) {
+  return IsWrite(statement) || statement.kind == StatementKind::kRead ||
+         statement.kind == StatementKind::kCommit;
+}
+
+std::string NameOf(const RanStatement& ran) {
+  return ran.id.value() + " " + ran.text;
+}
+
 bool GuaranteesNoEffect(Outcome outcome) {
   switch (outcome) {
     case Outcome::kBusy:
@@ -167,9 +177,15 @@
     caller->prepared = statement.prepared;
   }
   expectation.in_transaction = caller->in_transaction;
+  if (caller->in_transaction && RunsAtUpstream(statement)) {
+    expectation.transaction = caller->transaction;
+    expectation.place = caller->sent_in_transaction++;
+  }
   if (statement.kind == StatementKind::kBegin ||
       statement.kind == StatementKind::kBeginReadOnly) {
     caller->in_transaction = true;
+    caller->transaction = ++last_transaction_;
+    caller->sent_in_transaction = 0;
   }
   TimePoint oldest = caller->consistency == ReadConsistency::kStrong
                          ? caller->started
@@ -321,7 +337,9 @@
     return;
   }
   const Expectation& expected = found->second;
-  const std::string name = ran.id.value() + " " + ran.text;
+  const std::string name = NameOf(ran);
+  CheckTransaction(ran, expected);
+  CountRun(ran, expected);
   if (expected.values != ran.values) {
     Report("unexpected session values in " + name);
   }
@@ -343,6 +361,33 @@
                                     : " ran outside its transaction"));
 }
 
+void SessionWorld::CheckTransaction(const RanStatement& ran,
+                                    const Expectation& expected) {
+  if (ran.transaction == 0) return;
+  RanTransaction& transaction = ran_transactions_[ran.transaction];
+  if (transaction.statements == 0) {
+    transaction.transaction = expected.transaction;
+  }
+  if (expected.transaction == 0 ||
+      expected.transaction != transaction.transaction) {
+    Report(NameOf(ran) + " ran in another transaction than its own");
+  } else if (expected.place != transaction.statements) {
+    Report(NameOf(ran) + " ran out of order in its transaction");
+  }
+  transaction.statements++;
+}
+
+// A read outside transactions, or as the first statement of one, may be
+// repeated: nothing was promised on the ground of its first run.
+void SessionWorld::CountRun(const RanStatement& ran,
+                            const Expectation& expected) {
+  if (ran.is_refused) return;
+  int runs = ++runs_[ran.id.value()];
+  bool may_repeat =
+      expected.sent.kind == StatementKind::kRead && expected.place == 0;
+  if (runs > 1 && !may_repeat) Report(NameOf(ran) + " ran more than once");
+}
+
 void SessionWorld::OnPromoted(const UpstreamId& upstream,
                               const std::vector<LogEntry>& log) {
   promotions_++;
--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(Transaction_EndedAndAnswerLost_WriteIsNotRefused);
   CPPUNIT_TEST(Transaction_EndedWhileOwnerStalls_WriteIsNotRefused);
   CPPUNIT_TEST(Transaction_EndedAndOwnerKilled_WriteIsNotRefused);
+  CPPUNIT_TEST(Transaction_GivenUpWhileOwnerStalls_IsEndedAlone);
   CPPUNIT_TEST(Statement_RefusedInUnexpectedState_IsRepeated);
   CPPUNIT_TEST(SetUp_RefusedForSeconds_ServiceResumes);
   CPPUNIT_TEST_SUITE_END();
@@ -150,6 +151,21 @@
     ExpectNothingUnasked();
   }
 
+  // The owner begins them when it goes on, and nobody ends them.
+  void Transaction_GivenUpWhileOwnerStalls_IsEndedAlone() {
+    int ended = 0;
+    for (int i = 0; i < 12; i++) {
+      world_->FreezeVm(OwnerIndex(), Duration::Millis(1400));
+      world_->Run(Duration::Millis(3000));
+      for (const std::string& line : world_->TakeLog()) {
+        if (line.find("idle_transaction_ended") != std::string::npos) ended++;
+      }
+    }
+    CPPUNIT_ASSERT(ended > 0);
+    ExpectNothingUnasked();
+    ExpectNothingLeft();
+  }
+
   void Statement_RefusedInUnexpectedState_IsRepeated() {
     world_->database().ReportFailedStates();
     for (int i = 0; i < 40; i++) {
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -193,6 +193,7 @@
  private:
   struct Vm;
   struct Caller;
+  struct Expectation;
   using Delivery = std::function<void()>;
   using Link = std::pair<std::string, std::string>;
 
@@ -275,6 +276,11 @@
   void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
               const std::vector<LogEntry>& log, size_t applied) override;
   void OnRun(const RanStatement& ran) override;
+  // Reports a statement in the transaction of another caller or another
+  // operation, or out of the order in which it was sent.
+  void CheckTransaction(const RanStatement& ran, const Expectation& expected);
+  // Reports what must not run a second time.
+  void CountRun(const RanStatement& ran, const Expectation& expected);
   void OnPromoted(const UpstreamId& upstream,
                   const std::vector<LogEntry>& log) override;
 
@@ -336,10 +342,21 @@
     proxy::CallerStatement sent;
     proxy::PreparedShape prepared;  // Of the statement that it executes.
     bool in_transaction = false;
+    uint64_t transaction = 0;  // Number of the caller's transaction; 0: none.
+    int place = 0;             // Among the statements that run in it.
+  };
+  // What an upstream has run in one transaction.
+  struct RanTransaction {
+    uint64_t transaction = 0;  // Number of the caller's transaction.
+    int statements = 0;
   };
   std::vector<Acknowledged> acknowledged_;
   std::set<std::string> refused_writes_;  // Guaranteed to have no effect.
   std::map<std::string, Expectation> expectations_;  // By statement id.
+  std::map<std::string, int> runs_;                  // By statement id.
+  // By the number that the upstreams gave the transaction.
+  std::map<uint64_t, RanTransaction> ran_transactions_;
+  uint64_t last_transaction_ = 0;  // Of callers.
   SessionCounts counts_;
   TimePoint last_write_;
   TimePoint last_read_;
--- a/fireflycart/standins/testing/session_world_parts.h
+++ b/fireflycart/standins/testing/session_world_parts.h
@@ -50,6 +50,8 @@
   std::map<std::string, std::string> acknowledged_values;
   proxy::PreparedShape prepared;  // Under the only name it uses.
   bool in_transaction = false;    // BEGIN was sent in this operation.
+  uint64_t transaction = 0;       // Number of the last transaction.
+  int sent_in_transaction = 0;    // Statements that run in it.
 };
 
 }  // namespace fireflycart::standins
