Upstream pool: a commit resets nothing in its transaction

What callers saw: BEGIN, WRITE, a SET that is refused, COMMIT: the upstream got RESET inside the transaction. One that refuses RESET there rolls back, so COMMIT was ABORTED; one that performs it would run COMMIT without values that it had acknowledged.

Cause: a refused SET takes the value away from the session, and what a connection has more than the session was reset before the next statement. Reads and writes are refused until the value is set again; COMMIT is not.

Evidence: Commit_LacksValueOfItsTransaction_NothingIsReset failed before with one reset. Commit_BehindNewValue_ValueIsSetBeforeIt held.

Now COMMIT runs with the values that its transaction ran with. The surplus is reset for the next statement on the connection, outside the transaction.

--- a/fireflycart/core/proxy/testing/group_owner_test.cc
+++ b/fireflycart/core/proxy/testing/group_owner_test.cc
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(Write_TimedOutAtUpstreamInTransaction_IsAborted);
   CPPUNIT_TEST(FirstStatement_SentTwice_CommitGoesToItsOwnTransaction);
   CPPUNIT_TEST(Transaction_NeverEnded_IsRolledBackBeforeItsConnectionIsUsed);
+  CPPUNIT_TEST(Commit_LacksValueOfItsTransaction_NothingIsReset);
+  CPPUNIT_TEST(Commit_BehindNewValue_ValueIsSetBeforeIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -152,6 +154,34 @@
     ExpectReply(Outcome::kAborted);
   }
 
+  // The session has dropped the value, since a later one was refused. The
+  // transaction ran with it, and so does its commit.
+  void Commit_LacksValueOfItsTransaction_NothingIsReset() {
+    StatementCall write = Write("WRITE k 1");
+    write.values["v"] = "1";
+    Submit(write, 1);
+    Answer(Outcome::kDone, TransactionState::kOpen);
+    Submit(Commit(), 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("COMMIT"), sent_.back().command.text);
+    CPPUNIT_ASSERT_EQUAL(0, resets_);
+    Answer(Outcome::kDone, TransactionState::kNone);
+    // The next statement on the connection does not have the value.
+    Submit(Write("WRITE k 2"), 0);
+    CPPUNIT_ASSERT_EQUAL(1, resets_);
+  }
+
+  void Commit_BehindNewValue_ValueIsSetBeforeIt() {
+    StatementCall write = Write("WRITE k 1");
+    write.values["v"] = "1";
+    Submit(write, 1);
+    Answer(Outcome::kDone, TransactionState::kOpen);
+    StatementCall commit = Commit();
+    commit.values["v"] = "2";
+    Submit(commit, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), values_[sent_.back().connection]);
+    CPPUNIT_ASSERT_EQUAL(0, resets_);
+  }
+
  private:
   static StatementCall Read() {
     StatementCall call;
@@ -289,7 +319,11 @@
         rollbacks_[connection]++;
         break;
       case CommandKind::kReset:
+        resets_++;
+        break;
       case CommandKind::kSetValue:
+        values_[connection] = command.arguments;
+        break;
       case CommandKind::kPrepare:
         break;
       default:
@@ -323,6 +357,8 @@
   std::map<ConnectionId, UpstreamId> upstream_of_;  // Open connections.
   std::map<ConnectionId, TransactionState> states_;
   std::map<ConnectionId, int> rollbacks_;
+  std::map<ConnectionId, std::string> values_;  // Of the only name.
+  int resets_ = 0;
   std::set<uint64_t> opened_;
   std::vector<Sent> sent_;
   std::vector<StatementReply> replies_;
--- a/fireflycart/core/proxy/upstream_pool.cc
+++ b/fireflycart/core/proxy/upstream_pool.cc
@@ -337,8 +337,11 @@
       call.is_prepared && connection->prepared.count(call.prepared) == 0;
   bool has_surplus = prepares && !connection->is_pinned &&
                      connection->prepared_bytes > kMaxPreparedBytes;
+  // A commit runs with the values that its transaction ran with.
+  bool keeps_values = connection->is_pinned && call.access == Access::kCommit;
   for (const auto& value : connection->values) {
-    if (call.values.count(value.first) == 0) has_surplus = true;
+    bool is_surplus = !keeps_values && call.values.count(value.first) == 0;
+    has_surplus = has_surplus || is_surplus;
   }
   if (has_surplus) {
     UpstreamCommand reset;
