--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -301,14 +301,18 @@
       outcome == Outcome::kTimeout || outcome == Outcome::kUnknown;
   bool is_commit = work->call.access == Access::kCommit;
   bool has_written = transactions_[key].has_written;
-  if (is_commit && has_no_result && has_written) {
+  // Outside the transaction, a write ran alone.
+  bool may_be_kept = !IsReadOnly(*work, has_written) &&
+                     (is_commit || answer.state == TransactionState::kNone);
+  if (has_no_result && may_be_kept) {
     outcome = Outcome::kUnknown;
   } else if (outcome != Outcome::kFailed) {
     outcome = Outcome::kAborted;
   }
   if (answer.outcome == Outcome::kReadOnly) next_status_ = context->now();
   transactions_[key].running = StatementNumber();
-  AbortTransaction(key, is_commit, context);
+  bool lacks_shape = answer.outcome == Outcome::kNoStatement;
+  AbortTransaction(key, is_commit || lacks_shape, context);
   Fail(work, outcome, "failed_in_transaction", context);
 }
 
@@ -319,7 +323,10 @@
   Transaction transaction = found->second;
   transactions_.erase(found);
   if (Work* running = FindWork(transaction.running)) {
-    Fail(running, Outcome::kAborted, "transaction_ended", context);
+    bool may_be_kept = running->stage == WorkStage::kRunning &&
+                       !IsReadOnly(*running, transaction.has_written);
+    Fail(running, may_be_kept ? Outcome::kUnknown : Outcome::kAborted,
+         "transaction_ended", context);
   }
   PooledConnection* connection = pool_.Find(transaction.connection);
   if (connection == nullptr) return;
