Soak: refused statements sent ahead, and whose transaction a COMMIT ends

What was missing: callers sent no malformed statements, and their shapes were not those of the record. The check did not compare to which transaction a COMMIT that ran belongs, nor how often a statement ran.

Callers now send malformed set-ups and other malformed texts in one write with what depends on them, outside, inside and in failed transactions, and draw the record's shapes. A statement that depends on a refused one must not be among what upstreams ran, and its write not kept. The stand-in numbers transactions and tells whether a statement was done: a transaction at an upstream is a beginning of one caller's transaction, in order, and all of it if it was committed; only its first statement may run in another one; a write outside transactions takes effect once. The stand-in reports a statement after it ran, no longer before.

--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -239,9 +239,25 @@
   ran.id = command.id;
   ran.values = connection->values;
   ran.in_transaction = in_transaction;
+  ran.transaction = in_transaction ? connection->transaction : 0;
   ran.has_lost_transaction = connection->has_lost_transaction;
   connection->has_lost_transaction = false;
+  UpstreamAnswer answer = RunText(connection, command, text, applied, now);
+  ran.is_done = answer.outcome == Outcome::kDone;
   observer_->OnRun(ran);
+  return answer;
+}
+
+UpstreamAnswer DatabaseModel::RunText(Connection* connection,
+                                      const UpstreamCommand& command,
+                                      const std::string& text, size_t applied,
+                                      TimePoint now) {
+  Upstream& upstream = upstreams_[connection->upstream];
+  bool in_transaction = connection->state != TransactionState::kNone;
+  auto fail = [&](Outcome outcome) {
+    if (in_transaction) connection->state = TransactionState::kFailed;
+    return Failed(outcome, connection->state);
+  };
   UpstreamAnswer answer;
   bool lost_lead =
       in_transaction && !connection->is_read_only && !upstream.is_primary;
@@ -262,7 +278,7 @@
     answer.rows = {ValueOf(*connection, upstream.log, applied, text)};
   }
   answer.signature = "sig." + command.id.value();
-  answer.position = position;
+  if (applied > 0) answer.position = upstream.log[applied - 1].position;
   return answer;
 }
 
@@ -381,6 +397,7 @@
         return Failed(Outcome::kBusy, connection->state);
       }
       connection->state = TransactionState::kOpen;
+      connection->transaction = ++last_transaction_;
       connection->is_read_only = reads;
       connection->has_lost_transaction = false;
       return answer;
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -58,6 +58,8 @@
   proxy::PreparedShape prepared;
   std::map<std::string, std::string> values;  // Of its connection.
   bool in_transaction = false;
+  uint64_t transaction = 0;  // Its number in the group; 0 outside.
+  bool is_done = false;      // Else it was refused.
   // The upstream has ended the transaction of the connection since the last
   // statement, see DatabaseModel::EndTransactions().
   bool has_lost_transaction = false;
@@ -77,6 +79,7 @@
   // A caller's read ran on this log, up to the applied length.
   virtual void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
                       const std::vector<LogEntry>& log, size_t applied) = 0;
+  // Told after its OnRead().
   virtual void OnRun(const RanStatement& statement) = 0;
   // An upstream took the lead with this log.
   virtual void OnPromoted(const UpstreamId& upstream,
@@ -176,6 +179,7 @@
     std::map<std::string, std::string> values;
     std::map<std::string, proxy::PreparedShape> prepared;
     proxy::TransactionState state = proxy::TransactionState::kNone;
+    uint64_t transaction = 0;  // Number of the last one.
     bool is_read_only = false;
     bool has_lost_transaction = false;
     std::vector<std::string> writes;  // Of the open transaction.
@@ -204,6 +208,11 @@
   proxy::UpstreamAnswer RunStatement(Connection* connection,
                                      const proxy::UpstreamCommand& command,
                                      TimePoint now);
+  // Runs a statement that was not refused at once, with this text.
+  proxy::UpstreamAnswer RunText(Connection* connection,
+                                const proxy::UpstreamCommand& command,
+                                const std::string& text, size_t applied,
+                                TimePoint now);
   // The state that a command needs, as a strict upstream checks it.
   bool MayRun(const Connection& connection,
               const proxy::UpstreamCommand& command) const;
@@ -240,6 +249,7 @@
   int rollbacks_to_refuse_ = 0;
   int behind_answers_ = 0;
   int slow_openings_ = 0;
+  uint64_t last_transaction_ = 0;
 };
 
 }  // namespace fireflycart::standins
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -185,13 +185,13 @@
             await self.prepare(session)
         elif kind < 0.63:
             await self.forget(session)
-        elif kind < 0.68:
+        elif kind < 0.71:
             await self.pipeline(session)
-        elif kind < 0.72:
+        elif kind < 0.75:
             await self.read_transaction(session, callers)
-        elif kind < 0.74:
+        elif kind < 0.77:
             await self.leave(session)
-        elif kind < 0.76:
+        elif kind < 0.79:
             await self.odd_read(session, self.random.choice(callers).item)
         else:
             await self.read(session, self.random.choice(callers).item, time.monotonic())
--- a/tools/soak/operations.py
+++ b/tools/soak/operations.py
@@ -1,15 +1,24 @@
 """Operations of callers with texts that are odd but legal, and in odd ways to send.
 
 Prepared statements have names that all callers share and shapes that hold blanks or
-look like keywords. Callers send whole transactions in one write, and leave in the
-middle of a line or with a statement unanswered.
+look like keywords. Callers send whole transactions in one write, with refused
+statements among them, and leave in the middle of a line or with a statement
+unanswered.
 """
 
 import asyncio
+import contextlib
 import time
 
-NAMES = ("s1", "s2", "w", "q")
-SHAPES = ("q", "q2c", "q 2c", "q  ", " q", "READ q", "q2c WRITE", "WRITE q x", "-")
+NAMES = ("s1", "s2", "q", "READ")
+SHAPES = ("q", "q2c", "q 2c", "q  ", " q", "READ q", "q2c WRITE", "WRITE q x", "-",
+          "q2e READ nztl", "q19 WRITE gy", "nztl READ q2e READ nztl")
+# Sent ahead of what depends on them. Most are malformed; the others are refused
+# in a failed transaction.
+SET_UPS = ("PREPARE {name} READ ", "PREPARE {name} READ", "PREPARE {name} ", "PREPARE",
+           "PREPARE {name} {shape}", "prepare {name} READ q", "SET {value}", "SET",
+           "SET {value} {number}", "set {value} 5", "FORGET", "FORGET {name} x",
+           "FORGET {name}", "BEGIN now", "BEGIN ", "READ", "WRITE", "EXEC {name}", "COMMIT ")
 
 
 class OddOperations:
@@ -35,7 +44,7 @@
     def names(session, mode):
         """Names of the session's prepared statements of this mode."""
         return [name for name, prepared in session.sender.names.items()
-                if prepared.startswith(f"{mode} ")]
+                if prepared and prepared.startswith(f"{mode} ")]
 
     async def prepare(self, session):
         """Prepares a statement, at times under a name that is in use."""
@@ -72,14 +81,26 @@
             raise ConnectionError("left on purpose")
         await self.query(session, end)
 
+    def set_up_text(self, session):
+        """A change of the session that is refused or not, or another refused text."""
+        name = self.random.choice(list(session.sender.names) or NAMES)
+        return self.random.choice(SET_UPS).format(
+            name=name, shape=session.sender.names.get(name) or "READ q",
+            value=self.random.choice("uvw"), number=next(self.ids))
+
     async def pipeline(self, session):
-        """Sends a whole transaction in one write.
+        """Sends a transaction, or a read and a write, in one write.
 
-        What is cut off is no cut at a stop: only the first statement was begun.
+        Refused statements may be among them. What is cut off is no cut at a stop:
+        only the first statement was begun.
         """
-        number, end = next(self.numbers), self.random.choice(["COMMIT", "COMMIT", "ROLLBACK"])
-        texts = ["BEGIN", self.read_text(session, self.item),
-                 self.write_text(session, number), end]
+        number = next(self.numbers)
+        end = self.random.choice(["COMMIT", "COMMIT", "COMMIT", "ROLLBACK", "", ""])
+        texts = [self.read_text(session, self.item), self.write_text(session, number)]
+        if end:
+            texts = ["BEGIN", *texts, end]
+        for _ in range(self.random.choice((0, 0, 1, 1, 2))):
+            texts.insert(self.random.randrange(len(texts)), self.set_up_text(session))
         queries = [(self.next_id(), text) for text in texts]
         session.send(queries)
         codes = []
@@ -92,20 +113,37 @@
                 except self.failed as error:
                     codes.append(error.code)
         except (OSError, asyncio.TimeoutError):
-            self.on_failed_write(number, end == "COMMIT", None)
+            self.on_failed_write(number, end != "ROLLBACK", None)
             raise
         if end == "ROLLBACK":
             self.history.refused.add((self.item, number))
         elif codes[-1] is not None:
             self.on_failed_write(number, True, codes[-1])
         else:
-            if any(codes):
+            if end and any(codes[texts.index("BEGIN"):]):
                 self.history.problems.append(
-                    f"caller {self.index}: a transaction was committed after {codes}")
+                    f"caller {self.index}: a transaction was committed after {codes}: {texts}")
             self.on_acknowledged_write(number)
+        await self.settle(session, texts, codes)
         if any(codes):
             raise self.failed(next(code for code in codes if code))
 
+    async def settle(self, session, texts, codes):
+        """Sets the values whose setting was refused, or leaves."""
+        if session.state != "I":
+            await self.query(session, "ROLLBACK")
+        values = session.sender.values
+        if "" in values:  # For ever.
+            with contextlib.suppress(self.failed):
+                await self.query(session, self.read_text(session, self.item))
+        if "" in values or (any(codes) and self.random.random() < 0.2):
+            raise ConnectionError("left after a refusal")
+        refused = {text.split(" ")[1] for text, code in zip(texts, codes)
+                   if code and text.startswith("SET ")}
+        for name in refused:
+            await self.set_up(session, f"SET {name} {next(self.ids)}")
+        self.values = dict(values)
+
     async def leave(self, session):
         """Leaves in the middle of a line, or with a statement unanswered."""
         in_transaction = self.random.random() < 0.5
