Tests: a group without a primary is a problem of its effects, no abort

SessionWorld::CheckEffects looked up the log of a primary that did not exist and aborted with map::at, without the log of the run. It reports the missing primary as a problem now, so the run fails as before, and prints its log.

--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -359,6 +359,10 @@
 }
 
 void SessionWorld::CheckEffects() {
+  if (primary() == UpstreamId()) {
+    Report("no primary, so acknowledged writes cannot be read");
+    return;
+  }
   std::map<std::string, int> effects = database_->Effects(primary());
   for (const auto& item : effects) {
     if (item.second > 1) Report("write ran more than once: " + item.first);
