Tests: random runs of the HTTP stack with refused BEGIN, COMMIT and ROLLBACK

No random run had an upstream that refuses the begin or the end of a transaction, nor a caller that commits what is left after a statement that did not run.

--- a/fireflycart/standins/testing/random_test.cc
+++ b/fireflycart/standins/testing/random_test.cc
@@ -28,6 +28,9 @@
 ABSL_FLAG(double, minutes, 0, "If positive, runs for as long instead.");
 ABSL_FLAG(int, seconds, 20, "Virtual length of the faults in each run.");
 ABSL_FLAG(bool, stop_at_failure, false, "Ends after the first failure.");
+ABSL_FLAG(bool, refusals, false,
+          "Upstreams refuse BEGIN, COMMIT and ROLLBACK at times, and callers "
+          "commit what is left after a statement that did not run.");
 ABSL_FLAG(int, trace, 80, "Events that a report of a failure shows.");
 
 namespace fireflycart {
@@ -305,6 +308,15 @@
              Step(session, id, all, left - 1);
              return;
            }
+           bool goes_on = absl::GetFlag(FLAGS_refusals) && !entries.empty() &&
+                          a != nullptr && a->outcome == Outcome::kNotRun &&
+                          world_.Random(2) == 0;
+           if (goes_on) {
+             BreakAll(history_.OnWriteAnswer(list, entry, Outcome::kNotRun,
+                                             world_.now()));
+             Step(session, id, entries, left - 1);
+             return;
+           }
            // Never committed, so nothing of it may be there.
            for (const std::string& e : all) {
              history_.OnWriteAnswer(list, e, Outcome::kNotRun, world_.now());
@@ -390,6 +402,10 @@
     Duration length =
         Duration::Millis(static_cast<int64_t>(20 + world_.Random(4000)));
     UpstreamFaults faults = model.faults(upstream);
+    if (absl::GetFlag(FLAGS_refusals) && world_.Random(2) == 0) {
+      RefuseSteps(&model, length);
+      return;
+    }
     switch (world_.Random(13)) {
       case 0:
         world_.Crash(node, world_.Random(2) == 0);
@@ -468,6 +484,20 @@
     });
   }
 
+  // Whichever upstream is primary.
+  void RefuseSteps(UpstreamGroupModel* model, Duration length) {
+    UpstreamId upstream = model->Primary();
+    UpstreamFaults faults = model->faults(upstream);
+    faults.refuses_begin = world_.Random(2) == 0;
+    faults.refuses_commit = world_.Random(2) == 0;
+    faults.refuses_rollback = world_.Random(2) == 0;
+    world_.Note("steps are refused at " + upstream.value());
+    model->SetFaults(upstream, faults);
+    world_.At(length, [model, upstream] {
+      model->SetFaults(upstream, UpstreamFaults());
+    });
+  }
+
   // Starts the node once its planned stop is over.
   void RestartAfterStop(int node, uint64_t life, Duration pause) {
     world_.At(pause, [this, node, life] {
