--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -197,8 +197,8 @@
             await self.read(session, self.random.choice(callers).item, time.monotonic())
 
     def next_id(self):
-        """A new id of a statement."""
-        return f"{self.index}-{next(self.ids)}"
+        """A new id of a statement, with the caller and the VM that it is sent to."""
+        return f"{self.index}@{self.vm}-{next(self.ids)}"
 
     async def query(self, session, text):
         """Runs a statement and checks that its answer is its own."""
