Group reader: a connection that lacks a shape is closed after a given-up read

What callers saw: after an upstream had answered NOSTMT to a read that its reader had given up, the next EXEC on that connection got NOSTMT again and went to the owner.

Cause: only the answer to a read that was still waited for closed the connection.

Evidence: NoStatement_AfterReadWasGivenUp_ConnectionIsClosed failed before; Read_AnsweredAfterItWasGivenUp_ConnectionIsKept holds that other answers keep it. They are the first unit tests of GroupReader.

--- a/fireflycart/core/proxy/group_reader.cc
+++ b/fireflycart/core/proxy/group_reader.cc
@@ -394,11 +394,12 @@
     bool is_fault =
         answer.outcome != Outcome::kBusy && answer.outcome != Outcome::kBehind;
     if (is_fault) OnFault(upstream, OutcomeName(answer.outcome), context);
-    bool lacks_shape = answer.outcome == Outcome::kNoStatement;
     Return(work, OutcomeName(answer.outcome), context);
-    if (lacks_shape) {
-      OnConnectionLost(pool_.Close(event.connection, context), context);
-    }
+  }
+  // Also if the read was given up: the connection lacks names of others, too.
+  bool lacks_shape = is_statement && answer.outcome == Outcome::kNoStatement;
+  if (lacks_shape && pool_.Find(event.connection) != nullptr) {
+    OnConnectionLost(pool_.Close(event.connection, context), context);
   }
   CloseUnused(context);
   Dispatch(context);
