--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -403,9 +403,25 @@
   }
 }
 
+// How many acknowledged writes the log of each running upstream lacks.
+std::string SessionWorld::MissingWrites() const {
+  std::string text;
+  for (const auto& item : records_) {
+    if (!database_->IsRunning(item.first)) continue;
+    std::map<std::string, int> effects = database_->Effects(item.first);
+    auto missing = std::count_if(
+        acknowledged_.begin(), acknowledged_.end(),
+        [&](const Acknowledged& ack) { return effects.count(ack.text) == 0; });
+    text += "; " + item.first.value() + " lacks " + std::to_string(missing) +
+            " of " + std::to_string(acknowledged_.size());
+  }
+  return text;
+}
+
 void SessionWorld::CheckEffects() {
   if (primary() == UpstreamId()) {
-    Report("no primary, so acknowledged writes cannot be read");
+    Report("no primary, so acknowledged writes cannot be read" +
+           MissingWrites());
     return;
   }
   std::map<std::string, int> effects = database_->Effects(primary());
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -215,6 +215,7 @@
     return mute_connections_.count(connection) != 0;
   }
   void Report(const std::string& problem);
+  std::string MissingWrites() const;
   DataCentreId DataCentre(size_t number) const;
   DataCentreId DataCentreOf(const std::string& name) const;
   void CountSent(const std::string& from, const std::string& to);
