Sessions: a COMMIT behind a write of unknown outcome is no promise

What callers saw: UNSURE for a write in a transaction whose answer was lost, and ABORTED for the COMMIT that they had sent behind it, or for any statement while the VM stopped.

Cause: a failed transaction was told ABORTED at its COMMIT whatever it failed by.

Now a transaction that failed by a write of unknown outcome ends as unknown.

Evidence: Commit_BehindUnknownWrite_IsNoPromise and Exit_StatementBehindUnknownWrite_IsNoPromise, found by the review, failed before and pass now.

--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -262,6 +262,7 @@
   if (!is_new) return;
   session->state = TransactionState::kFailed;
   session->is_begun = false;
+  session->has_unknown_write = false;
   session->is_aborted_by_stop = false;
 }
 
@@ -322,7 +323,8 @@
   bool ends_transaction = statement.kind == StatementKind::kRollback ||
                           statement.kind == StatementKind::kCommit;
   if (!session->is_aborted_by_stop || ends_transaction) return false;
-  Refuse(number, session, statement, Outcome::kAborted, kStopping, context);
+  Refuse(number, session, statement, OutcomeIfFailed(*session), kStopping,
+         context);
   return true;
 }
 
@@ -348,7 +350,7 @@
       if (session->state != TransactionState::kFailed) return false;
       session->state = TransactionState::kNone;
       session->transaction_kind = TransactionKind::kNone;
-      Refuse(number, session, statement, Outcome::kAborted,
+      Refuse(number, session, statement, OutcomeIfFailed(*session),
              "transaction has failed", context);
       return true;
     case StatementKind::kSetValue:
@@ -425,6 +427,7 @@
   session->transaction_number++;
   session->is_begun = false;
   session->has_written = false;
+  session->has_unknown_write = false;
   session->is_aborted_by_stop = false;
   Answer(number, session, CallerAnswer(), context);
 }
@@ -509,6 +512,10 @@
     session->transaction_kind = TransactionKind::kNone;
   } else if (in_transaction && !ok) {
     session->state = TransactionState::kFailed;
+    bool is_unknown = reply.outcome == Outcome::kUnknown ||
+                      reply.outcome == Outcome::kTimeout;
+    session->has_unknown_write =
+        is_unknown && session->access == Access::kWrite;
   }
   if (!ok) {
     context->Log(
@@ -650,6 +657,12 @@
                                                   : Outcome::kAborted;
 }
 
+// What a caller is told of a failed transaction. A write of unknown outcome may
+// be kept, which no promise may deny.
+Outcome SessionManager::OutcomeIfFailed(const Session& session) {
+  return session.has_unknown_write ? Outcome::kUnknown : Outcome::kAborted;
+}
+
 void SessionManager::LogUnanswered(TimePoint stop_requested,
                                    ProxyContext* context) const {
   for (const auto& item : sessions_) {
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -114,6 +114,7 @@
     uint64_t transaction_number = 0;  // Of the current or last one.
     bool is_begun = false;  // Its first statement was sent to the owner.
     bool has_written = false;
+    bool has_unknown_write = false;  // It failed by a write that may be kept.
     bool is_aborted_by_stop = false;
     Route route;           // Of the current transaction or statement.
     LogPosition position;  // Of the last commit.
@@ -142,6 +143,7 @@
   void AbortTransaction(SessionNumber number, Session* session,
                         ProxyContext* context);
   static Outcome OutcomeIfUnanswered(const Session& session);
+  static Outcome OutcomeIfFailed(const Session& session);
   void Refuse(SessionNumber number, Session* session,
               const CallerStatement& statement, Outcome outcome,
               const std::string& detail, ProxyContext* context);
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -69,6 +69,8 @@
   CPPUNIT_TEST(Prepare_TooLarge_FormerShapeDoesNotRun);
   CPPUNIT_TEST(Set_TooLargeInTransaction_TransactionFails);
   CPPUNIT_TEST(Exit_WriteInTransactionUnanswered_IsUnknown);
+  CPPUNIT_TEST(Commit_BehindUnknownWrite_IsNoPromise);
+  CPPUNIT_TEST(Exit_StatementBehindUnknownWrite_IsNoPromise);
   CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
   CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +197,26 @@
     }
   }
 
+  // The write may have run alone and be kept, which ABORTED denies.
+  void Commit_BehindUnknownWrite_IsNoPromise() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    StatementReply unknown;
+    unknown.outcome = Outcome::kUnknown;
+    sessions_.OnReply(kSession, unknown, &context_);
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) != Outcome::kAborted);
+  }
+
+  void Exit_StatementBehindUnknownWrite_IsNoPromise() {
+    StartSession();
+    Send(StatementKind::kBegin);
+    Send(StatementKind::kWrite);
+    sessions_.AnswerAll(&context_);
+    CPPUNIT_ASSERT(Send(StatementKind::kRead) != Outcome::kAborted);
+    CPPUNIT_ASSERT(Send(StatementKind::kCommit) != Outcome::kAborted);
+  }
+
   void Repeat_OfFirstStatement_OpensAnotherTransaction() {
     StartSession();
     Send(StatementKind::kBegin);
