Soak: nothing of a run is left when the next one begins

Cause: asyncio.wait_for() drops a cancellation that comes together with the result that it waits for (Python 3.11), and cancelled callers were not awaited. By reading also: faults were not cancelled when one of them failed, so that they could start daemons after Fleet.close(), and a daemon that did not end at its stop was replaced in the list of processes.

Now all tasks that a run begins are known, by a task factory; they are cancelled until they have ended, before the state is asked for and before the fleet closes.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -128,7 +128,6 @@
     faults = kind(fleet, history, draw)
     state = {"effects": {}, "dropped": {}, "promotions": 0}
     ran = []
-    tasks = []
     try:
         await fleet.start()
         tasks = [asyncio.create_task(caller.run(callers)) for caller in callers]
@@ -148,8 +147,7 @@
     except Exception as error:  # pylint: disable=broad-except
         # Also an error of this program, so that it fails this run and no other hangs.
         history.problems.append(str(error) or type(error).__name__)
-        for task in tasks:
-            task.cancel()
+        await fleet.tasks.end()
         with contextlib.suppress(RuntimeError):
             state, ran = await fleet.admin("state"), await fleet.admin("ran")
     finally:
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -56,11 +56,14 @@
         for direction in DIRECTIONS:
             self.gates[direction] = asyncio.Event()
             self.gates[direction].set()
-        self.server = await asyncio.start_server(self.carry, *self.address)
+        self.server = await asyncio.start_server(self.carry, *self.address,
+                                                 start_serving=False)
+        await self.server.start_serving()
 
     def close(self):
         """Ends the listener and all connections."""
-        self.server.close()
+        if self.server:
+            self.server.close()
         self.reset()
         self.heal()
         for connection in self.connections:
@@ -111,7 +114,7 @@
         """Carries one connection until a side ends it."""
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         connection = Connection(writer, far_writer)
