Soak: muted connections are ended with the run, not by the collector

Cause: a link stops to carry a connection that is muted when bytes come from both sides, and forgot it then with both sockets open, so that only the garbage collector ended them, after the loop.

Now the link keeps them, untouched, until the run ends.

--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -244,7 +244,7 @@
         self.is_closed = True
         await self.tasks.end()
         for link in self.made_links:
-            link.close()
+            link.end()
         for process in self.processes:
             if process.returncode is None:
                 os.kill(process.pid, signal.SIGKILL)
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -47,6 +47,7 @@
         self.target = target
         self.delay = 0.0
         self.connections = set()
+        self.silent = []  # Muted connections that are no longer carried.
         self.gates = {}
         self.severed = set()  # Numbers of daemons whose connections are held up.
         self.server = None
@@ -69,6 +70,12 @@
         for connection in self.connections:
             connection.gate.set()
 
+    def end(self):
+        """Ends everything, at the end of the run."""
+        self.close()
+        for connection in self.silent:
+            connection.abort()
+
     def reset(self):
         """Resets all connections."""
         for connection in list(self.connections):
@@ -122,6 +129,8 @@
         await asyncio.gather(self.pump(connection, reader, far_writer, "requests"),
                              self.pump(connection, far_reader, writer, "answers"))
         self.connections.discard(connection)
+        if connection.is_muted:  # Its sides do not learn that it is carried no more.
+            self.silent.append(connection)
 
     def identify(self, connection, data):
         """Notes the daemon that opened the connection."""
--- a/tools/soak_run_test.py
+++ b/tools/soak_run_test.py
@@ -1,12 +1,14 @@
 """The soak's runs: nothing of one is left when the next one begins."""
 
 import asyncio
+import contextlib
 import os
 import socket
 import tempfile
 import unittest
 
 from soak.fleet import PORTS, Fleet
+from soak.links import Link
 from soak.tasks import RunTasks
 
 NUMBER = 60  # Of the network 127.70, which no soak uses by default.
@@ -110,6 +112,36 @@
                 await wait(0)
         await fleet.close()
 
+    async def test_muted_connection(self):
+        """A connection that was muted is silent and open until the run ends."""
+        async def echo(reader, writer):
+            with contextlib.suppress(OSError), contextlib.closing(writer):
+                while data := await reader.read(100):
+                    writer.write(data)
+        address = (f"127.{10 + NUMBER}.0.2", 7001)
+        target = (f"127.{10 + NUMBER}.0.1", 7001)
+        server = await asyncio.start_server(echo, *target)
+        link = Link(address, target)
+        await link.open()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"x")
+        await reader.read(1)
+        carried = next(iter(link.connections))
+        writer.write(b"y")
+        link.mute()
+        carried.writers[1].write(b"z")
+        await asyncio.sleep(0.1)
+        self.assertFalse(link.connections)
+        link.close()
+        await asyncio.sleep(0.01)
+        self.assertFalse(reader.at_eof())
+        self.assertFalse(any(w.transport.is_closing() for w in carried.writers))
+        link.end()
+        self.assertTrue(all(w.transport.is_closing() for w in carried.writers))
+        writer.close()
+        server.close()
+        await asyncio.sleep(0.01)
+
 
 if __name__ == "__main__":
     unittest.main()
