--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -47,6 +47,7 @@
         self.target = target
         self.delay = 0.0
         self.connections = set()
+        self.silent = []  # Muted connections that are no longer carried.
         self.gates = {}
         self.severed = set()  # Numbers of daemons whose connections are held up.
         self.server = None
@@ -56,16 +57,25 @@
         for direction in DIRECTIONS:
             self.gates[direction] = asyncio.Event()
             self.gates[direction].set()
-        self.server = await asyncio.start_server(self.carry, *self.address)
+        self.server = await asyncio.start_server(self.carry, *self.address,
+                                                 start_serving=False)
+        await self.server.start_serving()
 
     def close(self):
         """Ends the listener and all connections."""
-        self.server.close()
+        if self.server:
+            self.server.close()
         self.reset()
         self.heal()
         for connection in self.connections:
             connection.gate.set()
 
+    def end(self):
+        """Ends everything, at the end of the run."""
+        self.close()
+        for connection in self.silent:
+            connection.abort()
+
     def reset(self):
         """Resets all connections."""
         for connection in list(self.connections):
@@ -111,7 +121,7 @@
         """Carries one connection until a side ends it."""
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         connection = Connection(writer, far_writer)
@@ -119,6 +129,8 @@
         await asyncio.gather(self.pump(connection, reader, far_writer, "requests"),
                              self.pump(connection, far_reader, writer, "answers"))
         self.connections.discard(connection)
+        if connection.is_muted:  # Its sides do not learn that it is carried no more.
+            self.silent.append(connection)
 
     def identify(self, connection, data):
         """Notes the daemon that opened the connection."""
