--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -197,6 +197,28 @@
     }
   }
 
+  void Ended_WithRefusedNames_WhatTheyTookIsFree() {
+    constexpr size_t kLarge = kStateLimit / 2;
+    // With others, a fair share is less than the session keeps.
+    StartSession();
+    for (uint64_t other = 100; other < 103; other++) {
+      sessions_.OnStarted(SessionNumber(other), kDatabase, KeyDigest(),
+                          &context_);
+    }
+    for (int i = 0; i < 10; i++) {
+      StartSession();
+      CPPUNIT_ASSERT(SendSet(std::string(kLarge, 'v')) == Outcome::kDone);
+      CPPUNIT_ASSERT(SendSet(kTooLarge) == Outcome::kBusy);
+      CallerStatement set;
+      set.meant = StatementKind::kSetValue;
+      set.name = std::string(kLarge / 2, 'n');
+      CPPUNIT_ASSERT(SendStatement(set) == Outcome::kBadRequest);
+      CPPUNIT_ASSERT(SendPrepare("q") == Outcome::kDone);
+      CPPUNIT_ASSERT(SendPrepare(kTooLarge) == Outcome::kBusy);
+      sessions_.OnEnded(kSession, &context_);
+    }
+  }
+
   // The write may have run alone and be kept, which ABORTED denies.
   void Commit_BehindUnknownWrite_IsNoPromise() {
     StartSession();
