--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -220,7 +220,7 @@
   context->Log(LogLevel::kInfo, kPart, "statement_refused",
                {{"id", session->statement.value()},
                 {"database", session->database},
-                {"kind", StatementKindName(statement.kind)},
+                {"kind", StatementKindName(statement.intended_kind())},
                 {"outcome", OutcomeName(outcome)},
                 {"detail", detail},
                 {"routes_version", std::to_string(router_->routes().version)}});
@@ -261,9 +261,7 @@
                 session->state == TransactionState::kNone;
   if (!is_new) return;
   session->state = TransactionState::kFailed;
-  session->is_begun = false;
   session->has_unknown_write = false;
-  session->is_aborted_by_stop = false;
 }
 
 void SessionManager::OnStatement(SessionNumber number,
--- a/fireflycart/core/proxy/session_manager.h
+++ b/fireflycart/core/proxy/session_manager.h
@@ -11,9 +11,9 @@
 //
 // A caller may send statements without waiting for answers. So what depends on
 // a refused statement is refused as well: behind a BEGIN, and in a transaction,
-// all up to the end of the transaction; behind a SET, all until the value is
-// set; behind a PREPARE or FORGET, the execution of that name until it is
-// prepared.
+// all up to the end of the transaction; behind a SET, reads, writes and
+// executions until the value is set; behind a PREPARE or FORGET, the execution
+// of that name until it is prepared.
 //
 // Every statement that was accepted is answered, also by a VM that stops.
 //
