Forwarder: the commit of a transaction without statements is sent again

What callers saw: UNSURE for a COMMIT right behind BEGIN whose owner was lost, though there was nothing to commit. It is no promise, so its caller may not repeat the operation.

Evidence: Reply_CallOfEmptyTransactionsCommitBroken_IsRepeated failed before.

--- a/fireflycart/core/proxy/forwarder.cc
+++ b/fireflycart/core/proxy/forwarder.cc
@@ -93,7 +93,10 @@
   bool can_reroute = !in_transaction || call.opens_transaction;
   bool has_time = spent < call.time_left;
   int attempts = ++attempts_[open_call.session];
-  bool may_have_effect = was_sent && call.access != Access::kRead;
+  bool has_no_effect =
+      call.access == Access::kRead ||
+      (call.access == Access::kCommit && call.opens_transaction);
+  bool may_have_effect = was_sent && !has_no_effect;
   bool may_retry = can_reroute && !may_have_effect && has_time;
   if (may_retry && attempts < kMaxAttempts) {
     result.action = Action::kRetry;
--- a/fireflycart/core/proxy/forwarder.h
+++ b/fireflycart/core/proxy/forwarder.h
@@ -5,8 +5,9 @@
 //
 // The result of a lost call depends on the statement: a read, or a statement
 // that was never sent, is sent to another VM, if it may begin its transaction
-// again; otherwise it has no effect, and neither has its transaction. A write
-// or commit that was sent has an unknown outcome, a write in a transaction too:
+// again; otherwise it has no effect, and neither has its transaction. The same
+// holds for the commit of a transaction without statements. A write or another
+// commit that was sent has an unknown outcome, a write in a transaction too:
 // it ran alone if the upstream had ended the transaction by itself.
 //
 // Limits: one open statement for each session.
--- a/fireflycart/core/proxy/testing/forwarder_test.cc
+++ b/fireflycart/core/proxy/testing/forwarder_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(Reply_CallOfFirstWriteBroken_IsNotRepeated);
   CPPUNIT_TEST(Reply_CallOfFirstWriteNotSent_IsRepeated);
   CPPUNIT_TEST(Reply_CallOfFirstReadBroken_IsRepeated);
+  CPPUNIT_TEST(Reply_CallOfEmptyTransactionsCommitBroken_IsRepeated);
   CPPUNIT_TEST(Reply_OfReaderThatDidNotServe_IsSentToOwner);
   CPPUNIT_TEST(Reply_CallOfReaderBroken_IsSentToOwner);
   CPPUNIT_TEST_SUITE_END();
@@ -96,6 +97,17 @@
     CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
   }
 
+  // There is nothing that it could have committed.
+  void Reply_CallOfEmptyTransactionsCommitBroken_IsRepeated() {
+    Forwarder::Result result =
+        LoseCallInTransaction(Access::kCommit, true, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kRetry);
+    result =
+        LoseCallInTransaction(Access::kCommit, false, PeerCallError::kBroken);
+    CPPUNIT_ASSERT(result.action == Forwarder::Action::kAnswer);
+    CPPUNIT_ASSERT(result.reply.outcome == Outcome::kUnknown);
+  }
+
   void Reply_OfReaderThatDidNotServe_IsSentToOwner() {
     SendToReader();
     context_.Begin(TimePoint::FromMillis(1030), &effects_);
--- a/fireflycart/core/proxy/testing/session_manager_test.cc
+++ b/fireflycart/core/proxy/testing/session_manager_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(Prepare_TooLarge_FormerShapeDoesNotRun);
   CPPUNIT_TEST(Set_TooLargeInTransaction_TransactionFails);
   CPPUNIT_TEST(Exit_WriteInTransactionUnanswered_IsUnknown);
+  CPPUNIT_TEST(Ended_WithRefusedNames_WhatTheyTookIsFree);
   CPPUNIT_TEST(Commit_BehindUnknownWrite_IsNoPromise);
   CPPUNIT_TEST(Exit_StatementBehindUnknownWrite_IsNoPromise);
   CPPUNIT_TEST(Repeat_OfFirstStatement_OpensAnotherTransaction);
@@ -95,18 +96,28 @@
   }
 
   void Begin_Malformed_StatementsBehindItAreNotRun() {
-    StartSession();
-    CPPUNIT_ASSERT(SendMalformedBegin() == Outcome::kBadRequest);
-    ExpectNothingRunsUntilTheEnd();
+    for (StatementKind kind :
+         {StatementKind::kBegin, StatementKind::kBeginReadOnly}) {
+      router_.calls.clear();
+      StartSession();
+      CPPUNIT_ASSERT(SendMalformedBegin(kind) == Outcome::kBadRequest);
+      ExpectNothingRunsUntilTheEnd();
+      sessions_.OnEnded(kSession, &context_);
+    }
   }
 
   // The route is back before the statements that were sent behind.
   void Begin_WithoutRoute_StatementsBehindItAreNotRun() {
-    StartSession();
-    router_.RemoveRoute();
-    CPPUNIT_ASSERT(Send(StatementKind::kBegin) == Outcome::kNoDatabase);
-    router_.AddRoute();
-    ExpectNothingRunsUntilTheEnd();
+    for (StatementKind kind :
+         {StatementKind::kBegin, StatementKind::kBeginReadOnly}) {
+      router_.calls.clear();
+      StartSession();
+      router_.RemoveRoute();
+      CPPUNIT_ASSERT(Send(kind) == Outcome::kNoDatabase);
+      router_.AddRoute();
+      ExpectNothingRunsUntilTheEnd();
+      sessions_.OnEnded(kSession, &context_);
+    }
   }
 
   // The caller takes the earlier transaction for ended.
@@ -301,10 +312,10 @@
     return SendStatement(prepare);
   }
 
-  Outcome SendMalformedBegin() {
+  Outcome SendMalformedBegin(StatementKind meant = StatementKind::kBegin) {
     CallerStatement begin;
     begin.id = StatementId("s1");
-    begin.meant = StatementKind::kBegin;
+    begin.meant = meant;
     return SendStatement(begin);
   }
 
