--- a/fireflycart/core/proxy/session_manager.cc
+++ b/fireflycart/core/proxy/session_manager.cc
@@ -296,8 +296,10 @@
   bool only_ends =
       ends_transaction && (session->state == TransactionState::kFailed ||
                            statement.kind == StatementKind::kRollback);
-  if (!only_ends && RefuseUnauthenticated(number, session, statement, context))
+  if (!only_ends &&
+      RefuseUnauthenticated(number, session, statement, context)) {
     return;
+  }
   bool needs_values = statement.kind == StatementKind::kRead ||
                       statement.kind == StatementKind::kWrite ||
                       statement.kind == StatementKind::kExecute;
@@ -452,8 +454,9 @@
                              const CallerStatement& statement,
                              ProxyContext* context) {
   bool in_transaction = session->state != TransactionState::kNone;
-  if (!in_transaction && !FindRoute(number, session, statement, context))
+  if (!in_transaction && !FindRoute(number, session, statement, context)) {
     return;
+  }
   const Route& route = session->route;
   StatementCall call;
   call.group = route.group;
