--- a/fireflycart/standins/testing/session_unasked_test.cc
+++ b/fireflycart/standins/testing/session_unasked_test.cc
@@ -151,7 +151,7 @@
     ExpectNothingUnasked();
   }
 
-  // The owner begins them when it goes on, and nobody ends them.
+  // The owner begins them when it resumes, and their callers do not end them.
   void Transaction_GivenUpWhileOwnerStalls_IsEndedAlone() {
     int ended = 0;
     for (int i = 0; i < 12; i++) {
