Commits: one that waits for no replica is passed on only if its primary leads

Cause: each function that keeps back a commit began with "sync_replicas == 0: true". That answers whether an acknowledged commit may be lost with its primary, which such a service accepts. Whether the primary may still acknowledge is another question: with synchronous replicas, holds on the replicas stop an old primary, without them nothing does.

Change: such a commit is passed on once replicas show, by statuses requested after the acknowledgement, or two of them by statuses at most 100 ms older, that no promotion had taken effect; and, when this VM has ordered the promotion, once the successor has received the commit. A commit that is not confirmed has an unknown outcome. Writes are sent only while a replica that is not held could confirm them. That holds for VMs that have no part in the change, too: the VM that promotes holds the replicas by which they confirm. No gate of services with synchronous replicas is changed.

The other way, to stop writes at the old primary until the successor leads, was not built: it would hold writes for the time of a promotion, 0.6 to 1 s; the old primary serves until its successor leads, as with one replica.

--- a/fireflycart/core/proxy/group_answers.cc
+++ b/fireflycart/core/proxy/group_answers.cc
@@ -197,9 +197,18 @@
 
 void GroupOwner::OnCommitted(Work* work, const UpstreamAnswer& answer,
                              ProxyContext* context) {
-  if (!failover_.IsCommitKept(answer.position, pool_, context)) {
+  work->acknowledged = context->instant();
+  bool is_replicated = spec_.sync_replicas > 0;
+  // In a planned change, the successor may receive an unreplicated commit yet.
+  bool may_be_late = is_replicated || !failover_.is_planned();
+  if (may_be_late && !failover_.IsCommitKept(answer.position, pool_, context)) {
     Fail(work, Outcome::kUnknown, "acknowledged_by_replaced_primary", context);
-  } else if (IsSteady(*work, context) || IsKept(answer.position, context)) {
+    return;
+  }
+  bool is_confirmed = is_replicated ? IsSteady(*work, context) ||
+                                          IsKept(answer.position, context)
+                                    : IsCommittedByLeader(*work, context);
+  if (is_confirmed) {
     PassOnCommit(work, context);
   } else {
     AwaitReplica(work, context);
--- a/fireflycart/core/proxy/group_commits.cc
+++ b/fireflycart/core/proxy/group_commits.cc
@@ -10,6 +10,13 @@
 // it may not know who leaves, need all replicas. In a planned change by this
 // VM, whose lease excludes other failovers, the successor suffices.
 //
+// A commit of a service without synchronous replicas may be lost with its
+// primary, but not acknowledged by one that has been replaced: the old primary
+// goes on committing until it learns of its successor. So such a commit is
+// passed on once replicas show, by statuses that were requested after the
+// acknowledgement or shortly before it, that no promotion had taken effect.
+// When this VM has ordered a promotion, only the log of the successor shows it.
+//
 // In a steady group, every replica is lasting and one has just shown that it
 // receives the log, so no status is requested. Otherwise the status of a
 // replica is requested after the acknowledgement. A commit that no replica
@@ -76,7 +83,6 @@
 // True if a failover of another VM cannot have begun when the commit was
 // acknowledged.
 bool GroupOwner::IsSteady(const Work& work, ProxyContext* context) const {
-  if (spec_.sync_replicas == 0) return true;
   // The holds of this VM exclude others.
   if (failover_.leaves_out_silent()) return false;
   if (failover_.is_promoting() && failover_.IsChangeExclusive(context->now())) {
@@ -103,6 +109,40 @@
   return is_receiving;
 }
 
+// A failover leaves out no replica that answers and has an entry, and a service
+// without synchronous replicas has no commit set. So every failover of another
+// VM holds the replicas that this one knows, if its list is not too old: an
+// entry is missing for kUnregisteredTimeout before it is passed over.
+bool GroupOwner::IsCommittedByLeader(const Work& work,
+                                     ProxyContext* context) const {
+  if (failover_.is_promoting()) {
+    auto successor = pool_.upstreams().find(failover_.successor());
+    return successor != pool_.upstreams().end() &&
+           HasReceived(successor->second, work.reply.position);
+  }
+  bool knows_replicas =
+      pool_.IsListTrusted(context->now()) ||
+      pool_.ListAge(context->now()) <= Failover::kMaxUntrustedListAge;
+  TimePoint oldest =
+      work.acknowledged.time - LeadershipTracker::kMinPromotionDelay;
+  return knows_replicas &&
+         (leadership_.IsUnchallengedSince(oldest) ||
+          leadership_.IsConfirmedSince(work.acknowledged.sequence));
+}
+
+// True if a replica would confirm the primary now, or if there is none.
+bool GroupOwner::CanConfirmLeader(ProxyContext* context) const {
+  bool has_replica = false;
+  for (const auto& item : pool_.upstreams()) {
+    bool is_replica =
+        item.first != primary_ && !pool_.HasEnded(item.second, context->now());
+    if (!is_replica) continue;
+    if (IsReceiving(item.second)) return true;
+    has_replica = true;
+  }
+  return !has_replica;
+}
+
 bool GroupOwner::IsKept(LogPosition position, ProxyContext* context) const {
   bool counts_single =
       pool_.IsListTrusted(context->now()) && CountsSingleReplicas(context);
@@ -145,7 +185,7 @@
 
 // True if commits that are sent now can be confirmed, as far as is known.
 bool GroupOwner::CanKeepCommits(ProxyContext* context) const {
-  if (spec_.sync_replicas == 0) return true;
+  if (spec_.sync_replicas == 0) return CanConfirmLeader(context);
   if (failover_.is_active() && failover_.is_planned()) return true;
   bool counts_single =
       pool_.IsListTrusted(context->now()) && CountsSingleReplicas(context);
@@ -215,7 +255,10 @@
   }
   evidence_requested_at_ = context->now();
   context->WakeAt(context->now() + interval);
-  // One lasting replica of the commit set is asked first, then all.
+  // Lasting replicas of the commit set are asked first, then all. One shows
+  // that it has a commit, two that no promotion was requested for a while.
+  size_t wanted = spec_.sync_replicas == 0 ? 2 : 1;
+  size_t asked = 0;
   const PooledUpstream* primary = pool_.FindUpstream(primary_);
   uint64_t term = primary == nullptr ? 0 : primary->status.term;
   UpstreamCommand status;
@@ -225,9 +268,11 @@
                          !item.second.status.is_primary &&
                          pool_.IsLasting(item.second, context->now()) &&
                          IsInCommitSet(item.second, term);
-      if (may_confirm && pool_.SendControl(item.first, status, context)) return;
+      if (!may_confirm || asked >= wanted) continue;
+      if (pool_.SendControl(item.first, status, context)) asked++;
     }
   }
+  if (asked > 0) return;
   for (const auto& item : pool_.upstreams()) {
     if (item.first != primary_) pool_.SendControl(item.first, status, context);
   }
@@ -241,7 +286,9 @@
   for (StatementNumber number : waiting) {
     const Work* work = FindWork(number);
     if (work == nullptr) continue;
-    bool is_kept = IsKept(work->reply.position, context);
+    bool is_kept = spec_.sync_replicas == 0
+                       ? IsCommittedByLeader(*work, context)
+                       : IsKept(work->reply.position, context);
     (is_kept ? kept : unconfirmed_).push_back(number);
   }
   for (StatementNumber number : kept) {
--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -29,9 +29,6 @@
 
 // A replica's position older than this does not indicate its current one.
 constexpr Duration kAppliedPositionMaxAge = Duration::Millis(20);
-// A promotion takes effect at least this long after its request: the platform
-// promotes some hundred milliseconds later.
-constexpr Duration kMinPromotionDelay = Duration::Millis(100);
 // A write does not need a confirmation to be correct. Without a recent one its
 // commit would probably wait for a replica that does not acknowledge it.
 constexpr Duration kMaxWriteConfirmationAge = Duration::Millis(600);
@@ -178,7 +175,9 @@
 
 // The maximum age of the last leadership confirmation when the work arrives.
 Duration GroupOwner::MaxConfirmationAge(const Work& work) {
-  if (NeedsUnchallengedPrimary(work)) return kMinPromotionDelay;
+  if (NeedsUnchallengedPrimary(work)) {
+    return LeadershipTracker::kMinPromotionDelay;
+  }
   bool only_writes =
       !work.in_transaction() && work.call.access != Access::kRead;
   if (only_writes) return kMaxWriteConfirmationAge;
--- a/fireflycart/core/proxy/group_health.cc
+++ b/fireflycart/core/proxy/group_health.cc
@@ -96,7 +96,10 @@
   bool is_evidence = pool_.IsEstablished(replica, context->now()) ||
                      !HasEstablishedReplica(context);
   if (!is_evidence) return;
-  bool suffices = CountsSingleReplicas(context) &&
+  // Without a commit set, another VM may have left out a replica that is new.
+  bool is_known =
+      spec_.sync_replicas > 0 || pool_.IsEstablished(replica, context->now());
+  bool suffices = is_known && CountsSingleReplicas(context) &&
                   IsInCommitSet(replica, primary->status.term);
   if (suffices) {
     leadership_.OnReplicaReceives(upstream, command.at);
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -255,6 +255,10 @@
   bool CountsSingleReplicas(ProxyContext* context) const;
   bool IsInCommitSet(const PooledUpstream& replica, uint64_t term) const;
   bool MayCountAll(bool has_lasting, ProxyContext* context) const;
+  // Of commits that wait for no replica: true if no promotion had taken effect
+  // when the upstream acknowledged it.
+  bool IsCommittedByLeader(const Work& work, ProxyContext* context) const;
+  bool CanConfirmLeader(ProxyContext* context) const;
   bool IsSteady(const Work& work, ProxyContext* context) const;
   bool IsKept(LogPosition position, ProxyContext* context) const;
   bool CanKeepCommits(ProxyContext* context) const;
--- a/fireflycart/core/proxy/leadership_tracker.h
+++ b/fireflycart/core/proxy/leadership_tracker.h
@@ -28,6 +28,9 @@
  public:
   // The maximum age of reads for which positions are kept.
   static constexpr Duration kMaxAge = Duration::Seconds(10);
+  // A promotion takes effect at least this long after its request: the platform
+  // promotes some hundred milliseconds later.
+  static constexpr Duration kMinPromotionDelay = Duration::Millis(100);
   // Minimum time between two samples.
   static constexpr Duration kMinSampleInterval = Duration::Millis(20);
 
--- a/fireflycart/core/proxy/work.h
+++ b/fireflycart/core/proxy/work.h
@@ -65,6 +65,7 @@
   ConnectionId connection;  // Set while it is sent.
   LogPosition after;        // That a read requires of its upstream.
   Instant sent;
+  Instant acknowledged;  // By the upstream, of a commit.
   StatementReply reply;
 
   TransactionKey transaction() const {
--- a/fireflycart/standins/database_model.cc
+++ b/fireflycart/standins/database_model.cc
@@ -310,8 +310,10 @@
   entry.writes = std::move(writes);
   entry.at = now;
   upstream.log.push_back(entry);
-  connection->awaits_replica = true;
+  observer_->OnCommitted(entry.writes, upstream.term < NewestTerm());
+  connection->awaits_replica = options_.sync_replicas > 0;
   connection->awaited = entry.position;
+  answer.position = entry.position;
   return answer;
 }
 
--- a/fireflycart/standins/database_model.h
+++ b/fireflycart/standins/database_model.h
@@ -30,6 +30,8 @@
   Duration statement_time = Duration::Millis(2);
   Duration replication_delay = Duration::Millis(1);
   Duration apply_lag = Duration::Millis(8);
+  // 0: a commit is acknowledged at once; else once a replica has received it.
+  int sync_replicas = 1;
   Duration promote_time = Duration::Millis(600);
   // A primary that can reach its successor steps down after it.
   Duration step_down = Duration::Millis(1000);
@@ -82,6 +84,10 @@
   virtual void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
                       const std::vector<LogEntry>& log, size_t applied) = 0;
   virtual void OnRun(const RanStatement& statement) = 0;
+  // A primary committed these writes. It is replaced if the promotion of
+  // another upstream had taken effect.
+  virtual void OnCommitted(const std::vector<std::string>& writes,
+                           bool is_replaced) = 0;
   // An upstream took the lead with this log.
   virtual void OnPromoted(const UpstreamId& upstream,
                           const std::vector<LogEntry>& log) = 0;
--- a/fireflycart/standins/testing/session_callers.cc
+++ b/fireflycart/standins/testing/session_callers.cc
@@ -257,6 +257,14 @@
     last = now_;
     if (writes) counts_.writes++;
     for (const std::string& text : caller->texts) {
+      if (late_writes_.count(text) != 0) {
+        Report("write " + text +
+               " was acknowledged, which a replaced primary had committed");
+      }
+      if (rolled_back_.count(text) != 0) {
+        acknowledged_rolled_back_++;
+        continue;
+      }
       acknowledged_.push_back(Acknowledged{text, now_, caller->index});
     }
   } else if (GuaranteesNoEffect(outcome)) {
@@ -321,7 +329,14 @@
   for (size_t i = applied; i > 0 && !absent.empty(); i--) {
     for (const std::string& write : log[i - 1].writes) absent.erase(write);
   }
+  for (const std::string& write : rolled_back_) absent.erase(write);
   if (absent.empty()) return;
+  if (options_.database.sync_replicas == 0) {
+    for (const std::string& text : absent) {
+      unseen_writes_[text] = id.value() + " at " + upstream.value();
+    }
+    return;
+  }
   for (const std::string& text : found->second.texts) {
     if (absent.count(text) == 0) continue;
     Report("stale read " + id.value() + " at " + upstream.value() +
@@ -395,6 +410,10 @@
   for (const LogEntry& entry : log) {
     present.insert(entry.writes.begin(), entry.writes.end());
   }
+  if (options_.database.sync_replicas == 0) {
+    RollBack(present);
+    return;
+  }
   for (const Acknowledged& ack : acknowledged_) {
     if (present.count(ack.text) != 0) continue;
     Report("promoted upstream " + upstream.value() +
@@ -403,6 +422,26 @@
   }
 }
 
+// Without synchronous replicas, a promotion may lose what was acknowledged.
+void SessionWorld::RollBack(const std::set<std::string>& present) {
+  for (const std::string& write : committed_) {
+    if (present.count(write) == 0) rolled_back_.insert(write);
+  }
+  auto is_lost = [&](const Acknowledged& ack) {
+    return rolled_back_.count(ack.text) != 0;
+  };
+  auto lost =
+      std::remove_if(acknowledged_.begin(), acknowledged_.end(), is_lost);
+  acknowledged_rolled_back_ += acknowledged_.end() - lost;
+  acknowledged_.erase(lost, acknowledged_.end());
+}
+
+void SessionWorld::OnCommitted(const std::vector<std::string>& writes,
+                               bool is_replaced) {
+  committed_.insert(writes.begin(), writes.end());
+  if (is_replaced) late_writes_.insert(writes.begin(), writes.end());
+}
+
 // How many acknowledged writes the log of each running upstream lacks.
 std::string SessionWorld::MissingWrites() const {
   std::string text;
@@ -434,6 +473,10 @@
   for (const Acknowledged& ack : acknowledged_) {
     if (effects.count(ack.text) == 0) Report("lost write: " + ack.text);
   }
+  for (const auto& item : unseen_writes_) {
+    if (rolled_back_.count(item.first) != 0) continue;
+    Report("stale read " + item.second + " lacks write " + item.first);
+  }
 }
 
 }  // namespace fireflycart::standins
--- a/fireflycart/standins/testing/session_random_test.cc
+++ b/fireflycart/standins/testing/session_random_test.cc
@@ -43,6 +43,7 @@
 ABSL_FLAG(bool, nearby, false, "VMs of other data centres serve reads.");
 ABSL_FLAG(int, data_centres, 0,
           "Data centres of the VMs and upstreams; 0: none is named.");
+ABSL_FLAG(int, sync_replicas, 1, "Replicas that a commit waits for; 0 or 1.");
 ABSL_FLAG(bool, log, false, "Print the log of a run that fails.");
 
 namespace fireflycart::standins {
@@ -137,6 +138,7 @@
     options.data_centres = absl::GetFlag(FLAGS_data_centres);
     options.prepares = absl::GetFlag(FLAGS_prepares);
     options.proxy.set_reads_nearby(absl::GetFlag(FLAGS_nearby));
+    options.database.sync_replicas = absl::GetFlag(FLAGS_sync_replicas);
     options.database.promote_time =
         Duration::Millis(300 + static_cast<int64_t>(Random(800)));
     options.database.apply_lag =
--- a/fireflycart/standins/testing/session_world.cc
+++ b/fireflycart/standins/testing/session_world.cc
@@ -134,7 +134,7 @@
   proxy::GroupSpec group;
   group.id = kGroup;
   group.max_connections = options_.max_connections;
-  group.sync_replicas = 1;
+  group.sync_replicas = options_.database.sync_replicas;
   routes_.groups[kGroup] = group;
   for (int rule = 0; rule < proxy::kReadConsistencies; rule++) {
     proxy::Route route;
--- a/fireflycart/standins/testing/session_world.h
+++ b/fireflycart/standins/testing/session_world.h
@@ -174,6 +174,9 @@
   // The first violation of an invariant; empty if there is none.
   const std::string& problem() const { return problem_; }
   int promotions() const { return promotions_; }
+  // Acknowledged writes that a promotion rolled back. Without synchronous
+  // replicas they are no violation.
+  int64_t rolled_back() const { return acknowledged_rolled_back_; }
   TimePoint now() const { return now_; }
   // Compares the primary's log with the answers that callers received. Call it
   // after all faults are repaired.
@@ -277,6 +280,9 @@
   void OnRead(const proxy::StatementId& id, const UpstreamId& upstream,
               const std::vector<LogEntry>& log, size_t applied) override;
   void OnRun(const RanStatement& ran) override;
+  void OnCommitted(const std::vector<std::string>& writes,
+                   bool is_replaced) override;
+  void RollBack(const std::set<std::string>& present);
   // Reports a statement in the transaction of another caller or another
   // operation, or out of the order in which it was sent.
   void CheckTransaction(const RanStatement& ran, const Expectation& expected);
@@ -352,6 +358,15 @@
     int statements = 0;
   };
   std::vector<Acknowledged> acknowledged_;
+  // Committed by an upstream after the promotion of another took effect.
+  std::set<std::string> late_writes_;
+  std::set<std::string> committed_;
+  // Missing in the log of an upstream that was promoted.
+  std::set<std::string> rolled_back_;
+  int64_t acknowledged_rolled_back_ = 0;
+  // Without synchronous replicas: acknowledged writes that a read lacked, and
+  // that read. It is stale unless a promotion rolls the write back.
+  std::map<std::string, std::string> unseen_writes_;
   std::set<std::string> refused_writes_;  // Guaranteed to have no effect.
   std::map<std::string, Expectation> expectations_;  // By statement id.
   std::map<std::string, int> runs_;                  // By statement id.
