Reads: no held replica covers commits that wait for no replica

What callers saw: on a service with syncReplicas 0, while its primary was taken for lost, reads ran at the held replica with the longest log. Acknowledged commits that had not reached it were missing (rule STALE) if the primary led on in the end, for example since no promotion was accepted.

Change: without synchronous replicas, reads of the newest state wait for the next primary, or for the old one to return; reads of bounded age run at replicas as at other times.

--- a/fireflycart/core/proxy/group_dispatch.cc
+++ b/fireflycart/core/proxy/group_dispatch.cc
@@ -227,7 +227,7 @@
 // which has every acknowledged commit.
 bool GroupOwner::DispatchDuringFailover(ProxyContext* context) {
   PooledUpstream* successor = pool_.FindUpstream(failover_.successor());
-  bool may_read = failover_.held_position().known() && successor != nullptr &&
+  bool may_read = CompletePosition().known() && successor != nullptr &&
                   !successor->is_down && pool_.HasSlot(*successor) &&
                   !pool_.IsDrained(*successor, context->now());
   if (!may_read) return false;
@@ -270,8 +270,16 @@
   return work != nullptr && Start(work, chosen, context);
 }
 
+// A position of the successor that covers every acknowledged commit; unknown if
+// there is none. Without synchronous replicas, the old primary may have commits
+// that the successor lacks, and may lead on if no promotion takes effect.
+LogPosition GroupOwner::CompletePosition() const {
+  return spec_.sync_replicas > 0 ? failover_.held_position() : LogPosition();
+}
+
 LogPosition GroupOwner::MinPositionFor(const Work& work) const {
-  if (failover_.held_position().known()) return failover_.held_position();
+  LogPosition complete = CompletePosition();
+  if (complete.known()) return complete;
   TimePoint oldest = work.arrived.time - work.call.max_age + kTransitMargin;
   LogPosition min_position = leadership_.MinPositionFor(oldest);
   if (!min_position.known()) return min_position;
--- a/fireflycart/core/proxy/group_owner.h
+++ b/fireflycart/core/proxy/group_owner.h
@@ -182,6 +182,7 @@
                        ProxyContext* context);
   bool IsBehind(const PooledUpstream& replica, LogPosition min_position,
                 TimePoint now) const;
+  LogPosition CompletePosition() const;
   LogPosition MinPositionFor(const Work& work) const;
   LogPosition MinPositionAtPrimary(const Work& work) const;
   bool MayStartAtPrimary(const Work& work, ProxyContext* context);
--- a/fireflycart/standins/testing/session_unreplicated_test.cc
+++ b/fireflycart/standins/testing/session_unreplicated_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(Primary_Leaving_NoLaterCommitIsPassedOn);
   CPPUNIT_TEST(Primary_LeavingWhileVmIsCutOff_NoLaterCommitIsPassedOn);
   CPPUNIT_TEST(Primary_UnreachableFromOwnerOnly_NoLaterCommitIsPassedOn);
+  CPPUNIT_TEST(Primary_ReturnsDuringFailover_NothingStaleWasRead);
   CPPUNIT_TEST(Primary_Crashes_WritesResume);
   CPPUNIT_TEST(Replica_Silent_WritesGoOn);
   CPPUNIT_TEST_SUITE_END();
@@ -96,6 +97,27 @@
     }
   }
 
+  // Guards against reads at a held replica that lacks commits of the primary,
+  // which goes on leading in the end.
+  void Primary_ReturnsDuringFailover_NothingStaleWasRead() {
+    for (int run = 0; run < kRuns; run++) {
+      MakeWorld(run, SessionWorldOptions());
+      world_->Run(kSettled + Duration::Millis(17 * run));
+      world_->RefusePromotions(true);
+      UpstreamId old = world_->primary();
+      world_->CutPrimaryFromReplicas();
+      world_->Run(Duration::Millis(300));
+      for (const char* vm : {"vm-0", "vm-1", "vm-2"}) {
+        world_->CutFor(vm, old.value(), Duration::Millis(1500));
+      }
+      world_->Run(Duration::Seconds(2));
+      world_->HealAll();
+      world_->Run(Duration::Seconds(1));
+      CPPUNIT_ASSERT(world_->primary() == old);
+      ExpectInvariantsHold();
+    }
+  }
+
   void Primary_Crashes_WritesResume() {
     MakeWorld(1, SessionWorldOptions());
     world_->Run(kSettled);
