Limits: search for silent spenders once for each call

A lender looked each spender of each wish up in the table of votes. Spenders that remember rates and are silent are now collected once, and are few.

--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -153,23 +153,26 @@
   reply.state = State(now);
   if (reply.state != LenderState::kLending) return reply;
   double share = Share(now);
+  std::vector<VmId> silent = SilentSpenders(now);
   for (const TokenWish& wish : call.wishes) {
     auto tenant = tenants_.find(wish.tenant);
     if (tenant == tenants_.end() || !tenant->second.has_limit) continue;
-    reply.grants.push_back(Lend(spender, tenant->second, wish, share, now));
+    reply.grants.push_back(
+        Lend(spender, tenant->second, wish, share, silent, now));
   }
+  votes_[spender].remembers_rates = !reply.grants.empty();
   return reply;
 }
 
 TokenGrant TokenLender::Lend(const VmId& spender, const TenantSpec& tenant,
                              const TokenWish& wish, double share,
-                             TimePoint now) {
+                             const std::vector<VmId>& silent, TimePoint now) {
   auto inserted = buckets_.try_emplace(tenant.id);
   Bucket& bucket = inserted.first->second;
   // An empty bucket has filled since lending began.
   if (inserted.second) bucket.filled_at = lends_from_;
   double whole_rate = tenant.rate_per_s * kLentShare;
-  double unused_rate = std::max(whole_rate - RateOfSilent(bucket, now), 0.0);
+  double unused_rate = std::max(whole_rate - RateOf(silent, bucket), 0.0);
   double rate = std::min(whole_rate * share, unused_rate);
   double capacity = std::max(tenant.burst, 1.0) * share;
   double returned = static_cast<double>(std::max<int64_t>(wish.returned, 0));
@@ -197,22 +200,32 @@
   return grant;
 }
 
-// What spenders may use at their remembered rates that have not called since
-// their tokens ended. A reply without a grant for the tenant tells none.
-double TokenLender::RateOfSilent(const Bucket& bucket, TimePoint now) const {
+// What silent spenders may use at their remembered rates. A reply without a
+// grant for the tenant tells none.
+double TokenLender::RateOf(const std::vector<VmId>& silent,
+                           const Bucket& bucket) const {
   double sum = 0;
-  for (const auto& item : bucket.takers) {
-    auto vote = votes_.find(item.first);
-    if (vote == votes_.end()) continue;
-    TimePoint called_at = vote->second.called_at;
-    bool may_use = item.second.called_at == called_at &&
-                   now - called_at > kSilentAfter &&
-                   now - called_at <= kSilentUntil;
-    if (may_use) sum += item.second.told;
+  for (const VmId& spender : silent) {
+    auto taker = bucket.takers.find(spender);
+    if (taker == bucket.takers.end()) continue;
+    const Vote& vote = votes_.at(spender);
+    if (taker->second.called_at == vote.called_at) sum += taker->second.told;
   }
   return sum;
 }
 
+// Those that remember rates and have not called since their tokens ended.
+std::vector<VmId> TokenLender::SilentSpenders(TimePoint now) const {
+  std::vector<VmId> silent;
+  for (const auto& item : votes_) {
+    Duration age = now - item.second.called_at;
+    bool is_silent = item.second.remembers_rates && age > kSilentAfter &&
+                     age <= kSilentUntil;
+    if (is_silent) silent.push_back(item.first);
+  }
+  return silent;
+}
+
 // The spender's part of what all spenders take, and of the limit if they take
 // more for a while.
 double TokenLender::RememberedRate(double limit, const VmId& spender,
--- a/fireflycart/core/tenants/token_lender.h
+++ b/fireflycart/core/tenants/token_lender.h
@@ -30,6 +30,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "fireflycart/core/clock.h"
 #include "fireflycart/core/ids.h"
@@ -85,6 +86,7 @@
     TimePoint called_at;
     bool counts = false;  // Since before that.
     bool has_borrowed = true;
+    bool remembers_rates = false;  // By the last reply.
 
     bool CountsAt(TimePoint now) const {
       bool has_begun = counts || now - voting_since >= kStartDelay;
@@ -113,10 +115,12 @@
   bool IsNothingLent(TimePoint now) const;
   void StartEarly(TimePoint now);
   TokenGrant Lend(const VmId& spender, const TenantSpec& tenant,
-                  const TokenWish& wish, double share, TimePoint now);
+                  const TokenWish& wish, double share,
+                  const std::vector<VmId>& silent, TimePoint now);
   static double RememberedRate(double limit, const VmId& spender,
                                Bucket* bucket, TimePoint now);
-  double RateOfSilent(const Bucket& bucket, TimePoint now) const;
+  std::vector<VmId> SilentSpenders(TimePoint now) const;
+  double RateOf(const std::vector<VmId>& silent, const Bucket& bucket) const;
 
   const LimitShare* share_;
   TenantSpecs tenants_;
