Limits: at most fifteen VMs have votes

The voters are the first fifteen VMs of the store's list by rank, so each VM knows them without a message.

--- a/fireflycart/core/proxy/limit_claim.cc
+++ b/fireflycart/core/proxy/limit_claim.cc
@@ -37,10 +37,10 @@
   return claimed_at_ != TimePoint() && now - renewed_at_ <= kClaimLife;
 }
 
-double LimitClaim::Share(size_t votes, size_t vms, TimePoint now) const {
-  if (!is_chosen_ || vms == 0) return 0;
-  if (votes >= vms) return 1;
-  bool has_majority = 2 * votes > vms;
+double LimitClaim::Share(size_t votes, size_t voters, TimePoint now) const {
+  if (!is_chosen_ || voters == 0) return 0;
+  if (votes >= voters) return 1;
+  bool has_majority = 2 * votes > voters;
   bool is_claimed = IsClaimed(now) && now >= usable_from_;
   Duration delay = has_majority ? kMajorityDelay : kMinorityDelay;
   if (is_claimed && now - claimed_at_ >= delay) return 1;
@@ -48,23 +48,23 @@
   bool is_unclaimed =
       unclaimed_at_ != TimePoint() && now - unclaimed_at_ <= life;
   if (!is_claimed && !is_unclaimed) return 0;
-  return static_cast<double>(votes) / static_cast<double>(vms);
+  return static_cast<double>(votes) / static_cast<double>(voters);
 }
 
 bool LimitClaim::MayClaim(TimePoint now) const {
   if (votes_ == 0) return false;
-  if (2 * votes_ > vms_) return now - lacks_votes_since_ >= kMajorityWait;
+  if (2 * votes_ > voters_) return now - lacks_votes_since_ >= kMajorityWait;
   bool is_over =
       row_state_ == RowState::kFree ||
       (row_state_ == RowState::kForeign && now - row_seen_at_ >= kTakeOverAge);
   return is_over && now - lacks_votes_since_ >= kMinorityWait;
 }
 
-void LimitClaim::Step(bool is_chosen, size_t votes, size_t vms,
+void LimitClaim::Step(bool is_chosen, size_t votes, size_t voters,
                       ProxyContext* context) {
   TimePoint now = context->now();
   votes_ = votes;
-  vms_ = vms;
+  voters_ = voters;
   if (is_chosen != is_chosen_) {
     is_chosen_ = is_chosen;
     lacks_votes_since_ = is_chosen ? now : TimePoint();
@@ -74,7 +74,7 @@
     next_call_ = TimePoint();
   }
   if (!is_chosen_) return;
-  if (votes >= vms) {
+  if (votes >= voters) {
     lacks_votes_since_ = TimePoint();
     unclaimed_at_ = now;
     bool may_release = row_state_ == RowState::kOwn && call_ == CallId();
@@ -187,7 +187,7 @@
   claimed_at_ = context->now();
   context->Log(
       LogLevel::kWarning, kPart, "claimed",
-      {{"votes", std::to_string(votes_)}, {"vms", std::to_string(vms_)}});
+      {{"votes", std::to_string(votes_)}, {"voters", std::to_string(voters_)}});
 }
 
 }  // namespace fireflycart::proxy
--- a/fireflycart/core/proxy/limit_claim.h
+++ b/fireflycart/core/proxy/limit_claim.h
@@ -1,9 +1,9 @@
 // Decides which part of the tenants' limits a lender may lend if it does not
 // have the votes of all VMs, by a row of the platform's store.
 //
-//   claim.Step(is_chosen, votes, vms, &context);   // on every wake
+//   claim.Step(is_chosen, votes, voters, &context);   // on every wake
 //   if (claim.OnStore(answer, &context)) ...
-//   double share = claim.Share(votes, vms, now);
+//   double share = claim.Share(votes, voters, now);
 //
 // VMs whose votes a lender lacks may have ended, or may be cut off from it and
 // have another lender. So at first it lends the parts of its own votes alone,
@@ -44,10 +44,10 @@
   static constexpr Duration kMajorityWait = Duration::Millis(1000);
   static constexpr Duration kMinorityWait = Duration::Millis(4000);
 
-  void Step(bool is_chosen, size_t votes, size_t vms, ProxyContext* context);
+  void Step(bool is_chosen, size_t votes, size_t voters, ProxyContext* context);
   // False if the answer is not to a call of this object.
   bool OnStore(const StoreAnswered& answer, ProxyContext* context);
-  double Share(size_t votes, size_t vms, TimePoint now) const override;
+  double Share(size_t votes, size_t voters, TimePoint now) const override;
 
  private:
   enum class RowState { kUnknown, kFree, kOwn, kForeign };
@@ -63,7 +63,7 @@
 
   bool is_chosen_ = false;
   size_t votes_ = 0;
-  size_t vms_ = 0;
+  size_t voters_ = 0;
   TimePoint lacks_votes_since_;  // Zero: it has all.
   RowState row_state_ = RowState::kUnknown;
   StoreVersion row_version_;
--- a/fireflycart/core/proxy/limit_keeper.cc
+++ b/fireflycart/core/proxy/limit_keeper.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <variant>
 
+#include "fireflycart/core/proxy/vm_ring.h"
+
 namespace fireflycart::proxy {
 namespace {
 
@@ -34,8 +36,16 @@
   lender_.SetTenants(tenants);
 }
 
-void LimitKeeper::SetVms(const std::set<VmId>& vms, ProxyContext* context) {
-  lender_.SetVms(vms, context->now());
+void LimitKeeper::SetVms(const std::vector<VmId>& vms, ProxyContext* context) {
+  std::map<uint64_t, VmId> by_rank;
+  for (const VmId& vm : vms) by_rank[RankOf(vm)] = vm;
+  std::set<VmId> voters;
+  for (const auto& item : by_rank) {
+    if (voters.size() == kMaxVoters) break;
+    voters.insert(item.second);
+  }
+  is_voter_ = voters.count(context->self()) != 0;
+  lender_.SetVoters(voters, context->now());
 }
 
 void LimitKeeper::SetView(const View& view, ProxyContext* context) {
@@ -197,9 +207,10 @@
   if (!stock_.has_limits() && waiting_.empty()) return;
   TimePoint now = context->now();
   bool is_idle = view_.owned.empty() && now - last_operation_ > kIdleTime;
+  if (is_idle && !is_voter_ && waiting_.empty()) return;
   Duration period = is_idle ? kIdleCallPeriod : kCallPeriod;
   // The vote of this VM counts at a new lender some time after the first call.
-  bool calls_soon = !waiting_.empty() || voted_ != view_.lender;
+  bool calls_soon = !waiting_.empty() || (is_voter_ && voted_ != view_.lender);
   TimePoint due = called_at_ + (calls_soon ? kMinCallGap : period);
   if (now < due) {
     context->WakeAt(due);
@@ -211,13 +222,13 @@
 void LimitKeeper::StepClaim(ProxyContext* context) {
   bool lends = stock_.has_limits() && view_.is_in_touch &&
                view_.lender == context->self();
-  claim_.Step(lends, lender_.CountVotes(context->now()), lender_.vms(),
+  claim_.Step(lends, lender_.CountVotes(context->now()), lender_.voters(),
               context);
 }
 
 void LimitKeeper::WakeForVote(ProxyContext* context) {
-  bool is_due =
-      voted_ != view_.lender && stock_.has_limits() && call_ == CallId();
+  bool is_due = is_voter_ && voted_ != view_.lender && stock_.has_limits() &&
+                call_ == CallId();
   if (!is_due) return;
   context->WakeAt(std::max(context->now(), called_at_ + kMinCallGap));
 }
@@ -234,7 +245,7 @@
   context->Log(LogLevel::kInfo, kPart, "lender",
                {{"state", LenderStateName(state)},
                 {"votes", std::to_string(votes)},
-                {"vms", std::to_string(lender_.vms())}});
+                {"voters", std::to_string(lender_.voters())}});
 }
 
 std::vector<LimitKeeper::Decided> LimitKeeper::TakeDecided() {
--- a/fireflycart/core/proxy/limit_keeper.h
+++ b/fireflycart/core/proxy/limit_keeper.h
@@ -43,7 +43,7 @@
   // Shortest time between two calls, if operations wait.
   static constexpr Duration kMinCallGap = Duration::Millis(20);
   // A VM that owns no group calls the lender as often for so long after an
-  // operation, and then less, for its vote.
+  // operation, and then less, if it has a vote.
   static constexpr Duration kIdleTime = Duration::Millis(1000);
   static constexpr Duration kIdleCallPeriod = Duration::Millis(800);
 
@@ -71,8 +71,10 @@
   };
 
   void SetTenants(const TenantSpecs& tenants, ProxyContext* context);
-  // The VMs that the store lists, this one included.
-  void SetVms(const std::set<VmId>& vms, ProxyContext* context);
+  // The VMs that the store lists, this one included. The first of them by rank
+  // have votes.
+  static constexpr size_t kMaxVoters = 15;
+  void SetVms(const std::vector<VmId>& vms, ProxyContext* context);
   void SetView(const View& view, ProxyContext* context);
 
   // Moves the statement away if it waits.
@@ -122,6 +124,7 @@
   CallId call_;
   VmId called_;
   TimePoint called_at_;
+  bool is_voter_ = false;
   VmId voted_;  // The lender that this VM has called since, and no other.
   TimePoint voting_since_;
   LenderState logged_state_ = LenderState::kNone;
--- a/fireflycart/core/proxy/proxy_reducer.cc
+++ b/fireflycart/core/proxy/proxy_reducer.cc
@@ -178,8 +178,8 @@
   next_fleet_update_ = context_.now() + kFleetUpdateInterval;
   applied_vm_changes_ = follower_.vm_changes();
   fleet_.SetVms(follower_.vms(), &context_);
-  std::set<VmId> vms = {self_.vm};
-  for (const auto& item : follower_.vms().records) vms.insert(item.first);
+  std::vector<VmId> vms = {self_.vm};
+  for (const auto& item : follower_.vms().records) vms.push_back(item.first);
   limit_keeper_.SetVms(vms, &context_);
   return true;
 }
--- a/fireflycart/core/proxy/testing/limit_keeper_test.cc
+++ b/fireflycart/core/proxy/testing/limit_keeper_test.cc
@@ -178,8 +178,8 @@
     ProxyEffects effects;
     vm->context->Begin(now_, &effects);
     vm->keeper->SetTenants(specs, vm->context.get());
-    std::set<VmId> ids;
-    for (const auto& other : vms_) ids.insert(IdOf(other->index));
+    std::vector<VmId> ids;
+    for (const auto& other : vms_) ids.push_back(IdOf(other->index));
     vm->keeper->SetVms(ids, vm->context.get());
   }
 
--- a/fireflycart/core/tenants/limit_share.h
+++ b/fireflycart/core/tenants/limit_share.h
@@ -13,8 +13,8 @@
 class LimitShare {
  public:
   virtual ~LimitShare() = default;
-  // From 0 to 1, with so many votes of all VMs.
-  virtual double Share(size_t votes, size_t vms, TimePoint now) const = 0;
+  // From 0 to 1, with so many votes of all voters.
+  virtual double Share(size_t votes, size_t voters, TimePoint now) const = 0;
 };
 
 }  // namespace fireflycart
--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -35,9 +35,10 @@
 
 }  // namespace
 
-void TokenLender::SetVms(const std::set<VmId>& vms, TimePoint now) {
-  vms_ = vms;
-  for (auto& item : votes_) item.second.is_listed = vms.count(item.first) != 0;
+void TokenLender::SetVoters(const std::set<VmId>& voters, TimePoint now) {
+  voters_ = voters;
+  for (auto& item : votes_)
+    item.second.is_voter = voters.count(item.first) != 0;
   Check(now);
 }
 
@@ -50,17 +51,17 @@
   size_t count = 0;
   for (const auto& item : votes_) {
     const Vote& vote = item.second;
-    if (vote.is_listed && vote.CountsAt(now)) count++;
+    if (vote.is_voter && vote.CountsAt(now)) count++;
   }
   return count;
 }
 
 double TokenLender::Share(TimePoint now) const {
-  return share_->Share(CountVotes(now), vms_.size(), now);
+  return share_->Share(CountVotes(now), voters_.size(), now);
 }
 
 double TokenLender::OwnShare(TimePoint now) const {
-  if (vms_.empty()) return 0;
+  if (voters_.empty()) return 0;
   double share = Share(now);
   if (share >= 1) return 1;
   // Another lender may lend the whole limit.
@@ -68,21 +69,21 @@
   size_t count = 0;
   for (const auto& item : votes_) {
     bool calls =
-        item.second.is_listed && now - item.second.called_at <= kOwnShareAge;
+        item.second.is_voter && now - item.second.called_at <= kOwnShareAge;
     if (calls) count++;
   }
-  return static_cast<double>(count) / static_cast<double>(vms_.size());
+  return static_cast<double>(count) / static_cast<double>(voters_.size());
 }
 
 bool TokenLender::IsNothingLent(TimePoint now) const {
   size_t count = 0;
   for (const auto& item : votes_) {
     const Vote& vote = item.second;
-    if (!vote.is_listed || now - vote.called_at > kFreshCallAge) continue;
+    if (!vote.is_voter || now - vote.called_at > kFreshCallAge) continue;
     if (vote.has_borrowed) return false;
     count++;
   }
-  return !vms_.empty() && count == vms_.size();
+  return !voters_.empty() && count == voters_.size();
 }
 
 // Each spender calls one VM in each period, so while all call this one, no
@@ -119,7 +120,7 @@
       vote.called_at != TimePoint() && now - vote.called_at <= kVoteLife;
   if (!is_continuous) {
     vote = Vote();
-    vote.is_listed = vms_.count(spender) != 0;
+    vote.is_voter = voters_.count(spender) != 0;
     vote.since = now;
     vote.voting_since = now;
     vote.called_at = now;
--- a/fireflycart/core/tenants/token_lender.h
+++ b/fireflycart/core/tenants/token_lender.h
@@ -1,7 +1,7 @@
 // Lends out the operations that tenants may start, from one place for all VMs.
 //
 //   TokenLender lender(&share);
-//   lender.SetVms(vms, now);
+//   lender.SetVoters(voters, now);
 //   lender.SetChosen(is_chosen, now);
 //   TokensReply reply = lender.OnCall(spender, call, now);
 //
@@ -14,15 +14,15 @@
 // lender is valid, and then starts with empty buckets. Until then it tells the
 // spenders to go on at the rates that they remember.
 //
-// VMs that cannot reach each other choose different lenders. So each VM that
-// the store lists has one vote, which carries an equal part of every limit, and
-// a lender lends the parts of the VMs that call it. A VM calls one lender at a
-// time. Its vote counts at another one only after it has ceased to count at the
-// first, so all lenders together lend at most the whole limit, whatever each of
-// them believes of the fleet. LimitShare decides which part a lender lends that
-// lacks votes.
+// VMs that cannot reach each other choose different lenders. So some VMs, which
+// follow from the store's list alone, have votes, each of which carries an
+// equal part of every limit, and a lender lends the parts of the voters that
+// call it. A VM calls one lender at a time. Its vote counts at another one only
+// after it has ceased to count at the first, so all lenders together lend at
+// most the whole limit, whatever each of them believes of the fleet. LimitShare
+// decides which part a lender lends that lacks votes.
 //
-// Limits: a VM that is not listed yet has no vote.
+// Limits: VMs whose lists differ may count different voters for a moment.
 
 #ifndef FIREFLYCART_CORE_TENANTS_TOKEN_LENDER_H_
 #define FIREFLYCART_CORE_TENANTS_TOKEN_LENDER_H_
@@ -57,7 +57,7 @@
   // lender.
   static constexpr Duration kOwnShareAge = Duration::Millis(1200);
 
-  // After a restart of all VMs it starts sooner: when all VMs have called it
+  // After a restart of all VMs it starts sooner: when all voters have called it
   // for this long, each within the age, and none has borrowed since its own
   // start.
   static constexpr Duration kFreshTime = Duration::Millis(500);
@@ -65,8 +65,8 @@
 
   explicit TokenLender(const LimitShare* share) : share_(share) {}
 
-  // The VMs that the store lists, this one included.
-  void SetVms(const std::set<VmId>& vms, TimePoint now);
+  // The VMs that have votes, by the list of the store.
+  void SetVoters(const std::set<VmId>& voters, TimePoint now);
   // This VM is the lender, from its own view, and is in touch with others.
   void SetChosen(bool is_chosen, TimePoint now);
   void SetTenants(const TenantSpecs& tenants) { tenants_ = tenants; }
@@ -76,11 +76,11 @@
   LenderState State(TimePoint now) const;
   // Votes that count, and all.
   size_t CountVotes(TimePoint now) const;
-  size_t vms() const { return vms_.size(); }
+  size_t voters() const { return voters_.size(); }
 
  private:
   struct Vote {
-    bool is_listed = false;
+    bool is_voter = false;
     TimePoint since;         // Of calls without a gap.
     TimePoint voting_since;  // It has called no other VM.
     TimePoint called_at;
@@ -111,7 +111,7 @@
   void CountVote(const VmId& spender, const TokensCall& call, TimePoint now);
   double Share(TimePoint now) const;
   double OwnShare(TimePoint now) const;
-  // True if all VMs call and none of them has borrowed.
+  // True if all voters call and none of them has borrowed.
   bool IsNothingLent(TimePoint now) const;
   void StartEarly(TimePoint now);
   TokenGrant Lend(const VmId& spender, const TenantSpec& tenant,
@@ -124,7 +124,7 @@
 
   const LimitShare* share_;
   TenantSpecs tenants_;
-  std::set<VmId> vms_;
+  std::set<VmId> voters_;
   std::map<VmId, Vote> votes_;
   bool is_chosen_ = false;
   bool was_chosen_ = false;
