Limits: a vote that counted nowhere else returns at once

While the lender's VM was slow, VMs chose another one for a moment. A voter now remembers where its vote may count: it counts at the same lender again with the second call, as it did not call another one for long enough meanwhile. A vote begins to count with a call that tells so, not by the lender's clock alone, and voters call just when theirs begins.

--- a/fireflycart/core/proxy/limit_keeper.cc
+++ b/fireflycart/core/proxy/limit_keeper.cc
@@ -123,7 +123,13 @@
   std::map<TenantId, int64_t> counts;
   for (const Waiting& item : waiting_) counts[item.call.tenant]++;
   TokensCall call = stock_.MakeCall(counts, context->now());
-  call.voting_for = context->now() - voting_since_;
+  Duration voting_for = context->now() - voting_since_;
+  if (voting_for >= TokenLender::kStartDelay) counted_ = voted_;
+  // It never counted at those that were called meanwhile.
+  if (voted_ == counted_) {
+    voting_for = std::max(voting_for, TokenLender::kStartDelay);
+  }
+  call.voting_for = voting_for;
   if (view_.lender == context->self()) {
     OnAnswer(lender_.OnCall(context->self(), call, context->now()), context);
     return;
@@ -212,6 +218,10 @@
   // The vote of this VM counts at a new lender some time after the first call.
   bool calls_soon = !waiting_.empty() || (is_voter_ && voted_ != view_.lender);
   TimePoint due = called_at_ + (calls_soon ? kMinCallGap : period);
+  if (is_voter_ && voted_ != counted_ && voted_ != VmId()) {
+    TimePoint counts_from = voting_since_ + TokenLender::kStartDelay;
+    due = std::min(due, std::max(counts_from, called_at_ + kMinCallGap));
+  }
   if (now < due) {
     context->WakeAt(due);
     return;
--- a/fireflycart/core/proxy/limit_keeper.h
+++ b/fireflycart/core/proxy/limit_keeper.h
@@ -127,6 +127,8 @@
   bool is_voter_ = false;
   VmId voted_;  // The lender that this VM has called since, and no other.
   TimePoint voting_since_;
+  // Where the vote may count: the last lender that was called for kStartDelay.
+  VmId counted_;
   LenderState logged_state_ = LenderState::kNone;
   size_t logged_votes_ = 0;
   TimePoint next_log_;
--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -111,8 +111,8 @@
   buckets_.clear();
 }
 
-// The spender's word bounds how long it has called nobody else, and the calls
-// that arrived bound what a call tells that was read late.
+// The spender tells how long its vote has counted nowhere else. A call that was
+// read late may tell it of an earlier time, but comes alone.
 void TokenLender::CountVote(const VmId& spender, const TokensCall& call,
                             TimePoint now) {
   Vote& vote = votes_[spender];
@@ -122,15 +122,15 @@
     vote = Vote();
     vote.is_voter = voters_.count(spender) != 0;
     vote.since = now;
-    vote.voting_since = now;
     vote.called_at = now;
   }
   bool did_count = vote.CountsAt(now);
-  Duration voting_for = now - vote.since;
-  if (call.voting_for) voting_for = std::min(voting_for, *call.voting_for);
-  vote.voting_since = now - voting_for;
+  Duration called_for = now - vote.since;
+  Duration voting_for = call.voting_for.value_or(called_for);
+  bool has_begun = voting_for >= kStartDelay && called_for >= kMinCallTime;
   // It may have called another VM since, but not for long enough to count.
-  vote.counts = did_count && vote.voting_since <= vote.called_at + kVoteLife;
+  bool has_stayed = now - voting_for <= vote.called_at + kVoteLife;
+  vote.counts = has_begun || (did_count && has_stayed);
   vote.called_at = now;
   vote.has_borrowed = call.has_borrowed;
 }
--- a/fireflycart/core/tenants/token_lender.h
+++ b/fireflycart/core/tenants/token_lender.h
@@ -53,6 +53,8 @@
   // A vote begins to count after this time: a vote that counted elsewhere has
   // ended then, and so have the tokens that were lent for it.
   static constexpr Duration kStartDelay = Duration::Millis(2700);
+  // A vote counts from its second call on, so long after the first.
+  static constexpr Duration kMinCallTime = Duration::Millis(150);
   // A spender that has not called for this long uses no own allowance by this
   // lender.
   static constexpr Duration kOwnShareAge = Duration::Millis(1200);
@@ -81,16 +83,14 @@
  private:
   struct Vote {
     bool is_voter = false;
-    TimePoint since;         // Of calls without a gap.
-    TimePoint voting_since;  // It has called no other VM.
+    TimePoint since;  // Of calls without a gap.
     TimePoint called_at;
-    bool counts = false;  // Since before that.
+    bool counts = false;
     bool has_borrowed = true;
     bool remembers_rates = false;  // By the last reply.
 
     bool CountsAt(TimePoint now) const {
-      bool has_begun = counts || now - voting_since >= kStartDelay;
-      return has_begun && now - called_at <= kVoteLife;
+      return counts && now - called_at <= kVoteLife;
     }
   };
   // How much a spender takes, as a moving average.
--- a/fireflycart/core/tenants/token_messages.h
+++ b/fireflycart/core/tenants/token_messages.h
@@ -42,7 +42,7 @@
   // A lender has answered the sender since its start. So it is with an earlier
   // version, as far as is known.
   bool has_borrowed = true;
-  // How long the sender has called the receiver and no other VM.
+  // How long the sender's vote cannot have counted at another VM.
   std::optional<Duration> voting_for;
 };
 
