Limits: remembered rates bridge the start of a lender that most voters call

A lender that starts told spenders to go on at the rates that they remember, but for 3 s after their last tokens at most, so that they ran dry while VMs changed between two lenders. If half of the voters call it, it is 8 s; a lender that lacks votes takes what silent spenders remember off what it lends for as long.

--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -23,8 +23,7 @@
 // When a spender that does not call uses its remembered rate: after its tokens
 // ended, and with a margin for the way of its last call.
 constexpr Duration kSilentAfter = kTokenLife + Duration::Millis(50);
-constexpr Duration kSilentUntil =
-    kMaxRememberedRateLife + Duration::Millis(100);
+constexpr Duration kSilentMargin = Duration::Millis(100);
 // The lender may come to have a larger part of the limit by then.
 constexpr Duration kMaxRetryAfter = Duration::Millis(2000);
 
@@ -218,10 +217,13 @@
 // Those that remember rates and have not called since their tokens ended.
 std::vector<VmId> TokenLender::SilentSpenders(TimePoint now) const {
   std::vector<VmId> silent;
+  // Half of the voters can call another lender only if votes are missing here.
+  Duration life = CountVotes(now) < voters_.size() ? kMajorityRememberedRateLife
+                                                   : kMaxRememberedRateLife;
   for (const auto& item : votes_) {
     Duration age = now - item.second.called_at;
     bool is_silent = item.second.remembers_rates && age > kSilentAfter &&
-                     age <= kSilentUntil;
+                     age <= life + kSilentMargin;
     if (is_silent) silent.push_back(item.first);
   }
   return silent;
--- a/fireflycart/core/tenants/token_messages.h
+++ b/fireflycart/core/tenants/token_messages.h
@@ -20,6 +20,8 @@
 // A new lender that starts extends that, but not beyond this time after a
 // lender granted tokens.
 constexpr Duration kMaxRememberedRateLife = Duration::Millis(3000);
+// The same if half of the voters or more call the new lender.
+constexpr Duration kMajorityRememberedRateLife = Duration::Millis(8000);
 // A part of 1 in messages.
 constexpr int64_t kWholeShare = 1000;
 
--- a/fireflycart/core/tenants/token_stock.cc
+++ b/fireflycart/core/tenants/token_stock.cc
@@ -180,9 +180,12 @@
         static_cast<double>(reply.own_share) / static_cast<double>(kWholeShare);
     own_share_until_ = asked_at + kOwnShareLife;
   }
+  Duration max_life = 2 * reply.own_share >= kWholeShare
+                          ? kMajorityRememberedRateLife
+                          : kMaxRememberedRateLife;
   if (reply.state == LenderState::kStarting && now <= remembered_until_) {
-    remembered_until_ = std::min(asked_at + kRememberedRateLife,
-                                 granted_at_ + kMaxRememberedRateLife);
+    remembered_until_ =
+        std::min(asked_at + kRememberedRateLife, granted_at_ + max_life);
   }
   if (reply.state != LenderState::kLending) return;
   granted_at_ = asked_at;
