--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -36,8 +36,9 @@
 
 void TokenLender::SetVoters(const std::set<VmId>& voters, TimePoint now) {
   voters_ = voters;
-  for (auto& item : votes_)
+  for (auto& item : votes_) {
     item.second.is_voter = voters.count(item.first) != 0;
+  }
   Check(now);
 }
 
--- a/fireflycart/standins/testing/session_unreplicated_test.cc
+++ b/fireflycart/standins/testing/session_unreplicated_test.cc
@@ -43,7 +43,7 @@
   void Primary_Leaving_NoLaterCommitIsPassedOn() {
     for (int run = 0; run < kRuns; run++) {
       MakeWorld(run, OnlyWrites());
-      world_->Run(kSettled + Duration::Millis(17 * run));
+      world_->Run(kSettled + OffsetOf(run));
       world_->ResetGaps();
       UpstreamId old = world_->primary();
       world_->Drain(old);
@@ -63,7 +63,7 @@
     for (int vm = 0; vm < 3; vm++) {
       for (int run = 0; run < kRuns; run++) {
         MakeWorld(run, OnlyWrites());
-        world_->Run(kSettled + Duration::Millis(17 * run));
+        world_->Run(kSettled + OffsetOf(run));
         CutFromOtherVms(vm);
         world_->Run(kCutBefore);
         UpstreamId old = world_->primary();
@@ -81,7 +81,7 @@
   void Primary_UnreachableFromOwnerOnly_NoLaterCommitIsPassedOn() {
     for (int run = 0; run < kRuns; run++) {
       MakeWorld(run, OnlyWrites());
-      world_->Run(kSettled + Duration::Millis(17 * run));
+      world_->Run(kSettled + OffsetOf(run));
       UpstreamId old = world_->primary();
       std::string owner = world_->owner().value();
       // The other VMs lose the owner as well, and use the old primary.
@@ -102,7 +102,7 @@
   void Primary_ReturnsDuringFailover_NothingStaleWasRead() {
     for (int run = 0; run < kRuns; run++) {
       MakeWorld(run, SessionWorldOptions());
-      world_->Run(kSettled + Duration::Millis(17 * run));
+      world_->Run(kSettled + OffsetOf(run));
       world_->RefusePromotions(true);
       UpstreamId old = world_->primary();
       world_->CutPrimaryFromReplicas();
@@ -154,6 +154,11 @@
     return options;
   }
 
+  // Runs differ in when the change begins.
+  static Duration OffsetOf(int run) {
+    return Duration::Millis(17) * static_cast<int64_t>(run);
+  }
+
   void MakeWorld(int run, SessionWorldOptions options) {
     options.database.sync_replicas = 0;
     world_ =
