Limits: a claim that is taken over is over before its parts are lent

A lender with the majority of the votes may replace the claim of another one, which may lend the whole limit until 3 s after its last write. The time to wait for that was forgotten with the first renewal of the new claim, 1 s later (rule QUOTA). And the claim was written a second after the row had been read, when its holder had renewed it, so that it was never replaced while its holder lived.

The row is written at once after it was read, and the time is kept. Majority_TakesOverClaimInUse_WaitsUntilItIsOver failed before: without both, the new lender had nothing after 20 s; with the first alone, both together lent more than the whole.

--- a/fireflycart/core/proxy/limit_claim.cc
+++ b/fireflycart/core/proxy/limit_claim.cc
@@ -114,7 +114,7 @@
   is_release_ = value.empty();
   bool takes_over = row_state_ == RowState::kForeign &&
                     context->now() - row_seen_at_ < kTakeOverAge;
-  usable_from_ = takes_over ? row_seen_at_ + kTakeOverAge : TimePoint();
+  if (takes_over) usable_from_ = row_seen_at_ + kTakeOverAge;
   sent_at_ = context->now();
   call_ = context->NextCall();
   WriteRow row;
@@ -163,13 +163,14 @@
   } else {
     row_state_ = RowState::kForeign;
   }
+  // At once, before a holder renews the row.
+  if (MayClaim(context->now())) next_call_ = context->now();
   bool is_over = sent_at_ - row_seen_at_ >= kTakeOverAge;
   if (row_state_ == RowState::kForeign) {
     claimed_at_ = TimePoint();
     if (!is_over) return;
   }
   if (is_chosen_) unclaimed_at_ = sent_at_;
-  if (MayClaim(context->now())) next_call_ = context->now();
 }
 
 void LimitClaim::OnWritten(const StoreAnswered& answer, ProxyContext* context) {
