Limits: a lender without votes lends nothing, whatever it has claimed

A holder of the claim that had lost all its votes went on lending the whole limit, and renewed its claim. The lender that has all votes by then lends the whole, too, and does not look at claims (rule QUOTA).

Without votes nothing is lent, and the claim is given up. Holder_LosesAllVotes_LendsNothing failed before (expected 0, actual 1).

--- a/fireflycart/core/proxy/limit_claim.cc
+++ b/fireflycart/core/proxy/limit_claim.cc
@@ -38,7 +38,8 @@
 }
 
 double LimitClaim::Share(size_t votes, size_t voters, TimePoint now) const {
-  if (!is_chosen_ || voters == 0) return 0;
+  // A lender that has all votes does not look at claims.
+  if (!is_chosen_ || votes == 0) return 0;
   if (votes >= voters) return 1;
   bool has_majority = 2 * votes > voters;
   bool is_claimed = IsClaimed(now) && now >= usable_from_;
@@ -74,6 +75,7 @@
     next_call_ = TimePoint();
   }
   if (!is_chosen_) return;
+  if (voters == 0) return;
   if (votes >= voters) {
     lacks_votes_since_ = TimePoint();
     unclaimed_at_ = now;
@@ -94,7 +96,9 @@
   context->WakeAt(next_call_);
   bool is_own = row_state_ == RowState::kOwn;
   bool is_known = row_state_ != RowState::kUnknown;
-  if (is_own || (is_known && MayClaim(now))) {
+  if (is_own && votes == 0) {
+    Write("", context);
+  } else if (is_own || (is_known && MayClaim(now))) {
     Write(OwnValue(context), context);
   } else {
     Read(context);
--- a/fireflycart/core/proxy/testing/limit_claim_test.cc
+++ b/fireflycart/core/proxy/testing/limit_claim_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(LimitClaimTest);
   CPPUNIT_TEST(Holder_WithMajority_LendsWholeAfterDelay);
   CPPUNIT_TEST(Holder_WithoutMajority_LendsWholeAfterLongerDelay);
+  CPPUNIT_TEST(Holder_LosesAllVotes_LendsNothing);
   CPPUNIT_TEST(Other_ReadsClaim_StopsBeforeHolderLendsWhole);
   CPPUNIT_TEST(Majority_TakesOverClaimInUse_WaitsUntilItIsOver);
   CPPUNIT_TEST(Holder_HasAllVotesAgain_GivesClaimUp);
@@ -50,6 +51,20 @@
     CPPUNIT_ASSERT_EQUAL(1.0, Share(a_));
   }
 
+  // Guards against a holder beside a lender that has all votes: that one does
+  // not look at claims.
+  void Holder_LosesAllVotes_LendsNothing() {
+    a_.votes = 1;
+    Run(LimitClaim::kMinorityWait + LimitClaim::kMinorityDelay +
+        Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(1.0, Share(a_));
+    a_.votes = 0;
+    Run(Duration::Millis(1));
+    CPPUNIT_ASSERT_EQUAL(0.0, Share(a_));
+    Run(LimitClaim::kClaimLife + Duration::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0.0, Share(a_));
+  }
+
   void Other_ReadsClaim_StopsBeforeHolderLendsWhole() {
     a_.votes = 9;
     b_.votes = 6;
