Limits: a VM that is no lender holds no votes

A VM that gives this answer keeps no votes, so the vote cannot have counted there, and counts at the first lender again with its second call.

--- a/fireflycart/core/proxy/limit_keeper.cc
+++ b/fireflycart/core/proxy/limit_keeper.cc
@@ -143,6 +143,8 @@
 void LimitKeeper::OnAnswer(const TokensReply& reply, ProxyContext* context) {
   silent_lender_ = VmId();
   stock_.OnReply(reply, called_at_, context->now());
+  // Such a VM keeps no votes.
+  if (reply.state == LenderState::kNone) voting_since_ = context->now();
   bool lends = reply.state == LenderState::kLending;
   if (!lends) ask_again_at_ = context->now() + kCallPeriod;
   Decide(lends, context);
--- a/fireflycart/core/proxy/testing/limit_keeper_test.cc
+++ b/fireflycart/core/proxy/testing/limit_keeper_test.cc
@@ -437,6 +437,7 @@
   CPPUNIT_TEST(Fleet_InTwoParts_NearlyWholeLimitGranted);
   CPPUNIT_TEST(Fleet_MostVmsLost_WholeLimitIsGrantedInTheEnd);
   CPPUNIT_TEST(Spender_LosesLenderAlone_NeverMoreThanAllowed);
+  CPPUNIT_TEST(Voters_CallVmThatIsNoLender_ReturnAtOnce);
   CPPUNIT_TEST(Random_Losses_NeverMoreThanAllowed);
   CPPUNIT_TEST(Random_Splits_NeverMoreThanAllowed);
   CPPUNIT_TEST_SUITE_END();
@@ -641,6 +642,30 @@
     ExpectWithin(world, 0, TimePoint());
   }
 
+  // Guards against a lender that lends little after many VMs took it for lost:
+  // the VM that they called meanwhile knew that it was no lender.
+  void Voters_CallVmThatIsNoLender_ReturnAtOnce() {
+    LimitWorld world({MakeDemand("hot", 100, 50, 1200, EvenSplit())}, 21);
+    world.SetStoreReachable();
+    world.Run(kStart);
+    int lender = world.LenderOf(0);
+    world.SetCut(lender, (lender + 1) % kVms, true);
+    world.Run(Duration::Seconds(1));
+    int other = world.LenderOf((lender + 1) % kVms);
+    CPPUNIT_ASSERT(other != lender);
+    for (int vm = 0; vm < kVms; vm++) {
+      if (vm != lender && vm != other) world.SetCut(lender, vm, true);
+    }
+    world.Run(Duration::Seconds(4));
+    for (int vm = 0; vm < kVms; vm++) {
+      if (vm != lender) world.SetCut(lender, vm, false);
+    }
+    // The VMs notice it, and call it twice.
+    world.Run(Duration::Millis(500));
+    ExpectGranted(&world, Duration::Seconds(2), kVms - 2);
+    ExpectWithin(world, 0, TimePoint());
+  }
+
   void Random_Losses_NeverMoreThanAllowed() {
     for (uint64_t seed = 1; seed <= 8; seed++) {
       std::vector<Demand> demands = {
