Tests: ends and pauses of the owner in a change, two changes, restarts of all VMs

Groups without synchronous replicas: the VM that ordered the promotion is killed, stops or is frozen, at 20 moments of the change, and the successor is replaced in turn. Limits: the random splits also restart all VMs.

--- a/fireflycart/core/proxy/testing/limit_keeper_test.cc
+++ b/fireflycart/core/proxy/testing/limit_keeper_test.cc
@@ -717,8 +717,8 @@
     }
   }
 
-  // Splits into islands of any size, with restarts, pauses and cuts of links
-  // within them.
+  // Splits into islands of any size and heals, with restarts of one or all VMs,
+  // pauses, and cuts of links and from the store within them.
   void Random_Splits_NeverMoreThanAllowed() {
     for (uint64_t seed = 1; seed <= 12; seed++) {
       std::vector<Demand> demands = {
@@ -740,7 +740,12 @@
           world.SetIsland(vm, vm == lone ? islands : pick(islands));
         }
         int vm = pick(kVms);
-        switch (pick(7)) {
+        switch (pick(8)) {
+          case 7:
+            for (int i = 0; i < kVms; i++) world.Kill(i);
+            world.Run(Duration::Millis(pick(1500)));
+            for (int i = 0; i < kVms; i++) world.Start(i);
+            break;
           case 5:
             world.CutFromStore(vm, Duration::Millis(pick(12000)));
             break;
--- a/fireflycart/standins/testing/session_unreplicated_test.cc
+++ b/fireflycart/standins/testing/session_unreplicated_test.cc
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(NoFaults_AllConsistencies_NothingIsRefused);
   CPPUNIT_TEST(Primary_Leaving_NoLaterCommitIsPassedOn);
   CPPUNIT_TEST(Primary_LeavingWhileVmIsCutOff_NoLaterCommitIsPassedOn);
+  CPPUNIT_TEST(Primary_LeavingAndThenItsSuccessor_NoLaterCommitIsPassedOn);
+  CPPUNIT_TEST(Owner_EndsDuringChange_NoLaterCommitIsPassedOn);
+  CPPUNIT_TEST(Owner_FrozenDuringChange_NoLaterCommitIsPassedOn);
   CPPUNIT_TEST(Primary_UnreachableFromOwnerOnly_NoLaterCommitIsPassedOn);
   CPPUNIT_TEST(Primary_ReturnsDuringFailover_NothingStaleWasRead);
   CPPUNIT_TEST(Primary_Crashes_WritesResume);
@@ -77,6 +80,60 @@
     }
   }
 
+  void Primary_LeavingAndThenItsSuccessor_NoLaterCommitIsPassedOn() {
+    for (int run = 0; run < kRuns; run++) {
+      MakeWorld(run, OnlyWrites());
+      world_->Run(kSettled + OffsetOf(run));
+      for (int change = 0; change < 2; change++) {
+        UpstreamId old = world_->primary();
+        world_->Drain(old);
+        world_->Run(Duration::Seconds(4));
+        CPPUNIT_ASSERT(world_->primary() != old);
+        world_->Register(old, false);
+      }
+      ExpectInvariantsHold();
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, world_->rolled_back());
+    }
+  }
+
+  // The VM that ordered the promotion is killed or stops, at any time of the
+  // change.
+  void Owner_EndsDuringChange_NoLaterCommitIsPassedOn() {
+    for (int step = 0; step < 20; step++) {
+      for (bool is_killed : {true, false}) {
+        MakeWorld(step, OnlyWrites());
+        world_->Run(kSettled);
+        UpstreamId old = world_->primary();
+        int owner = std::stoi(world_->owner().value().substr(3));
+        world_->Drain(old);
+        world_->Run(Duration::Millis(50) * static_cast<int64_t>(step));
+        if (is_killed) {
+          world_->KillVm(owner);
+        } else {
+          world_->StopVm(owner);
+        }
+        world_->Run(Duration::Seconds(10));
+        CPPUNIT_ASSERT(world_->primary() != old);
+        ExpectInvariantsHold();
+      }
+    }
+  }
+
+  void Owner_FrozenDuringChange_NoLaterCommitIsPassedOn() {
+    for (int step = 0; step < 20; step++) {
+      MakeWorld(step, OnlyWrites());
+      world_->Run(kSettled);
+      int owner = std::stoi(world_->owner().value().substr(3));
+      world_->Drain(world_->primary());
+      world_->Run(Duration::Millis(50) * static_cast<int64_t>(step));
+      world_->FreezeVm(
+          owner, Duration::Millis(200) +
+                     Duration::Millis(300) * static_cast<int64_t>(step % 5));
+      world_->Run(Duration::Seconds(8));
+      ExpectInvariantsHold();
+    }
+  }
+
   // Guards against commits of a primary that only its owner takes for lost.
   void Primary_UnreachableFromOwnerOnly_NoLaterCommitIsPassedOn() {
     for (int run = 0; run < kRuns; run++) {
