Limits: a lender starts early only if no caller has borrowed

Any caller that has borrowed prevents the early start now. OtherCaller_HasBorrowed_LendsLater failed before; the other tests of token_lender_test.cc hold with and without the change.

--- a/fireflycart/core/tenants/token_lender.cc
+++ b/fireflycart/core/tenants/token_lender.cc
@@ -79,9 +79,9 @@
   size_t count = 0;
   for (const auto& item : votes_) {
     const Vote& vote = item.second;
-    if (!vote.is_voter || now - vote.called_at > kFreshCallAge) continue;
+    if (now - vote.called_at > kFreshCallAge) continue;
     if (vote.has_borrowed) return false;
-    count++;
+    if (vote.is_voter) count++;
   }
   return !voters_.empty() && count == voters_.size();
 }
--- a/fireflycart/core/tenants/token_lender.h
+++ b/fireflycart/core/tenants/token_lender.h
@@ -111,7 +111,7 @@
   void CountVote(const VmId& spender, const TokensCall& call, TimePoint now);
   double Share(TimePoint now) const;
   double OwnShare(TimePoint now) const;
-  // True if all voters call and none of them has borrowed.
+  // True if all voters call and no caller has borrowed.
   bool IsNothingLent(TimePoint now) const;
   void StartEarly(TimePoint now);
   TokenGrant Lend(const VmId& spender, const TenantSpec& tenant,
