--- a/fireflycart/core/proxy/limit_claim.cc
+++ b/fireflycart/core/proxy/limit_claim.cc
@@ -13,7 +13,8 @@
 //   learns it from its next write, and stops kClaimLife after its last write at
 //   the latest.
 //
-// All times are those at which a call was sent.
+// Evidence is as old as the call that asked for it, and a claim as old as the
+// answer to its first write, so that a slow store lengthens no right to lend.
 
 #include "fireflycart/core/proxy/limit_claim.h"
 
--- a/fireflycart/core/proxy/limit_claim.h
+++ b/fireflycart/core/proxy/limit_claim.h
@@ -10,8 +10,8 @@
 // and claims the row. After a while that others cannot outlast, the holder of
 // the row lends the whole limit.
 //
-// Limits: while the store does not answer, nobody comes to hold the row, and a
-// lender without the majority of the votes soon lends nothing.
+// Limits: while the store does not answer, no lender can claim the row, and one
+// without the majority of the votes lends nothing after kUnclaimedLife.
 
 #ifndef FIREFLYCART_CORE_PROXY_LIMIT_CLAIM_H_
 #define FIREFLYCART_CORE_PROXY_LIMIT_CLAIM_H_
@@ -31,8 +31,8 @@
   static constexpr Duration kClaimLife = Duration::Millis(3000);
   // A claim of another VM is over if its row is the same for this long.
   static constexpr Duration kTakeOverAge = Duration::Millis(4000);
-  // A lender lends the parts of its votes for so long after it knew last that
-  // nobody else had claimed the limits: without and with the majority.
+  // How long a read that shows no foreign claim permits a lender to lend the
+  // parts of its votes, without and with the majority.
   static constexpr Duration kUnclaimedLife = Duration::Millis(7000);
   static constexpr Duration kMajorityUnclaimedLife = Duration::Millis(18000);
   // The holder of the row lends the whole limit so long after its claim, with
--- a/fireflycart/core/proxy/limit_keeper.h
+++ b/fireflycart/core/proxy/limit_keeper.h
@@ -46,6 +46,7 @@
   // operation, and then less, if it has a vote.
   static constexpr Duration kIdleTime = Duration::Millis(1000);
   static constexpr Duration kIdleCallPeriod = Duration::Millis(800);
+  static constexpr size_t kMaxVoters = 15;
 
   // What this VM knows of the fleet.
   struct View {
@@ -71,9 +72,8 @@
   };
 
   void SetTenants(const TenantSpecs& tenants, ProxyContext* context);
-  // The VMs that the store lists, this one included. The first of them by rank
-  // have votes.
-  static constexpr size_t kMaxVoters = 15;
+  // The VMs that the store lists, this one included. The first kMaxVoters of
+  // them by rank have votes.
   void SetVms(const std::vector<VmId>& vms, ProxyContext* context);
   void SetView(const View& view, ProxyContext* context);
 
--- a/fireflycart/core/proxy/testing/limit_keeper_test.cc
+++ b/fireflycart/core/proxy/testing/limit_keeper_test.cc
@@ -98,7 +98,7 @@
   void CutFromStore(int index, Duration time) {
     At(index)->without_store_until = now_ + time;
   }
-  // All VMs hear the store, so that one that is cut off counts as in touch.
+  // VMs count as in touch by the store alone, also if no other VM answers.
   void SetStoreReachable() { is_store_reachable_ = true; }
   void SetCut(int a, int b, bool value) {
     cut_[{std::min(a, b), std::max(a, b)}] = value;
--- a/fireflycart/core/tenants/token_messages.h
+++ b/fireflycart/core/tenants/token_messages.h
@@ -39,7 +39,8 @@
 };
 
 struct TokensCall {
-  std::vector<GroupId> groups;  // That the sender owns.
+  // That the sender owns, for lenders of earlier versions.
+  std::vector<GroupId> groups;
   std::vector<TokenWish> wishes;
   // A lender has answered the sender since its start. So it is with an earlier
   // version, as far as is known.
